--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+GO ?= go
+SEEDS ?= 20
+SECONDS ?= 60
+
+.PHONY: build test lint demo
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test -race ./...
+
+lint:
+	@unformatted=$$($(GO) tool gofumpt -l cmd internal pkg); \
+	if [ -n "$$unformatted" ]; then echo "gofumpt: $$unformatted"; exit 1; fi
+	$(GO) tool revive -config revive.toml -set_exit_status ./...
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+generate:
+	$(GO) generate ./internal/wire
--- /dev/null
+++ b/pkg/spool/outcome.go
@@ -0,0 +1,42 @@
+package spool
+
+import "time"
+
+// Verdict tells what became of a request.
+type Verdict int
+
+// The verdicts of a request.
+const (
+	Answered Verdict = iota // the server's own answer was passed on whole
+	NotRun                  // no server ran the request
+	Unknown                 // a server may have run the request
+	Lost                    // data that the session has seen did not survive a failover
+)
+
+// Refusal says why a request got no answer of a server.
+type Refusal struct {
+	Verdict    Verdict
+	Code       string // SQLSTATE
+	Message    string
+	RetryAfter time.Duration // zero when trying again does not help
+}
+
+// Error returns the refusal's message.
+func (refusal *Refusal) Error() string { return refusal.Message }
+
+// SQLSTATE codes of refusals.
+const (
+	CodeOutcomeUnknown  = "08007" // transaction_resolution_unknown
+	CodeRateExceeded    = "53400" // configuration_limit_exceeded
+	CodeNoSlot          = "53300" // too_many_connections
+	CodeNoPrimary       = "57P03" // cannot_connect_now
+	CodeShutdown        = "57P01" // admin_shutdown
+	CodeReadOnly        = "25006" // read_only_sql_transaction
+	CodeLostWrite       = "40003" // statement_completion_unknown
+	CodeUnsupported     = "0A000" // feature_not_supported
+	CodeBadKey          = "28P01" // invalid_password
+	CodeNotAllowed      = "28000" // invalid_authorization_specification
+	CodeUnknownRoute    = "3D000" // invalid_catalog_name
+	CodeProtocol        = "08P01" // protocol_violation
+	CodeDeadlineExpired = "57014" // query_canceled
+)
--- /dev/null
+++ b/pkg/spool/token.go
@@ -0,0 +1,59 @@
+package spool
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Group names a database group.
+type Group string
+
+// Server names a backend server within its group.
+type Server string
+
+// Term numbers the reigns of a group's primaries; a promotion raises it.
+type Term uint64
+
+// Position is a place in a group's replication log, in log records.
+type Position uint64
+
+// Token tells how far into a group's log a session has seen.
+type Token struct {
+	Group    Group
+	Term     Term
+	Position Position
+}
+
+// String returns the text form group/term/position that ParseToken reads.
+func (token Token) String() string {
+	return fmt.Sprintf("%s/%d/%d", token.Group, token.Term, token.Position)
+}
+
+// Merge returns the later of both tokens, compared by term and then by position.
+func (token Token) Merge(other Token) Token {
+	if other.Term > token.Term {
+		return other
+	}
+	if other.Term == token.Term && other.Position > token.Position {
+		return other
+	}
+	return token
+}
+
+// ParseToken reads the text form group/term/position and fails on anything else.
+func ParseToken(text string) (Token, error) {
+	parts := strings.Split(text, "/")
+	if len(parts) != 3 || parts[0] == "" {
+		return Token{}, fmt.Errorf("token %q is not of the form group/term/position", text)
+	}
+	term, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return Token{}, fmt.Errorf("token %q has an invalid term: %w", text, err)
+	}
+	position, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return Token{}, fmt.Errorf("token %q has an invalid position: %w", text, err)
+	}
+	return Token{Group: Group(parts[0]), Term: Term(term), Position: Position(position)}, nil
+}
