Add the route table and the membership view

Membership ranks VMs by rendezvous hashing, so that readers, relays and lease candidates need no agreement.

--- /dev/null
+++ b/internal/core/member/view.go
@@ -0,0 +1,209 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	defaultTimeout = 1 * time.Second
+	defaultForget  = 30 * time.Second
+	// MeshLimit is the largest fleet in which every VM sends its heartbeat to every other.
+	MeshLimit = 32
+	// RelaysPerDomain is the number of VMs of a failure domain that pass heartbeats and configuration on.
+	RelaysPerDomain = 2
+)
+
+// Entry is what the view knows of one VM.
+type Entry struct {
+	spool.Member
+	Heard    spool.Instant // last heartbeat, direct or relayed
+	HeardAny bool
+	Listed   bool
+	Versions map[string]spool.Version // newest versions that the VM has seen, by kind/name
+}
+
+// View is one proxy's view of the fleet; it is not safe for concurrent use.
+type View struct {
+	self    spool.Member
+	timeout time.Duration
+	entries map[spool.VM]*Entry
+}
+
+// Option changes a view under construction.
+type Option func(*View)
+
+// WithTimeout sets how long a VM counts as alive after its last heartbeat.
+func WithTimeout(timeout time.Duration) Option {
+	return func(view *View) { view.timeout = timeout }
+}
+
+// New returns the view of a proxy that knows only itself.
+func New(self spool.Member, options ...Option) *View {
+	view := &View{self: self, timeout: defaultTimeout, entries: map[spool.VM]*Entry{}}
+	for _, option := range options {
+		option(view)
+	}
+	view.entries[self.VM] = &Entry{Member: self, Listed: true}
+	return view
+}
+
+// Leave marks the own VM as leaving.
+func (view *View) Leave() {
+	view.self.Leaving = true
+	view.entries[view.self.VM].Leaving = true
+}
+
+// Self returns the own VM.
+func (view *View) Self() spool.Member { return view.self }
+
+// List takes over the platform's list of VMs, which lags; it only adds what heartbeats have not told.
+func (view *View) List(members []spool.Member) {
+	for _, entry := range view.entries {
+		entry.Listed = entry.VM == view.self.VM
+	}
+	for _, member := range members {
+		entry := view.entry(member.VM)
+		entry.Listed = true
+		if !entry.HeardAny && member.VM != view.self.VM {
+			entry.Domain, entry.Address = member.Domain, member.Address
+			entry.Leaving = member.Leaving
+		}
+	}
+}
+
+// Hear records a direct heartbeat.
+func (view *View) Hear(from spool.VM, incarnation uint64, beat *wire.Beat, now spool.Instant) {
+	member := spool.Member{
+		VM: from, Domain: spool.Domain(beat.Domain), Address: beat.Address,
+		Incarnation: incarnation, Leaving: beat.Leaving,
+	}
+	entry := view.merge(member, now)
+	if entry == nil {
+		return
+	}
+	for _, version := range beat.Versions {
+		key := version.Kind + "/" + version.Name
+		entry.Versions[key] = max(entry.Versions[key], spool.Version(version.Version))
+	}
+	for _, info := range beat.Members {
+		view.relayed(info, now)
+	}
+}
+
+func (view *View) relayed(info *wire.MemberInfo, now spool.Instant) {
+	member := spool.Member{
+		VM: spool.VM(info.VM), Domain: spool.Domain(info.Domain), Address: info.Address,
+		Incarnation: info.Incarnation, Leaving: info.Leaving,
+	}
+	view.merge(member, now-spool.Instant(max(info.AgeNanos, 0)))
+}
+
+func (view *View) merge(member spool.Member, heard spool.Instant) *Entry {
+	if member.VM == view.self.VM {
+		return nil
+	}
+	entry := view.entry(member.VM)
+	if entry.HeardAny && member.Incarnation < entry.Incarnation {
+		return nil
+	}
+	if member.Incarnation > entry.Incarnation {
+		entry.Versions = map[string]spool.Version{}
+	}
+	leaving := member.Leaving || (entry.Leaving && entry.Incarnation == member.Incarnation)
+	entry.Member = member
+	entry.Leaving = leaving
+	entry.Heard = max(entry.Heard, heard)
+	entry.HeardAny = true
+	return entry
+}
+
+func (view *View) entry(vm spool.VM) *Entry {
+	entry := view.entries[vm]
+	if entry == nil {
+		entry = &Entry{Member: spool.Member{VM: vm}, Versions: map[string]spool.Version{}}
+		view.entries[vm] = entry
+	}
+	return entry
+}
+
+// Forget drops VMs that are neither listed nor were heard for a while.
+func (view *View) Forget(now spool.Instant) {
+	for vm, entry := range view.entries {
+		if !entry.Listed && now.Sub(entry.Heard) > defaultForget {
+			delete(view.entries, vm)
+		}
+	}
+}
+
+// Entry returns what is known of a VM.
+func (view *View) Entry(vm spool.VM) (*Entry, bool) {
+	entry, known := view.entries[vm]
+	return entry, known
+}
+
+// Alive tells whether a VM was heard within the timeout.
+func (view *View) Alive(vm spool.VM, now spool.Instant) bool {
+	entry, known := view.entries[vm]
+	return known && view.alive(entry, now)
+}
+
+func (view *View) alive(entry *Entry, now spool.Instant) bool {
+	if entry.VM == view.self.VM {
+		return true
+	}
+	return entry.HeardAny && now.Sub(entry.Heard) <= view.timeout
+}
+
+// Members returns all known VMs, sorted by name.
+func (view *View) Members() []spool.Member {
+	return view.collect(func(*Entry) bool { return true })
+}
+
+// Serving returns the VMs that are alive and not leaving, sorted by name.
+func (view *View) Serving(now spool.Instant) []spool.Member {
+	return view.collect(func(entry *Entry) bool { return view.alive(entry, now) && !entry.Leaving })
+}
+
+func (view *View) collect(keep func(*Entry) bool) []spool.Member {
+	members := make([]spool.Member, 0, len(view.entries))
+	for _, entry := range view.entries {
+		if keep(entry) {
+			members = append(members, entry.Member)
+		}
+	}
+	slices.SortFunc(members, func(a, b spool.Member) int { return cmp.Compare(a.VM, b.VM) })
+	return members
+}
+
+// Rank returns the own place among the serving VMs that may hold a role, by rendezvous hashing; a leaving VM has none.
+func (view *View) Rank(role string, now spool.Instant) (int, bool) {
+	if view.self.Leaving {
+		return 0, false
+	}
+	own := weight(role, view.self.VM)
+	rank := 0
+	for _, entry := range view.entries {
+		if entry.VM == view.self.VM || entry.Leaving || !view.alive(entry, now) {
+			continue
+		}
+		if other := weight(role, entry.VM); other > own || (other == own && entry.VM < view.self.VM) {
+			rank++
+		}
+	}
+	return rank, true
+}
+
+func weight(role string, vm spool.VM) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(role)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(string(vm))
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/core/member/view_test.go
@@ -0,0 +1,98 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/internal/core/member"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+func beat(domain string, leaving bool) *wire.Beat {
+	return &wire.Beat{Domain: domain, Address: "127.0.0.1:1", Leaving: leaving}
+}
+
+func TestAliveFollowsHeartbeatsNotTheList(t *testing.T) {
+	c := qt.New(t)
+	view := member.New(spool.Member{VM: "a", Domain: "d1"})
+	view.List([]spool.Member{{VM: "b", Domain: "d2"}})
+	c.Assert(view.Alive("b", 0), qt.IsFalse)
+	view.Hear("b", 1, beat("d2", false), 0)
+	c.Assert(view.Alive("b", 0), qt.IsTrue)
+	view.List(nil)
+	c.Assert(view.Alive("b", 0), qt.IsTrue)
+	c.Assert(view.Alive("b", spool.Instant(2*time.Second)), qt.IsFalse)
+}
+
+func TestLeavingHoldsUntilANewIncarnation(t *testing.T) {
+	c := qt.New(t)
+	view := member.New(spool.Member{VM: "a", Domain: "d1"})
+	view.Hear("b", 1, beat("d1", true), 0)
+	view.Hear("b", 1, beat("d1", false), 1)
+	c.Assert(view.Serving(1), qt.HasLen, 1)
+	view.Hear("b", 2, beat("d1", false), 2)
+	c.Assert(view.Serving(2), qt.HasLen, 2)
+	view.Hear("b", 1, beat("d1", true), 3)
+	c.Assert(view.Serving(3), qt.HasLen, 2)
+}
+
+func TestOneReaderAndUniqueRanks(t *testing.T) {
+	c := qt.New(t)
+	readers := map[string]int{}
+	ranks := map[int]bool{}
+	for i := range 9 {
+		view := fleet(i, 9, 3)
+		if view.Reader(0) {
+			readers[string(view.Self().Domain)]++
+		}
+		rank, may := view.Rank("Group/g", 0)
+		c.Assert(may, qt.IsTrue)
+		ranks[rank] = true
+	}
+	c.Assert(readers, qt.DeepEquals, map[string]int{"d0": 1, "d1": 1, "d2": 1})
+	c.Assert(ranks, qt.HasLen, 9)
+}
+
+// TestRelaysConnectALargeFleet follows the links of every VM and expects each to reach all others in three hops.
+func TestRelaysConnectALargeFleet(t *testing.T) {
+	c := qt.New(t)
+	const size = 60
+	links := map[spool.VM][]spool.VM{}
+	most := 0
+	for i := range size {
+		view := fleet(i, size, 6)
+		links[view.Self().VM] = view.Links(0)
+		if !view.Relay(0) {
+			most = max(most, len(view.Links(0)))
+		}
+	}
+	c.Assert(most, qt.Equals, member.RelaysPerDomain)
+	reached := map[spool.VM]bool{"vm00": true}
+	for range 3 {
+		for vm := range links {
+			if !reached[vm] {
+				continue
+			}
+			for _, next := range links[vm] {
+				reached[next] = true
+			}
+		}
+	}
+	c.Assert(reached, qt.HasLen, size)
+}
+
+func fleet(self, size, domains int) *member.View {
+	name := func(i int) spool.VM { return spool.VM(fmt.Sprintf("vm%02d", i)) }
+	domain := func(i int) string { return fmt.Sprintf("d%d", i%domains) }
+	view := member.New(spool.Member{VM: name(self), Domain: spool.Domain(domain(self))})
+	for i := range size {
+		if i != self {
+			view.Hear(name(i), 1, beat(domain(i), false), 0)
+		}
+	}
+	return view
+}
--- /dev/null
+++ b/internal/core/route/table.go
@@ -0,0 +1,172 @@
+package route
+
+import (
+	"time"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	sampleCount    = 64
+	sampleInterval = 20 * time.Millisecond
+)
+
+// Server is what a table knows of one backend server.
+type Server struct {
+	Name     spool.Server
+	Term     spool.Term
+	Position spool.Position
+	Up       bool
+	Leaving  bool
+}
+
+// Reign is the position at which a term began.
+type Reign struct {
+	Term  spool.Term
+	Start spool.Position
+}
+
+// Set is a bit set of the indices of a table's servers.
+type Set uint64
+
+// Has tells whether the set holds index.
+func (set Set) Has(index int) bool { return set&(1<<index) != 0 }
+
+// With returns the set with index added.
+func (set Set) With(index int) Set { return set | 1<<index }
+
+// Table knows the servers of one group and which of them may answer; it is not safe for concurrent use.
+type Table struct {
+	Servers []Server
+	Primary int // index of the primary, negative while no term is open
+	Reign   Reign
+	History []Reign // earlier terms, oldest first
+	Acked   spool.Position
+
+	samples [sampleCount]sample
+	next    int
+}
+
+// sample says that the primary was at or before a position at an instant.
+type sample struct {
+	at       spool.Instant
+	position spool.Position
+	valid    bool
+}
+
+// New returns a table of the servers, with no term open.
+func New(servers []spool.ServerSpec) *Table {
+	table := &Table{Primary: -1}
+	table.SetServers(servers)
+	return table
+}
+
+// SetServers replaces the list of servers and keeps what is known of those that stay.
+func (table *Table) SetServers(specs []spool.ServerSpec) {
+	var primary spool.Server
+	if table.Primary >= 0 {
+		primary = table.Servers[table.Primary].Name
+	}
+	servers := make([]Server, len(specs))
+	for i, spec := range specs {
+		if old := table.Index(spec.Name); old >= 0 {
+			servers[i] = table.Servers[old]
+		}
+		servers[i].Name = spec.Name
+		servers[i].Leaving = spec.Leaving
+	}
+	table.Servers = servers
+	table.Primary = table.Index(primary)
+}
+
+// Index returns the index of a server, or -1.
+func (table *Table) Index(name spool.Server) int {
+	for i := range table.Servers {
+		if table.Servers[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Open begins a term on a primary.
+func (table *Table) Open(primary spool.Server, reign Reign) {
+	if reign.Term > table.Reign.Term {
+		if table.Reign.Term > 0 {
+			table.History = append(table.History, table.Reign)
+		}
+		table.samples = [sampleCount]sample{}
+		table.Acked = reign.Start
+	}
+	table.Reign = reign
+	table.Primary = table.Index(primary)
+}
+
+// Close ends the open term: no primary answers until the next Open.
+func (table *Table) Close() { table.Primary = -1 }
+
+// See records a status that was asked for at sentAt.
+func (table *Table) See(status spool.ServerStatus, sentAt spool.Instant) {
+	index := table.Index(status.Server)
+	if index < 0 {
+		return
+	}
+	server := &table.Servers[index]
+	server.Up = true
+	if status.Term < server.Term {
+		return
+	}
+	if status.Term > server.Term {
+		server.Term = status.Term
+		server.Position = status.Position
+	}
+	server.Position = max(server.Position, status.Position)
+	if index == table.Primary && status.Term == table.Reign.Term {
+		table.sample(sentAt, status.Position)
+	}
+}
+
+// Miss records that a server did not answer.
+func (table *Table) Miss(name spool.Server) {
+	if index := table.Index(name); index >= 0 {
+		table.Servers[index].Up = false
+	}
+}
+
+// Acknowledge records a position that a write of the open term was acknowledged with.
+func (table *Table) Acknowledge(term spool.Term, position spool.Position) {
+	if term != table.Reign.Term {
+		return
+	}
+	table.Acked = max(table.Acked, position)
+	if table.Primary >= 0 {
+		server := &table.Servers[table.Primary]
+		server.Position = max(server.Position, position)
+	}
+}
+
+func (table *Table) sample(at spool.Instant, position spool.Position) {
+	last := table.samples[(table.next+sampleCount-1)%sampleCount]
+	if last.valid && at.Sub(last.at) < sampleInterval {
+		return
+	}
+	table.samples[table.next] = sample{at: at, position: position, valid: true}
+	table.next = (table.next + 1) % sampleCount
+}
+
+// Age returns a bound on how old the data at a position is, and false when none is known.
+func (table *Table) Age(position spool.Position, now spool.Instant) (time.Duration, bool) {
+	newest := spool.Instant(0)
+	found := false
+	for i := range table.samples {
+		sample := &table.samples[i]
+		if !sample.valid || sample.position > position {
+			continue
+		}
+		if !found || sample.at > newest {
+			newest = sample.at
+			found = true
+		}
+	}
+	return now.Sub(newest), found
+}
