Add the transport between proxies and certificate handling

yamux over mutual TLS 1.3; control messages and data streams use separate connections, so that a large result never delays a pledge. The sender's VM is the name in its checked certificate, never what a message says.

--- /dev/null
+++ b/internal/certs/doc.go
@@ -0,0 +1,2 @@
+// Package certs loads certificates, reloads them when their files change, and identifies VMs by them.
+package certs
--- /dev/null
+++ b/internal/peer/outbox.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"net"
+	"time"
+
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// outbox sends control messages to one proxy in order and drops them while it is out of reach.
+type outbox struct {
+	transport *Transport
+	to        spool.VM
+	queue     chan *wire.Envelope
+	lost      bool
+}
+
+func newOutbox(transport *Transport, to spool.VM) *outbox {
+	return &outbox{transport: transport, to: to, queue: make(chan *wire.Envelope, queueLength)}
+}
+
+func (outbox *outbox) put(envelope *wire.Envelope) {
+	select {
+	case outbox.queue <- envelope:
+	default:
+	}
+}
+
+func (outbox *outbox) run() {
+	backoff := backoffMin
+	for outbox.transport.ctx.Err() == nil {
+		err := outbox.connect()
+		if !outbox.lost {
+			outbox.lost = true
+			outbox.transport.log(event.PeerLost, outbox.to, err)
+		}
+		outbox.discard()
+		select {
+		case <-outbox.transport.ctx.Done():
+		case <-time.After(backoff):
+		}
+		backoff = min(2*backoff, backoffMax)
+		if err == nil {
+			backoff = backoffMin
+		}
+	}
+}
+
+// connect sends until the connection breaks.
+func (outbox *outbox) connect() error {
+	session, err := outbox.transport.dial(outbox.transport.ctx, outbox.to, laneControl)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = session.Close() }()
+	stream, err := session.OpenStream()
+	if err != nil {
+		return err
+	}
+	if outbox.lost {
+		outbox.lost = false
+		outbox.transport.log(event.PeerBack, outbox.to, nil)
+	}
+	return outbox.pump(stream, session.CloseChan())
+}
+
+func (outbox *outbox) pump(stream net.Conn, closed <-chan struct{}) error {
+	writer := NewWriter[wire.Envelope](stream)
+	for {
+		select {
+		case <-outbox.transport.ctx.Done():
+			return nil
+		case <-closed:
+			return nil
+		case envelope := <-outbox.queue:
+			_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+			size, err := writer.Write(envelope)
+			if err != nil {
+				return err
+			}
+			outbox.transport.observe(size)
+		}
+	}
+}
+
+func (outbox *outbox) discard() {
+	for {
+		select {
+		case <-outbox.queue:
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,289 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/certs"
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	dialTimeout      = 1 * time.Second
+	writeTimeout     = 3 * time.Second
+	handshakeTimeout = 2 * time.Second
+	backoffMin       = 50 * time.Millisecond
+	backoffMax       = 1 * time.Second
+	queueLength      = 512 // envelopes
+	maxEnvelope      = 16 << 20
+	streamWindow     = 1 << 20
+)
+
+// Lane types of a connection: control messages have a connection of their own, so that bulk data never delays them.
+const (
+	laneControl = 'C'
+	laneData    = 'D'
+)
+
+// Handler receives what other proxies send.
+type Handler interface {
+	// Receive handles a control message; the sender's identity is checked.
+	Receive(from spool.VM, envelope *wire.Envelope)
+	// Serve handles a data stream until it ends.
+	Serve(from spool.VM, stream net.Conn)
+}
+
+// Transport sends messages to other proxies and accepts theirs.
+type Transport struct {
+	self    spool.VM
+	bundle  *certs.Bundle
+	handler Handler
+	logger  *zap.Logger
+	resolve func(spool.VM) (string, bool)
+	observe func(bytes int)
+
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mutex    sync.Mutex
+	outboxes map[spool.VM]*outbox
+	sessions map[spool.VM]*yamux.Session
+	accepted map[*yamux.Session]struct{}
+}
+
+// Option changes a transport under construction.
+type Option func(*Transport)
+
+// WithLogger sets the logger.
+func WithLogger(logger *zap.Logger) Option {
+	return func(transport *Transport) { transport.logger = logger }
+}
+
+// WithObserver sets a function that is told the size of each control message sent, in bytes.
+func WithObserver(observe func(bytes int)) Option {
+	return func(transport *Transport) { transport.observe = observe }
+}
+
+// New returns a transport that finds addresses through resolve.
+func New(self spool.VM, bundle *certs.Bundle, resolve func(spool.VM) (string, bool), options ...Option) *Transport {
+	ctx, cancel := context.WithCancel(context.Background())
+	transport := &Transport{
+		self: self, bundle: bundle, resolve: resolve,
+		logger: zap.NewNop(), observe: func(int) {},
+		ctx: ctx, cancel: cancel,
+		outboxes: map[spool.VM]*outbox{},
+		sessions: map[spool.VM]*yamux.Session{},
+		accepted: map[*yamux.Session]struct{}{},
+	}
+	for _, option := range options {
+		option(transport)
+	}
+	return transport
+}
+
+// Listen accepts connections of other proxies until Close.
+func (transport *Transport) Listen(listener net.Listener, handler Handler) {
+	transport.handler = handler
+	go func() {
+		<-transport.ctx.Done()
+		_ = listener.Close()
+	}()
+	go transport.acceptLoop(tls.NewListener(listener, transport.bundle.Accept()))
+}
+
+func (transport *Transport) acceptLoop(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if transport.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			time.Sleep(backoffMin)
+			continue
+		}
+		go transport.accept(conn.(*tls.Conn))
+	}
+}
+
+func (transport *Transport) accept(conn *tls.Conn) {
+	from, lane, err := greet(conn)
+	if err != nil {
+		transport.logger.Debug("peer refused", zap.Error(err))
+		_ = conn.Close()
+		return
+	}
+	session, err := yamux.Server(conn, settings())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	if !transport.keep(session) {
+		return
+	}
+	defer transport.drop(session)
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		if lane == laneControl {
+			go transport.receive(from, stream)
+		} else {
+			go transport.handler.Serve(from, stream)
+		}
+	}
+}
+
+func greet(conn *tls.Conn) (from spool.VM, lane byte, err error) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	if err := conn.Handshake(); err != nil {
+		return "", 0, err
+	}
+	from, err = certs.Identity(conn.ConnectionState())
+	if err != nil {
+		return "", 0, err
+	}
+	var hello [1]byte
+	if _, err := io.ReadFull(conn, hello[:]); err != nil {
+		return "", 0, err
+	}
+	return from, hello[0], conn.SetDeadline(time.Time{})
+}
+
+func (transport *Transport) keep(session *yamux.Session) bool {
+	transport.mutex.Lock()
+	defer transport.mutex.Unlock()
+	if transport.ctx.Err() != nil {
+		_ = session.Close()
+		return false
+	}
+	transport.accepted[session] = struct{}{}
+	return true
+}
+
+func (transport *Transport) drop(session *yamux.Session) {
+	_ = session.Close()
+	transport.mutex.Lock()
+	defer transport.mutex.Unlock()
+	delete(transport.accepted, session)
+}
+
+func (transport *Transport) receive(from spool.VM, stream net.Conn) {
+	defer func() { _ = stream.Close() }()
+	reader := NewReader[wire.Envelope](stream)
+	for {
+		envelope, err := reader.Read()
+		if err != nil {
+			return
+		}
+		envelope.From = string(from)
+		transport.handler.Receive(from, envelope)
+	}
+}
+
+// Send queues a control message; it is lost when the other proxy is out of reach or the queue is full.
+func (transport *Transport) Send(to spool.VM, envelope *wire.Envelope) {
+	transport.mutex.Lock()
+	defer transport.mutex.Unlock()
+	if transport.ctx.Err() != nil {
+		return
+	}
+	box := transport.outboxes[to]
+	if box == nil {
+		box = newOutbox(transport, to)
+		transport.outboxes[to] = box
+		go box.run()
+	}
+	box.put(envelope)
+}
+
+// Open opens a data stream to another proxy.
+func (transport *Transport) Open(ctx context.Context, to spool.VM) (net.Conn, error) {
+	transport.mutex.Lock()
+	session := transport.sessions[to]
+	transport.mutex.Unlock()
+	if session != nil {
+		stream, err := session.OpenStream()
+		if err == nil {
+			return stream, nil
+		}
+	}
+	session, err := transport.dial(ctx, to, laneData)
+	if err != nil {
+		return nil, err
+	}
+	transport.mutex.Lock()
+	if other := transport.sessions[to]; other != nil && !other.IsClosed() {
+		_ = session.Close()
+		session = other
+	}
+	transport.sessions[to] = session
+	transport.mutex.Unlock()
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, eris.Wrapf(err, "open a stream to %s", to)
+	}
+	return stream, nil
+}
+
+func (transport *Transport) dial(ctx context.Context, to spool.VM, lane byte) (*yamux.Session, error) {
+	address, known := transport.resolve(to)
+	if !known {
+		return nil, eris.Errorf("the address of %s is not known", to)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := tls.Dialer{Config: transport.bundle.Dial(to)}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "dial %s", to)
+	}
+	if _, err := conn.Write([]byte{lane}); err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrapf(err, "greet %s", to)
+	}
+	session, err := yamux.Client(conn, settings())
+	if err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrapf(err, "open a session with %s", to)
+	}
+	return session, nil
+}
+
+// Close ends all connections.
+func (transport *Transport) Close() {
+	transport.cancel()
+	transport.mutex.Lock()
+	defer transport.mutex.Unlock()
+	for _, session := range transport.sessions {
+		_ = session.Close()
+	}
+	for session := range transport.accepted {
+		_ = session.Close()
+	}
+}
+
+func (transport *Transport) log(number event.Number, to spool.VM, err error) {
+	event.Log(transport.logger, number, zap.String("Peer", string(to)), zap.Error(err))
+}
+
+func settings() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = true
+	config.KeepAliveInterval = 2 * time.Second
+	config.ConnectionWriteTimeout = writeTimeout
+	config.MaxStreamWindowSize = streamWindow
+	config.StreamOpenTimeout = 5 * time.Second
+	config.LogOutput = io.Discard
+	return config
+}
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,113 @@
+package peer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/internal/certs"
+	"corianderspool.example/spool/internal/peer"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+type recorder struct{ envelopes chan *wire.Envelope }
+
+func (recorder *recorder) Receive(_ spool.VM, envelope *wire.Envelope) {
+	recorder.envelopes <- envelope
+}
+
+func (recorder *recorder) Serve(_ spool.VM, stream net.Conn) {
+	_, _ = io.Copy(stream, stream)
+	_ = stream.Close()
+}
+
+type bench struct {
+	issuer    *certs.Issuer
+	addresses map[spool.VM]string
+}
+
+func newBench(c *qt.C) *bench {
+	issuer, err := certs.NewIssuer(time.Hour)
+	c.Assert(err, qt.IsNil)
+	return &bench{issuer: issuer, addresses: map[spool.VM]string{}}
+}
+
+func (bench *bench) start(c *qt.C, vm spool.VM) (*peer.Transport, *recorder) {
+	files, err := bench.issuer.Issue(c.TempDir(), vm)
+	c.Assert(err, qt.IsNil)
+	bundle, err := certs.Load(files)
+	c.Assert(err, qt.IsNil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	bench.addresses[vm] = listener.Addr().String()
+	transport := peer.New(vm, bundle, func(vm spool.VM) (string, bool) {
+		address, known := bench.addresses[vm]
+		return address, known
+	})
+	recorder := &recorder{envelopes: make(chan *wire.Envelope, 16)}
+	transport.Listen(listener, recorder)
+	c.Cleanup(transport.Close)
+	return transport, recorder
+}
+
+func TestMessagesCarryTheCheckedIdentity(t *testing.T) {
+	c := qt.New(t)
+	bench := newBench(c)
+	_, received := bench.start(c, "b")
+	sender, _ := bench.start(c, "a")
+	sender.Send("b", &wire.Envelope{From: "somebody else", Incarnation: 7})
+	select {
+	case envelope := <-received.envelopes:
+		c.Assert(envelope.From, qt.Equals, "a")
+		c.Assert(envelope.Incarnation, qt.Equals, uint64(7))
+	case <-time.After(5 * time.Second):
+		c.Fatal("no message arrived")
+	}
+}
+
+func TestStreamsCarryData(t *testing.T) {
+	c := qt.New(t)
+	bench := newBench(c)
+	bench.start(c, "b")
+	dialer, _ := bench.start(c, "a")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	stream, err := dialer.Open(ctx, "b")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = stream.Close() }()
+	_, err = stream.Write([]byte("hello"))
+	c.Assert(err, qt.IsNil)
+	answer := make([]byte, 5)
+	_, err = io.ReadFull(stream, answer)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(answer), qt.Equals, "hello")
+}
+
+func TestAnotherAuthorityIsRefused(t *testing.T) {
+	c := qt.New(t)
+	bench, stranger := newBench(c), newBench(c)
+	bench.start(c, "b")
+	stranger.addresses = bench.addresses
+	dialer, _ := stranger.start(c, "a")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := dialer.Open(ctx, "b")
+	c.Assert(err, qt.ErrorMatches, `dial b: .*unknown authority.*`)
+}
+
+func TestANameOfAnotherVMIsRefused(t *testing.T) {
+	c := qt.New(t)
+	bench := newBench(c)
+	bench.start(c, "b")
+	dialer, _ := bench.start(c, "a")
+	bench.addresses["c"] = bench.addresses["b"]
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := dialer.Open(ctx, "c")
+	c.Assert(err, qt.ErrorMatches, `dial c: .*not c.*`)
+}
