--- /dev/null
+++ b/internal/core/lease/record.go
@@ -0,0 +1,31 @@
+package lease
+
+import (
+	"cmp"
+
+	"corianderspool.example/spool/internal/wire"
+)
+
+// CompareRecords orders term records by term, then by whether the term is opened, then by version; nil comes first.
+func CompareRecords(left, right *wire.TermRecord) int {
+	return cmp.Or(
+		cmp.Compare(left.GetTerm(), right.GetTerm()),
+		cmp.Compare(openedRank(left), openedRank(right)),
+		cmp.Compare(left.GetVersion(), right.GetVersion()),
+	)
+}
+
+// NewestRecord returns the later of two term records.
+func NewestRecord(left, right *wire.TermRecord) *wire.TermRecord {
+	if CompareRecords(left, right) < 0 {
+		return right
+	}
+	return left
+}
+
+func openedRank(record *wire.TermRecord) int {
+	if record.GetOpened() {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/lease/role.go
@@ -0,0 +1,33 @@
+package lease
+
+import (
+	"strings"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// Role names a lease: Group/<group> or Team/<team>.
+type Role string
+
+const (
+	groupPrefix = "Group/"
+	teamPrefix  = "Team/"
+)
+
+// GroupRole returns the role of a group's keeper.
+func GroupRole(group spool.Group) Role { return Role(groupPrefix + string(group)) }
+
+// TeamRole returns the role of the owner of a team's rate.
+func TeamRole(team spool.Team) Role { return Role(teamPrefix + string(team)) }
+
+// Group returns the group whose keeper the role names and whether it names one.
+func (role Role) Group() (spool.Group, bool) {
+	name, ok := strings.CutPrefix(string(role), groupPrefix)
+	return spool.Group(name), ok
+}
+
+// Team returns the team whose owner the role names and whether it names one.
+func (role Role) Team() (spool.Team, bool) {
+	name, ok := strings.CutPrefix(string(role), teamPrefix)
+	return spool.Team(name), ok
+}
--- /dev/null
+++ b/internal/core/terms/reason.go
@@ -0,0 +1,21 @@
+package terms
+
+// Reason says why a keeper took a step.
+type Reason string
+
+// Reasons of a keeper's steps.
+const (
+	ReasonLeaseGained   Reason = "lease gained"
+	ReasonLeaseLost     Reason = "lease lost"
+	ReasonSuspected     Reason = "primary suspected"
+	ReasonReturned      Reason = "primary answers again"
+	ReasonConfirmed     Reason = "majority does not reach the primary"
+	ReasonContradicted  Reason = "majority reaches the primary"
+	ReasonReplaced      Reason = "a newer term is recorded"
+	ReasonNoCandidate   Reason = "no server can be promoted"
+	ReasonPromoting     Reason = "promotion ordered"
+	ReasonCandidateGone Reason = "candidate failed"
+	ReasonOpened        Reason = "term opened"
+	ReasonWriteUnknown  Reason = "outcome of the conditional update unknown"
+	ReasonFollow        Reason = "replica ordered to follow"
+)
