--- /dev/null
+++ b/internal/core/beats.go
@@ -0,0 +1,135 @@
+package core
+
+import (
+	"slices"
+
+	"corianderspool.example/spool/internal/core/lease"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// location is where a role was last known to be held.
+type location struct {
+	vm    spool.VM
+	heard spool.Instant
+}
+
+func (core *Core) beat(now spool.Instant) {
+	core.nextBeat = now.Add(beatInterval)
+	beat := &wire.Beat{
+		Domain: string(core.self.Domain), Address: core.self.Address,
+		Leaving: core.view.Self().Leaving, Versions: core.versions(),
+		Sequence: core.nonce(), Members: core.view.Digest(now),
+	}
+	for _, role := range core.sortedRoles() {
+		if role.held {
+			beat.Held = append(beat.Held, string(role.name))
+		}
+	}
+	for _, to := range core.view.Links(now) {
+		core.send(to, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: beat}})
+	}
+}
+
+func (core *Core) heard(from spool.VM, incarnation uint64, beat *wire.Beat, now spool.Instant) {
+	core.view.Hear(from, incarnation, beat, now)
+	for name, location := range core.located {
+		if location.vm == from && !slices.Contains(beat.Held, string(name)) {
+			delete(core.located, name)
+		}
+	}
+	for _, name := range beat.Held {
+		core.locate(lease.Role(name), from, now)
+	}
+	core.compare(from, beat.Versions, now)
+	for _, version := range beat.Versions {
+		if version.Kind == spool.KindRoster {
+			core.changerActions(core.changer.Seen(from, spool.Version(version.Version), now))
+		}
+	}
+}
+
+// compare asks a peer for the objects of which it has a newer version.
+func (core *Core) compare(from spool.VM, versions []*wire.ObjectVersion, now spool.Instant) {
+	own := core.versions()
+	for _, version := range versions {
+		if newer(version, own) && now >= core.asked[from] {
+			core.asked[from] = now.Add(askInterval)
+			core.send(from, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{
+				ConfigRequest: &wire.ConfigRequest{Versions: own},
+			}})
+			return
+		}
+	}
+}
+
+func newer(version *wire.ObjectVersion, than []*wire.ObjectVersion) bool {
+	for _, own := range than {
+		if own.Kind == version.Kind && own.Name == version.Name {
+			return version.Version > own.Version
+		}
+	}
+	return true
+}
+
+func (core *Core) configAsked(from spool.VM, request *wire.ConfigRequest) {
+	objects := core.store.Objects()
+	if roster, known := core.copies[spool.KindRoster]; known {
+		objects = append(objects, roster)
+	}
+	answer := &wire.ConfigAnswer{Complete: core.configured}
+	for _, object := range objects {
+		copied := &wire.ObjectCopy{
+			Kind: object.Kind, Name: object.Name, Version: uint64(object.Version), Body: object.Body,
+		}
+		version := &wire.ObjectVersion{Kind: object.Kind, Name: object.Name, Version: uint64(object.Version)}
+		if newer(version, request.Versions) {
+			answer.Objects = append(answer.Objects, copied)
+		}
+	}
+	core.send(from, &wire.Envelope{Body: &wire.Envelope_ConfigAnswer{ConfigAnswer: answer}})
+}
+
+func (core *Core) configAnswered(answer *wire.ConfigAnswer, now spool.Instant) {
+	objects := make([]spool.Object, 0, len(answer.Objects))
+	for _, object := range answer.Objects {
+		objects = append(objects, spool.Object{
+			Kind: object.Kind, Name: object.Name, Version: spool.Version(object.Version), Body: object.Body,
+		})
+	}
+	core.learnAll(objects, now)
+	core.configured = core.configured || answer.Complete
+}
+
+// locate records who holds a role.
+func (core *Core) locate(name lease.Role, vm spool.VM, now spool.Instant) {
+	known := core.located[name]
+	core.located[name] = location{vm: vm, heard: now}
+	if team, isTeam := name.Team(); isTeam && known.vm != vm {
+		core.emit(ChangeOwner{Team: team})
+	}
+}
+
+func (core *Core) locateAnswered(answer *wire.LocateAnswer, now spool.Instant) {
+	name := lease.Role(answer.Role)
+	if _, known := core.located[name]; !known && answer.Holder != "" {
+		core.locate(name, spool.VM(answer.Holder), now)
+	}
+}
+
+// Locate returns the VM that was last known to hold a role.
+func (core *Core) Locate(name lease.Role) (spool.VM, bool) {
+	location, known := core.located[name]
+	return location.vm, known
+}
+
+// seek asks the witnesses who holds a role.
+func (core *Core) seek(name lease.Role) {
+	for _, witness := range core.roster.Members {
+		if witness != core.self.VM {
+			core.send(witness, &wire.Envelope{Body: &wire.Envelope_LocateRequest{
+				LocateRequest: &wire.LocateRequest{Role: string(name)},
+			}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,225 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"corianderspool.example/spool/internal/core/lease"
+	"corianderspool.example/spool/internal/core/member"
+	"corianderspool.example/spool/internal/core/policy"
+	"corianderspool.example/spool/internal/core/share"
+	"corianderspool.example/spool/internal/core/terms"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	beatInterval   = 200 * time.Millisecond
+	assignInterval = 100 * time.Millisecond
+	readRetry      = 250 * time.Millisecond
+	askInterval    = 100 * time.Millisecond
+	settleTime     = 1 * time.Second
+	maxCandidates  = 4
+)
+
+// Core decides for one proxy; it is not safe for concurrent use.
+type Core struct {
+	self         spool.Member
+	leaseOptions []lease.Option
+	termsOptions []terms.Option
+	shareOptions []share.Option
+
+	view    *member.View
+	store   *policy.Store
+	witness *lease.Witness
+	changer *lease.Changer
+	roster  lease.Roster
+	copies  map[string]spool.Object // newest roster object, to pass on to peers
+
+	roles   map[lease.Role]*role
+	groups  map[spool.Group]*group
+	owners  map[spool.Team]*share.Owner
+	located map[lease.Role]location
+
+	started    spool.Instant
+	complete   bool // every kind of object was read from the platform itself
+	configured bool // manifests came from the platform or from a complete peer
+	reading    bool
+	readAfter  spool.Instant
+	watching   bool
+	nextBeat   spool.Instant
+	nextAssign spool.Instant
+	asked      map[spool.VM]spool.Instant
+	sequence   uint64
+
+	effects []Effect
+}
+
+// Option changes a Core under construction.
+type Option func(*Core)
+
+// WithLease sets options of the leases.
+func WithLease(options ...lease.Option) Option {
+	return func(core *Core) { core.leaseOptions = append(core.leaseOptions, options...) }
+}
+
+// WithTerms sets options of the keepers.
+func WithTerms(options ...terms.Option) Option {
+	return func(core *Core) { core.termsOptions = append(core.termsOptions, options...) }
+}
+
+// WithShares sets options of the owners of rates.
+func WithShares(options ...share.Option) Option {
+	return func(core *Core) { core.shareOptions = append(core.shareOptions, options...) }
+}
+
+// WithSeeds tells of VMs that are known before the platform's list was read.
+func WithSeeds(members ...spool.Member) Option {
+	return func(core *Core) { core.view.List(members) }
+}
+
+// New returns the core of a proxy that starts at now; self.Incarnation must rise with each start of the VM.
+func New(self spool.Member, now spool.Instant, options ...Option) *Core {
+	core := &Core{
+		self:    self,
+		view:    member.New(self),
+		store:   policy.NewStore(),
+		copies:  map[string]spool.Object{},
+		roles:   map[lease.Role]*role{},
+		groups:  map[spool.Group]*group{},
+		owners:  map[spool.Team]*share.Owner{},
+		located: map[lease.Role]location{},
+		started: now,
+		asked:   map[spool.VM]spool.Instant{},
+	}
+	for _, option := range options {
+		option(core)
+	}
+	core.witness = lease.NewWitness(self.VM, now, core.leaseOptions...)
+	core.changer = lease.NewChanger(core.leaseOptions...)
+	return core
+}
+
+// Handle takes in one event and returns what to do, in order; the slice is valid until the next call.
+func (core *Core) Handle(event Event, now spool.Instant) []Effect {
+	core.effects = core.effects[:0]
+	core.dispatch(event, now)
+	core.settle(now)
+	return core.effects
+}
+
+func (core *Core) dispatch(event Event, now spool.Instant) {
+	switch event := event.(type) {
+	case Started:
+		core.readAll(now)
+	case Tick:
+		core.tick(now)
+	case Received:
+		core.receive(event.From, event.Envelope, now)
+	case ObjectsRead:
+		core.objectsRead(event, now)
+	case ObjectsFailed:
+		core.reading = false
+		core.readAfter = now.Add(readRetry)
+	case ObjectsSeen:
+		core.learnAll(event.Objects, now)
+	case ObjectRead:
+		core.objectRead(event.Object, now)
+	case ObjectFailed:
+		core.objectFailed(event.Kind, event.Name, now)
+	case ObjectWritten:
+		core.objectWritten(event, now)
+	case GroupEvent:
+		core.groupEvent(event.Group, event.Event, now)
+	case Probed:
+		core.send(event.To, &wire.Envelope{Body: &wire.Envelope_ProbeAnswer{ProbeAnswer: event.Answer}})
+	case TokensWanted:
+		core.tokensWanted(event.Request, now)
+	case Leave:
+		core.leave(now)
+	case Drained:
+		core.drained(event.Group, now)
+	default:
+		panic(fmt.Sprintf("core: unknown event %T", event))
+	}
+}
+
+func (core *Core) tick(now spool.Instant) {
+	if !core.complete && !core.reading && now >= core.readAfter {
+		core.readAll(now)
+	}
+	if now >= core.nextAssign {
+		core.nextAssign = now.Add(assignInterval)
+		core.view.Forget(now)
+		core.assign(now)
+		core.watch(now)
+		core.tendRoster(now)
+	}
+	core.tickRoles(now)
+	core.tickGroups(now)
+	if now >= core.nextBeat {
+		core.beat(now)
+	}
+}
+
+func (core *Core) receive(from spool.VM, envelope *wire.Envelope, now spool.Instant) {
+	switch body := envelope.Body.(type) {
+	case *wire.Envelope_Beat:
+		core.heard(from, envelope.Incarnation, body.Beat, now)
+	case *wire.Envelope_PledgeRequest:
+		answer := core.witness.Pledge(from, body.PledgeRequest, now)
+		core.send(from, &wire.Envelope{Body: &wire.Envelope_PledgeAnswer{PledgeAnswer: answer}})
+	case *wire.Envelope_PledgeAnswer:
+		core.pledged(from, body.PledgeAnswer, now)
+	case *wire.Envelope_GrantRequest:
+		answer := core.grant(from, body.GrantRequest, now)
+		if answer != nil {
+			core.send(from, &wire.Envelope{Body: &wire.Envelope_GrantAnswer{GrantAnswer: answer}})
+		}
+	case *wire.Envelope_GrantAnswer:
+		core.granted(from, body.GrantAnswer)
+	case *wire.Envelope_ProbeRequest:
+		core.probe(from, body.ProbeRequest)
+	case *wire.Envelope_ProbeAnswer:
+		core.groupEvent(spool.Group(body.ProbeAnswer.Group), terms.ProbeSeen{From: from, Answer: body.ProbeAnswer}, now)
+	case *wire.Envelope_ConfigRequest:
+		core.configAsked(from, body.ConfigRequest)
+	case *wire.Envelope_ConfigAnswer:
+		core.configAnswered(body.ConfigAnswer, now)
+	case *wire.Envelope_LocateRequest:
+		answer := core.witness.Locate(lease.Role(body.LocateRequest.Role), now)
+		core.send(from, &wire.Envelope{Body: &wire.Envelope_LocateAnswer{LocateAnswer: answer}})
+	case *wire.Envelope_LocateAnswer:
+		core.locateAnswered(body.LocateAnswer, now)
+	}
+}
+
+func (core *Core) leave(now spool.Instant) {
+	core.view.Leave()
+	for name, role := range core.roles {
+		if _, isGroup := name.Group(); isGroup && role.held {
+			continue
+		}
+		core.giveUp(role, now)
+	}
+	core.beat(now)
+}
+
+func (core *Core) drained(group spool.Group, now spool.Instant) {
+	if role := core.roles[lease.GroupRole(group)]; role != nil {
+		core.giveUp(role, now)
+	}
+}
+
+func (core *Core) send(to spool.VM, envelope *wire.Envelope) {
+	envelope.From = string(core.self.VM)
+	envelope.Incarnation = core.self.Incarnation
+	core.emit(Send{To: to, Envelope: envelope})
+}
+
+func (core *Core) emit(effect Effect) { core.effects = append(core.effects, effect) }
+
+func (core *Core) nonce() uint64 {
+	core.sequence++
+	return core.sequence
+}
--- /dev/null
+++ b/internal/core/groups.go
@@ -0,0 +1,223 @@
+package core
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"corianderspool.example/spool/internal/core/lease"
+	"corianderspool.example/spool/internal/core/terms"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// group is the keeper of a database group, which acts while its role is held.
+type group struct {
+	name   spool.Group
+	keeper *terms.Keeper
+	fence  terms.Fence
+	writes map[uint64]*wire.TermRecord
+}
+
+func (core *Core) group(name spool.Group) *group {
+	known := core.groups[name]
+	if known != nil {
+		return known
+	}
+	created := &group{
+		name:   name,
+		keeper: terms.NewKeeper(name, core.self.VM, core.self.Incarnation, core.termsOptions...),
+		writes: map[uint64]*wire.TermRecord{},
+	}
+	core.groups[name] = created
+	return created
+}
+
+// turnGroup begins or ends this proxy's time as a group's keeper.
+func (core *Core) turnGroup(name spool.Group, role *role, now spool.Instant) {
+	if !role.held {
+		role.backing = nil
+		core.groupEvent(name, terms.LeaseLost{}, now)
+		core.emit(DropGroup{Group: name})
+		core.emit(Note{Topic: TopicKeeperLost, Group: name})
+		return
+	}
+	spec, known := core.store.Snapshot().Group(name)
+	if !known {
+		return
+	}
+	core.locate(role.name, core.self.VM, now)
+	core.emit(KeepGroup{Group: spec})
+	core.emit(Note{Topic: TopicKeeperTaken, Group: name})
+	core.groupEvent(name, terms.ServersChanged{Servers: spec.Servers}, now)
+	core.groupEvent(name, core.witnesses(), now)
+	record := lease.NewestRecord(role.holder.Newest(), core.witness.Record(name))
+	core.groupEvent(name, terms.LeaseGained{Record: record}, now)
+}
+
+func (core *Core) witnesses() terms.RosterChanged {
+	domains := map[spool.VM]spool.Domain{}
+	for _, member := range core.view.Members() {
+		domains[member.VM] = member.Domain
+	}
+	return terms.RosterChanged{Members: core.roster.Members, Domains: domains}
+}
+
+func (core *Core) groupEvent(name spool.Group, event terms.Event, now spool.Instant) {
+	if core.roles[lease.GroupRole(name)] == nil {
+		return
+	}
+	group := core.group(name)
+	for _, effect := range group.keeper.Handle(event, now) {
+		core.groupEffect(group, effect, now)
+	}
+}
+
+func (core *Core) tickGroups(now spool.Instant) {
+	for _, group := range core.sortedGroups() {
+		core.groupEvent(group.name, terms.Tick{}, now)
+	}
+}
+
+func (core *Core) sortedGroups() []*group {
+	groups := make([]*group, 0, len(core.groups))
+	for _, group := range core.groups {
+		groups = append(groups, group)
+	}
+	slices.SortFunc(groups, func(a, b *group) int { return cmp.Compare(a.name, b.name) })
+	return groups
+}
+
+func (core *Core) groupEffect(group *group, effect terms.Effect, now spool.Instant) {
+	role := core.roles[lease.GroupRole(group.name)]
+	switch effect := effect.(type) {
+	case terms.ReadTerm:
+		core.emit(ReadObject{Kind: spool.KindTerm, Name: string(effect.Group)})
+	case terms.WriteTerm:
+		core.writeTerm(group, effect)
+	case terms.Probe:
+		core.send(effect.To, &wire.Envelope{Body: &wire.Envelope_ProbeRequest{ProbeRequest: effect.Request}})
+	case terms.Promote:
+		if spec, known := core.server(group.name, effect.Server); known {
+			core.emit(PromoteServer{Group: group.name, Server: spec, Term: effect.Term})
+		}
+	case terms.Follow:
+		core.follow(group.name, effect)
+	case terms.Pledge:
+		role.backing = effect.Record
+		role.holder.SetRecord(effect.Record)
+		core.ask(role, now)
+	case terms.Open:
+		core.emit(OpenGroup{Group: group.name, Open: effect})
+		core.emit(Note{Topic: TopicTermOpened, Group: group.name, Term: effect.Term, Server: effect.Primary})
+	case terms.Closed:
+		core.emit(CloseGroup{Group: group.name, Reason: effect.Reason})
+	case terms.Yield:
+		role.holder.Yield(effect.BackOff, now)
+	case terms.Note:
+		core.emit(Note{
+			Topic: TopicTerm, Group: group.name, Term: effect.Term,
+			Server: effect.Server, Text: string(effect.Reason),
+		})
+	}
+}
+
+func (core *Core) follow(group spool.Group, effect terms.Follow) {
+	server, known := core.server(group, effect.Server)
+	if !known {
+		return
+	}
+	primary, known := core.server(group, effect.Primary)
+	if !known {
+		return
+	}
+	core.emit(FollowServer{Group: group, Server: server, Term: effect.Term, Primary: primary})
+}
+
+func (core *Core) server(group spool.Group, name spool.Server) (spool.ServerSpec, bool) {
+	spec, _ := core.store.Snapshot().Group(group)
+	for _, server := range spec.Servers {
+		if server.Name == name {
+			return server, true
+		}
+	}
+	return spool.ServerSpec{}, false
+}
+
+func (core *Core) probe(from spool.VM, request *wire.ProbeRequest) {
+	spec, known := core.server(spool.Group(request.Group), spool.Server(request.Server))
+	if known {
+		core.emit(ProbeServer{To: from, Request: request, Server: spec})
+	}
+}
+
+// termBody is the body of an object of kind Term.
+type termBody struct {
+	Group   spool.Group
+	Term    spool.Term
+	Primary spool.Server
+	Start   spool.Position
+	Opened  bool
+	Holder  spool.VM
+	Nonce   uint64
+	History []termStart
+}
+
+// termStart is an earlier term in the body of an object of kind Term.
+type termStart struct {
+	Term  spool.Term
+	Start spool.Position
+}
+
+func (core *Core) writeTerm(group *group, effect terms.WriteTerm) {
+	record := effect.Record
+	body := termBody{
+		Group: group.name, Term: spool.Term(record.Term), Primary: spool.Server(record.Primary),
+		Start: spool.Position(record.Start), Opened: record.Opened,
+		Holder: spool.VM(record.Holder), Nonce: record.Nonce,
+	}
+	for _, start := range record.History {
+		body.History = append(body.History, termStart{spool.Term(start.Term), spool.Position(start.Start)})
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	group.writes[record.Nonce] = record
+	core.emit(WriteObject{
+		Object: spool.Object{Kind: spool.KindTerm, Name: string(group.name), Version: effect.Expected, Body: text},
+		Nonce:  record.Nonce,
+	})
+}
+
+// parseTerm returns the record of a Term object, or nil if there is none.
+func parseTerm(object spool.Object) *wire.TermRecord {
+	var body termBody
+	if object.Version == 0 || json.Unmarshal(object.Body, &body) != nil {
+		return nil
+	}
+	record := &wire.TermRecord{
+		Group: object.Name, Term: uint64(body.Term), Primary: string(body.Primary),
+		Start: uint64(body.Start), Opened: body.Opened,
+		Holder: string(body.Holder), Nonce: body.Nonce, Version: uint64(object.Version),
+	}
+	for _, start := range body.History {
+		record.History = append(record.History, &wire.TermStart{Term: uint64(start.Term), Start: uint64(start.Start)})
+	}
+	return record
+}
+
+// fence tells the shell of every acknowledgement rule that changed.
+func (core *Core) fence(now spool.Instant) {
+	for _, group := range core.sortedGroups() {
+		role := core.roles[lease.GroupRole(group.name)]
+		fence := terms.Fence{}
+		if role.held && role.holder.Held(now) {
+			fence = terms.Fence{Until: role.holder.Until(), Term: group.keeper.OpenTerm()}
+		}
+		if fence != group.fence {
+			group.fence = fence
+			core.emit(FenceGroup{Group: group.name, Fence: fence})
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/objects.go
@@ -0,0 +1,255 @@
+package core
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"corianderspool.example/spool/internal/core/lease"
+	"corianderspool.example/spool/internal/core/terms"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// bootKinds are read from the platform at the start; terms follow the roster, as the witness requires.
+var bootKinds = []string{spool.KindRoster, spool.KindTerm, spool.KindManifest, spool.KindMember}
+
+func (core *Core) readAll(now spool.Instant) {
+	core.reading = true
+	core.readAfter = now.Add(readRetry)
+	core.emit(ReadObjects{Kinds: bootKinds})
+}
+
+func (core *Core) objectsRead(event ObjectsRead, now spool.Instant) {
+	core.reading = false
+	core.complete = true
+	core.configured = true
+	roster := lease.Roster{}
+	for _, object := range event.Objects {
+		if object.Kind == spool.KindTerm {
+			core.witness.Learn(parseTerm(object))
+		}
+		if object.Kind == spool.KindRoster {
+			roster = core.parseRoster(object)
+		}
+	}
+	core.witness.Confirm(roster, true)
+	core.learnMembers(event.Objects)
+	core.learnAll(event.Objects, now)
+	if roster.Version == 0 {
+		core.changerActions(core.changer.Observe(roster, now))
+	}
+	if core.watching {
+		core.emit(WatchObjects{Watch: true, After: event.Version})
+	}
+}
+
+func (core *Core) parseRoster(object spool.Object) lease.Roster {
+	roster, err := lease.ParseRoster(object)
+	if err != nil {
+		core.emit(Note{Topic: TopicRejected, Version: object.Version, Text: err.Error()})
+	}
+	return roster
+}
+
+func (core *Core) learnMembers(objects []spool.Object) {
+	members := []spool.Member{}
+	for _, object := range objects {
+		var member spool.Member
+		if object.Kind == spool.KindMember && json.Unmarshal(object.Body, &member) == nil {
+			members = append(members, member)
+		}
+	}
+	if len(members) > 0 {
+		core.view.List(members)
+	}
+}
+
+// learnAll takes in objects in the order of their versions, whatever path they came on.
+func (core *Core) learnAll(objects []spool.Object, now spool.Instant) {
+	objects = slices.Clone(objects)
+	slices.SortFunc(objects, func(a, b spool.Object) int { return cmp.Compare(a.Version, b.Version) })
+	for _, object := range objects {
+		core.learn(object, now)
+	}
+}
+
+func (core *Core) learn(object spool.Object, now spool.Instant) {
+	switch object.Kind {
+	case spool.KindManifest:
+		core.learnManifest(object, now)
+	case spool.KindRoster:
+		core.learnRoster(object, now)
+	case spool.KindTerm:
+		core.witness.Learn(parseTerm(object))
+	case spool.KindMember:
+		core.learnMember(object)
+	}
+}
+
+func (core *Core) learnMember(object spool.Object) {
+	var member spool.Member
+	if json.Unmarshal(object.Body, &member) != nil {
+		return
+	}
+	if _, known := core.view.Entry(member.VM); !known {
+		core.view.List(append(core.view.Members(), member))
+	}
+}
+
+func (core *Core) learnManifest(object spool.Object, now spool.Instant) {
+	change, faults := core.store.Offer(object)
+	if len(faults) > 0 {
+		core.emit(Note{
+			Topic: TopicRejected, Partner: spool.Partner(object.Name),
+			Version: object.Version, Text: faults.Error(),
+		})
+	}
+	if !change.Accepted {
+		return
+	}
+	snapshot := core.store.Snapshot()
+	core.emit(ApplyPolicy{Snapshot: snapshot, Change: change})
+	core.emit(Note{Topic: TopicAccepted, Partner: change.Partner, Version: change.Version})
+	for _, name := range change.Teams {
+		spec, known := snapshot.Team(name)
+		if owner := core.owners[name]; owner != nil && known {
+			owner.Resize(spec, now)
+		}
+	}
+	for _, name := range change.Groups {
+		spec, known := snapshot.Group(name)
+		if known && core.groups[name] != nil {
+			core.groupEvent(name, terms.ServersChanged{Servers: spec.Servers}, now)
+		}
+	}
+	core.nextAssign = now
+	core.nextBeat = now
+}
+
+func (core *Core) learnRoster(object spool.Object, now spool.Instant) {
+	if object.Version <= core.copies[spool.KindRoster].Version {
+		return
+	}
+	core.copies[spool.KindRoster] = object
+	core.roster = core.parseRoster(object)
+	core.witness.Confirm(core.roster, false)
+	for _, role := range core.roles {
+		role.holder.SetRoster(core.roster, now)
+	}
+	for _, group := range core.sortedGroups() {
+		core.groupEvent(group.name, core.witnesses(), now)
+	}
+	core.changerActions(core.changer.Observe(core.roster, now))
+	core.emit(Note{Topic: TopicRoster, Version: object.Version})
+	core.nextBeat = now
+}
+
+func (core *Core) objectRead(object spool.Object, now spool.Instant) {
+	if object.Kind == spool.KindTerm {
+		record := parseTerm(object)
+		core.witness.Learn(record)
+		core.groupEvent(spool.Group(object.Name), terms.TermRead{Record: record}, now)
+		return
+	}
+	if object.Kind != spool.KindRoster {
+		return
+	}
+	if object.Version == 0 {
+		core.changerActions(core.changer.Observe(lease.Roster{}, now))
+		return
+	}
+	core.learn(object, now)
+	core.changerActions(core.changer.Observe(core.roster, now))
+}
+
+func (core *Core) objectFailed(kind, name string, now spool.Instant) {
+	if kind == spool.KindTerm {
+		core.groupEvent(spool.Group(name), terms.TermReadFailed{}, now)
+		return
+	}
+	core.changerActions(core.changer.Failed(now))
+}
+
+func (core *Core) objectWritten(event ObjectWritten, now spool.Instant) {
+	if event.Object.Kind == spool.KindTerm {
+		core.termWritten(event, now)
+		return
+	}
+	if event.Result != Written {
+		core.changerActions(core.changer.Failed(now))
+		return
+	}
+	core.learn(event.Object, now)
+	core.changerActions(core.changer.Written(core.parseRoster(event.Object), now))
+}
+
+func (core *Core) termWritten(event ObjectWritten, now spool.Instant) {
+	name := spool.Group(event.Object.Name)
+	written := terms.TermWritten{Nonce: event.Nonce, Version: event.Object.Version}
+	switch event.Result {
+	case Written:
+		written.Result = terms.WriteDone
+		core.witness.Learn(parseTerm(event.Object))
+	case Conflict:
+		written.Result = terms.WriteConflict
+	case Uncertain:
+		written.Result = terms.WriteUnknown
+	}
+	core.groupEvent(name, written, now)
+}
+
+// watch has one proxy of each failure domain watch the platform.
+func (core *Core) watch(now spool.Instant) {
+	reader := core.view.Reader(now) && core.complete
+	if reader == core.watching {
+		return
+	}
+	core.watching = reader
+	if !reader {
+		core.emit(WatchObjects{})
+		return
+	}
+	core.readAll(now)
+}
+
+// tendRoster has one proxy of the fleet replace witnesses that are gone.
+func (core *Core) tendRoster(now spool.Instant) {
+	rank, may := core.view.Rank("Roster", now)
+	if !may || rank > 0 || !core.complete || now.Sub(core.started) < settleTime {
+		return
+	}
+	core.changer.SetMembers(core.view.Serving(now), now)
+	core.changerActions(core.changer.Tick(now))
+}
+
+func (core *Core) changerActions(actions []lease.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case lease.ReadRoster:
+			core.emit(ReadObject{Kind: spool.KindRoster, Name: lease.RosterName})
+		case lease.WriteRoster:
+			core.emit(WriteObject{Object: action.Roster.Object(action.Expected), Nonce: core.nonce()})
+		case lease.Note:
+			core.emit(Note{Topic: TopicRoster, Version: action.Roster.Version, Text: action.Text})
+		}
+	}
+}
+
+func (core *Core) versions() []*wire.ObjectVersion {
+	versions := []*wire.ObjectVersion{}
+	for partner, version := range core.store.Versions() {
+		versions = append(versions, &wire.ObjectVersion{
+			Kind: spool.KindManifest, Name: string(partner), Version: uint64(version),
+		})
+	}
+	if core.roster.Version > 0 {
+		versions = append(versions, &wire.ObjectVersion{
+			Kind: spool.KindRoster, Name: lease.RosterName, Version: uint64(core.roster.Version),
+		})
+	}
+	slices.SortFunc(versions, func(a, b *wire.ObjectVersion) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return versions
+}
--- /dev/null
+++ b/internal/core/teams.go
@@ -0,0 +1,41 @@
+package core
+
+import (
+	"corianderspool.example/spool/internal/core/lease"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// tokensWanted brings a request of the own client to the owner of the team's rate.
+func (core *Core) tokensWanted(request *wire.GrantRequest, now spool.Instant) {
+	name := lease.TeamRole(spool.Team(request.Team))
+	owner, known := core.Locate(name)
+	switch {
+	case !known:
+		core.seek(name)
+	case owner == core.self.VM:
+		if answer := core.grant(core.self.VM, request, now); answer != nil {
+			core.emit(GiveTokens{Answer: answer})
+		}
+	default:
+		core.send(owner, &wire.Envelope{Body: &wire.Envelope_GrantRequest{GrantRequest: request}})
+	}
+}
+
+func (core *Core) grant(from spool.VM, request *wire.GrantRequest, now spool.Instant) *wire.GrantAnswer {
+	team := spool.Team(request.Team)
+	role := core.roles[lease.TeamRole(team)]
+	owner := core.owners[team]
+	if owner == nil || role == nil || !role.holder.Held(now) {
+		return &wire.GrantAnswer{Team: request.Team, Sequence: request.Sequence, NotOwner: true}
+	}
+	return owner.Grant(from, request, now)
+}
+
+func (core *Core) granted(from spool.VM, answer *wire.GrantAnswer) {
+	name := lease.TeamRole(spool.Team(answer.Team))
+	if location, known := core.located[name]; answer.NotOwner && known && location.vm == from {
+		delete(core.located, name)
+	}
+	core.emit(GiveTokens{Answer: answer})
+}
