--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -170,3 +170,14 @@
 	}
 	return now.Sub(newest), found
 }
+
+// Replicated tells whether a replica that is up holds a position of the open term.
+func (table *Table) Replicated(term spool.Term, position spool.Position) bool {
+	for i := range table.Servers {
+		server := &table.Servers[i]
+		if i != table.Primary && server.Up && server.Term == term && server.Position >= position {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/keeper/pool.go
@@ -0,0 +1,104 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	dialTimeout  = 1 * time.Second
+	resetTimeout = 500 * time.Millisecond
+)
+
+// pool holds the idle connections to one server, the last one used on top.
+type pool struct {
+	idle []*link
+}
+
+// link is a pooled connection and the last position that its server reported on it.
+type link struct {
+	Conn
+	server int
+	last   spool.Token
+}
+
+func (pool *pool) take() *link {
+	for len(pool.idle) > 0 {
+		link := pool.idle[len(pool.idle)-1]
+		pool.idle = pool.idle[:len(pool.idle)-1]
+		return link
+	}
+	return nil
+}
+
+func (pool *pool) closeIdle(closed func()) {
+	for _, link := range pool.idle {
+		link.Close()
+		closed()
+	}
+	pool.idle = nil
+}
+
+// connect returns an idle connection to a server or opens one.
+func (group *Group) connect(ctx context.Context, server int) (*link, *spool.Refusal) {
+	group.mutex.Lock()
+	if link := group.pools[server].take(); link != nil {
+		group.mutex.Unlock()
+		return link, nil
+	}
+	spec := group.specs[server]
+	allowed := group.queue.Connect(server)
+	group.mutex.Unlock()
+	if !allowed {
+		return nil, noSlot(dialTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := group.dial(ctx, spec)
+	if err != nil {
+		group.mutex.Lock()
+		group.queue.Disconnect(server)
+		group.mutex.Unlock()
+		return nil, &spool.Refusal{Verdict: spool.NotRun, Code: spool.CodeNoPrimary, Message: err.Error()}
+	}
+	return &link{Conn: conn, server: server}, nil
+}
+
+// put gives a connection back; one that cannot be reset is closed.
+func (group *Group) put(link *link, clean bool) {
+	if !clean && !link.Broken() {
+		ctx, cancel := context.WithTimeout(context.Background(), resetTimeout)
+		defer cancel()
+		if link.Reset(ctx) != nil {
+			link.Close()
+		}
+	}
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	if link.Broken() || group.dropped || !group.table.Servers[link.server].Up {
+		link.Close()
+		group.queue.Disconnect(link.server)
+		return
+	}
+	group.pools[link.server].idle = append(group.pools[link.server].idle, link)
+}
+
+// warm opens connections to a server ahead of need, one for each slot.
+func (group *Group) warm(server int) {
+	group.mutex.Lock()
+	missing := group.specs[server].Slots - len(group.pools[server].idle)
+	group.mutex.Unlock()
+	links := []*link{}
+	for range missing {
+		link, refusal := group.connect(context.Background(), server)
+		if refusal != nil {
+			break
+		}
+		links = append(links, link)
+	}
+	for _, link := range links {
+		group.put(link, true)
+	}
+}
