Add the platform's stand-in and the client of its object API

The proxy keeps whatever outlasts the VMs in the platform's object API, so tests and the demo need one that errs in the ways the platform does: late answers, errors, outages, answers lost after the change took effect, stale reads and a list of VMs that lags.

A token's entry is Kind/Name, or a prefix if it ends in an asterisk: a bare prefix would have let Manifest/kyushu write Manifest/kyushu2. A VM that left the list shows as an object with a null body, since a watch could not tell otherwise.

The client maps 409 and 404 to the root package's errors and anything else to CallError, whose Status tells a refusal (4xx) from an open outcome.

--- /dev/null
+++ b/internal/fake/objsrv/server_test.go
@@ -0,0 +1,200 @@
+package objsrv_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"corianderspool.example/spool/internal/fake/objsrv"
+	"corianderspool.example/spool/internal/objapi"
+	"corianderspool.example/spool/pkg/spool"
+	qt "github.com/frankban/quicktest"
+)
+
+func start(c *qt.C, options ...objsrv.Option) *objsrv.Server {
+	server := objsrv.New(options...)
+	c.Assert(server.Start(), qt.IsNil)
+	c.Cleanup(func() { _ = server.Close() })
+	return server
+}
+
+func connect(c *qt.C, server *objsrv.Server, options ...objapi.Option) *objapi.Client {
+	client := objapi.New(server.URL(), options...)
+	c.Cleanup(client.Close)
+	return client
+}
+
+func term(body string, version spool.Version) spool.Object {
+	return spool.Object{Kind: spool.KindTerm, Name: "kyushu.renewals", Version: version, Body: json.RawMessage(body)}
+}
+
+func TestConditionalUpdate(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	client := connect(c, start(c))
+	created, err := client.Put(ctx, term(`{"Term":1}`, 0))
+	c.Assert(err, qt.IsNil)
+	c.Assert(created.Version, qt.Equals, spool.Version(1))
+	_, err = client.Put(ctx, term(`{"Term":2}`, 0))
+	c.Assert(err, qt.ErrorIs, spool.ErrConflict)
+	updated, err := client.Put(ctx, term(`{"Term":2}`, created.Version))
+	c.Assert(err, qt.IsNil)
+	read, err := client.Get(ctx, spool.KindTerm, "kyushu.renewals")
+	c.Assert(err, qt.IsNil)
+	c.Assert(read, qt.DeepEquals, updated)
+	_, err = client.Get(ctx, spool.KindTerm, "kyushu.other")
+	c.Assert(err, qt.ErrorIs, spool.ErrNotFound)
+	objects, version, err := client.List(ctx, spool.KindTerm)
+	c.Assert(err, qt.IsNil)
+	c.Assert(objects, qt.HasLen, 1)
+	c.Assert(version, qt.Equals, updated.Version)
+	missing := term(`{}`, 7)
+	missing.Name = "kyushu.other"
+	_, err = client.Put(ctx, missing)
+	c.Assert(err, qt.ErrorIs, spool.ErrNotFound)
+}
+
+func TestWatchWakesOnChangeAndEndsEmpty(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server := start(c)
+	client := connect(c, server, objapi.WithWait(5*time.Second))
+	impatient := connect(c, server, objapi.WithWait(10*time.Millisecond))
+	objects, version, err := impatient.Watch(ctx, []string{spool.KindTerm}, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(objects, qt.HasLen, 0)
+	c.Assert(version, qt.Equals, spool.Version(0))
+	time.AfterFunc(20*time.Millisecond, func() { _, _ = impatient.Put(ctx, term(`{"Term":1}`, 0)) })
+	objects, version, err = client.Watch(ctx, []string{spool.KindRoster, spool.KindTerm}, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(objects, qt.HasLen, 1)
+	c.Assert(version, qt.Equals, spool.Version(1))
+	calls := server.Calls()
+	c.Assert(calls.Watch, qt.Equals, 2)
+	c.Assert(calls.MaxWaiting, qt.Equals, 1)
+	c.Assert(calls.Put, qt.Equals, 1)
+}
+
+func TestLostAnswerTookEffect(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server := start(c)
+	client := connect(c, server)
+	server.SetFaults(objsrv.Faults{LoseAnswers: 1})
+	_, err := client.Put(ctx, term(`{"Term":1}`, 0))
+	var callError *objapi.CallError
+	c.Assert(errors.As(err, &callError), qt.IsTrue)
+	c.Assert(callError.Refused(), qt.IsFalse)
+	server.SetFaults(objsrv.Faults{})
+	read, err := client.Get(ctx, spool.KindTerm, "kyushu.renewals")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(read.Body), qt.Equals, `{"Term":1}`)
+}
+
+func TestOutageAndErrors(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server := start(c)
+	client := connect(c, server, objapi.WithWait(5*time.Second))
+	time.AfterFunc(20*time.Millisecond, func() {
+		server.SetFaults(objsrv.Faults{DownFor: spool.Duration(time.Hour)})
+	})
+	_, _, err := client.Watch(ctx, []string{spool.KindTerm}, 0)
+	c.Assert(err, qt.IsNotNil)
+	_, _, err = client.List(ctx, spool.KindTerm)
+	c.Assert(err, qt.IsNotNil)
+	server.SetFaults(objsrv.Faults{ErrorShare: 1})
+	_, err = client.Put(ctx, term(`{}`, 0))
+	var callError *objapi.CallError
+	c.Assert(errors.As(err, &callError), qt.IsTrue)
+	c.Assert(callError.Status, qt.Equals, 503)
+	server.SetFaults(objsrv.Faults{Latency: spool.Duration(time.Second)})
+	hasty := connect(c, server, objapi.WithTimeout(20*time.Millisecond))
+	_, err = hasty.Get(ctx, spool.KindTerm, "kyushu.renewals")
+	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+}
+
+func TestStaleReads(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server := start(c)
+	client := connect(c, server)
+	created, err := client.Put(ctx, term(`{"Term":1}`, 0))
+	c.Assert(err, qt.IsNil)
+	server.SetFaults(objsrv.Faults{StaleReads: 1})
+	_, err = client.Put(ctx, term(`{"Term":2}`, created.Version))
+	c.Assert(err, qt.IsNil)
+	read, err := client.Get(ctx, spool.KindTerm, "kyushu.renewals")
+	c.Assert(err, qt.IsNil)
+	c.Assert(read, qt.DeepEquals, created)
+}
+
+func TestTokensBoundWhatPartnersWrite(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server := start(c, objsrv.WithTokens(map[string][]string{
+		"kyushu-token": {"Manifest/kyushu"},
+		"proxy-token":  {"Term/*", "Roster/*"},
+	}))
+	manifest := func(name string) spool.Object {
+		return spool.Object{Kind: spool.KindManifest, Name: name, Body: json.RawMessage(`{}`)}
+	}
+	entry := spool.Object{Kind: spool.KindAudit, Name: "1", Body: json.RawMessage(`{}`)}
+	kyushu := connect(c, server, objapi.WithToken("kyushu-token"))
+	_, err := kyushu.Put(ctx, manifest("kyushu"))
+	c.Assert(err, qt.IsNil)
+	stored, err := kyushu.Put(ctx, entry)
+	c.Assert(err, qt.IsNil)
+	for _, refused := range []spool.Object{manifest("kyushu2"), manifest("plata"), stored, term(`{}`, 0)} {
+		_, err = kyushu.Put(ctx, refused)
+		var callError *objapi.CallError
+		c.Assert(errors.As(err, &callError), qt.IsTrue)
+		c.Assert(callError.Status, qt.Equals, 403)
+		c.Assert(callError.Refused(), qt.IsTrue)
+	}
+	proxy := connect(c, server, objapi.WithToken("proxy-token"))
+	_, err = proxy.Put(ctx, term(`{}`, 0))
+	c.Assert(err, qt.IsNil)
+	_, err = connect(c, server).Put(ctx, term(`{}`, 0))
+	c.Assert(err, qt.ErrorMatches, ".*status 401.*")
+}
+
+func TestMembersLag(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server := start(c)
+	client := connect(c, server, objapi.WithWait(5*time.Second))
+	server.SetMembers([]spool.Member{{VM: "vm1"}, {VM: "vm2"}})
+	objects, version, err := client.List(ctx, spool.KindMember)
+	c.Assert(err, qt.IsNil)
+	c.Assert(objects, qt.HasLen, 2)
+	server.SetMemberLag(50 * time.Millisecond)
+	server.SetMembers([]spool.Member{{VM: "vm1"}})
+	objects, _, err = client.List(ctx, spool.KindMember)
+	c.Assert(err, qt.IsNil)
+	c.Assert(objects, qt.HasLen, 2)
+	changed, _, err := client.Watch(ctx, []string{spool.KindMember}, version)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changed, qt.HasLen, 1)
+	c.Assert(string(changed[0].Body), qt.Equals, "null")
+	objects, _, err = client.List(ctx, spool.KindMember)
+	c.Assert(err, qt.IsNil)
+	c.Assert(objects, qt.HasLen, 1)
+}
+
+func TestLargeBodies(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	client := connect(c, start(c))
+	fitting := `"` + strings.Repeat("x", 1<<20-2) + `"`
+	_, err := client.Put(ctx, term(fitting, 0))
+	c.Assert(err, qt.IsNil)
+	read, err := client.Get(ctx, spool.KindTerm, "kyushu.renewals")
+	c.Assert(err, qt.IsNil)
+	c.Assert(read.Body, qt.HasLen, 1<<20)
+	_, err = client.Put(ctx, term(`"x`+fitting[1:], 1))
+	c.Assert(err, qt.ErrorMatches, ".*status 413.*")
+}
