--- a/internal/core/lease/config.go
+++ b/internal/core/lease/config.go
@@ -10,6 +10,8 @@
 	DefaultRetry        = 50 * time.Millisecond
 	DefaultRoundTimeout = 150 * time.Millisecond
 	DefaultGone         = 10 * time.Second
+	DefaultSettle       = time.Second
+	DefaultReread       = time.Second
 )
 
 // Config holds the times of leases; all proxies of a fleet use the same.
@@ -20,6 +22,11 @@
 	Retry        time.Duration // between two candidates' ranks, and before a failed candidate tries again
 	RoundTimeout time.Duration // longest wait of a candidate for a majority before it gives its pledges back
 	Gone         time.Duration // absence after which a member of the roster is replaced
+	Settle       time.Duration // longest wait for three failure domains before the roster is created
+	Reread       time.Duration // between two reads of the platform while the roster is not known
+
+	fromArrival bool // for tests: counts a pledge from its answer's arrival
+	forgetful   bool // for tests: pledges right after the start
 }
 
 // DefaultConfig returns the configuration used unless an option changes it.
@@ -31,6 +38,8 @@
 		Retry:        DefaultRetry,
 		RoundTimeout: DefaultRoundTimeout,
 		Gone:         DefaultGone,
+		Settle:       DefaultSettle,
+		Reread:       DefaultReread,
 	}
 }
 
--- a/internal/core/lease/roster.go
+++ b/internal/core/lease/roster.go
@@ -26,6 +26,14 @@
 // Contains tells whether vm is a member.
 func (roster Roster) Contains(vm spool.VM) bool { return slices.Contains(roster.Members, vm) }
 
+// unchanging returns the roster whose members pledge, or pledged before the change began.
+func (roster Roster) unchanging() Roster {
+	if !roster.Changing {
+		return roster
+	}
+	return Roster{Version: roster.Base, Members: roster.Members}
+}
+
 // ParseRoster reads the platform's roster object and fails on a body of another form.
 func ParseRoster(object spool.Object) (Roster, error) {
 	var roster Roster
