Implement the fleet's shares of a team's rate and the slot queue

A team's rate was a name in the manifest only. The owner mints whole tokens from one bucket in which ready and outstanding tokens together stay within the burst; clients spend what is provably alive. A queue at the group's keeper hands free slots to the team with the least slot time used lately.

Static splits of the rate over the proxies were ruled out: they refuse a team inside its rate as soon as its callers gather on one proxy.

--- /dev/null
+++ b/internal/core/fifo/doc.go
@@ -0,0 +1,3 @@
+// Package fifo keeps waiting entries in the order of their arrival without
+// allocating in steady state.
+package fifo
--- a/internal/core/share/options.go
+++ b/internal/core/share/options.go
@@ -4,33 +4,36 @@
 
 // Defaults of the timing that owners and clients share.
 const (
-	defaultMaxLife    = 500 * time.Millisecond
-	defaultMinLife    = 200 * time.Millisecond
-	defaultPoll       = 10 * time.Millisecond
-	defaultTimeout    = 150 * time.Millisecond
-	defaultOwnerGap   = 1500 * time.Millisecond
-	defaultDriftParts = 0.0005
+	defaultLife     = 300 * time.Millisecond
+	defaultPoll     = 10 * time.Millisecond
+	defaultTimeout  = 150 * time.Millisecond
+	defaultOwnerGap = 1500 * time.Millisecond
+	defaultDrift    = 0.0005
 )
 
 // Timing holds the settings of owners and clients; all proxies of a fleet use the same.
 type Timing struct {
-	MaxLife  time.Duration // longest life of a grant
-	MinLife  time.Duration // shortest life of a grant, for teams whose burst is small against their rate
+	Life     time.Duration // life of a grant, counted by the client from sending its request
 	Poll     time.Duration // shortest time between two requests of a client
 	Timeout  time.Duration // time after which a request counts as lost
 	OwnerGap time.Duration // time that a change of the owner is expected to take
 	Drift    float64       // largest relative error of a VM's clock
+	faults   faults
+}
+
+// faults turns mechanisms off to show in tests that the bound breaks without them.
+type faults struct {
+	lifeFromArrival bool // the client counts a grant's life from the answer's arrival
+	fullStart       bool // a new owner starts with a full bucket and no grace
+	noCap           bool // outstanding tokens are neither capped nor counted against the burst
 }
 
 // Option changes the timing of an owner or a client.
 type Option func(timing *Timing)
 
-// WithLife sets the shortest and longest life of a grant.
-func WithLife(shortest, longest time.Duration) Option {
-	return func(timing *Timing) {
-		timing.MinLife = shortest
-		timing.MaxLife = longest
-	}
+// WithLife sets the life of a grant.
+func WithLife(life time.Duration) Option {
+	return func(timing *Timing) { timing.Life = life }
 }
 
 // WithPoll sets the shortest time between two requests of a client.
@@ -55,15 +58,20 @@
 
 func newTiming(options []Option) Timing {
 	timing := Timing{
-		MaxLife:  defaultMaxLife,
-		MinLife:  defaultMinLife,
+		Life:     defaultLife,
 		Poll:     defaultPoll,
 		Timeout:  defaultTimeout,
 		OwnerGap: defaultOwnerGap,
-		Drift:    defaultDriftParts,
+		Drift:    defaultDrift,
 	}
 	for _, option := range options {
 		option(&timing)
 	}
 	return timing
 }
+
+// ownerLife returns how long an owner counts a grant as alive, on a clock that may err against the client's.
+func (timing *Timing) ownerLife() time.Duration {
+	stretched := float64(timing.Life) * (1 + timing.Drift) / (1 - timing.Drift)
+	return time.Duration(stretched) + 1
+}
--- a/internal/core/slots/queue.go
+++ b/internal/core/slots/queue.go
@@ -1,33 +1,191 @@
 package slots
 
-import "corianderspool.example/spool/pkg/spool"
+import (
+	"time"
 
-// Queue hands out the slots of one group's servers.
-type Queue struct{}
+	"corianderspool.example/spool/pkg/spool"
+)
 
-// New returns a queue without servers.
-func New(options ...Option) *Queue { return &Queue{} }
+// Defaults of a queue's settings.
+const (
+	defaultMemory   = 5 * time.Second
+	defaultSlotTime = 5 * time.Millisecond
+)
+
+// Queue hands out the slots of one group's servers.
+type Queue struct {
+	memory   time.Duration // span over which used slot time counts
+	meter    meter
+	servers  []server
+	teams    map[spool.Team]*team
+	order    []*team // in the order of their first item
+	arrivals uint64
+	waiting  int
+	demands  []float64
+	grants   []Grant
+	overdue  []Refusal // found overdue while granting
+	refused  []Refusal
+}
 
 // Option changes a queue's settings.
 type Option func(queue *Queue)
 
+// WithMemory sets the span over which the slot time that a team used counts against it.
+func WithMemory(memory time.Duration) Option {
+	return func(queue *Queue) { queue.memory = memory }
+}
+
+// WithSlotTime sets the expected slot time of an item before any was measured.
+func WithSlotTime(slotTime time.Duration) Option {
+	return func(queue *Queue) { queue.meter.slotTime = slotTime.Seconds() }
+}
+
+// New returns a queue without servers.
+func New(options ...Option) *Queue {
+	queue := &Queue{memory: defaultMemory, teams: map[spool.Team]*team{}}
+	queue.meter = meter{slotTime: defaultSlotTime.Seconds(), releases: 1}
+	for _, option := range options {
+		option(queue)
+	}
+	return queue
+}
+
 // SetServers replaces the servers' limits and returns the grants that become possible; indices of servers never move.
-func (queue *Queue) SetServers(limits []Limit, now spool.Instant) []Grant { return nil }
+func (queue *Queue) SetServers(limits []Limit, now spool.Instant) []Grant {
+	for len(queue.servers) < len(limits) {
+		queue.servers = append(queue.servers, server{})
+	}
+	for i := range queue.servers {
+		queue.servers[i].limit = Limit{}
+		if i < len(limits) {
+			queue.servers[i].limit = limits[i]
+		}
+	}
+	queue.grants = queue.grants[:0]
+	for i := range queue.servers {
+		queue.fill(i, now)
+	}
+	return queue.grants
+}
 
 // Ask grants the item a slot, queues it or refuses it.
-func (queue *Queue) Ask(item Item, now spool.Instant) Answer { return Answer{Verdict: Refused} }
+func (queue *Queue) Ask(item Item, now spool.Instant) Answer {
+	team := queue.team(item.Team, now)
+	if index, found := queue.freest(item.Servers); found {
+		queue.start(index, team, now)
+		return Answer{Verdict: Granted, Server: index}
+	}
+	wait := queue.wait(team, item.Servers, team.waiting+1, now)
+	if now.Add(wait) >= item.Deadline {
+		return Answer{Verdict: Refused, RetryAfter: queue.retryAfter(wait, item.Deadline, now)}
+	}
+	queue.arrivals++
+	queue.waiting++
+	team.push(entry{id: item.ID, arrival: queue.arrivals, deadline: item.Deadline}, item.Servers)
+	return Answer{Verdict: Queued}
+}
 
 // Release gives a team's slot back and returns the grants that become possible, valid until the next call.
-func (queue *Queue) Release(server int, team spool.Team, now spool.Instant) []Grant { return nil }
+func (queue *Queue) Release(server int, name spool.Team, now spool.Instant) []Grant {
+	team := queue.team(name, now)
+	if queue.servers[server].busy == 0 || team.running == 0 {
+		panic("slots: released a slot that was not granted")
+	}
+	team.charge(now, queue.memory)
+	queue.meter.change(-1, now)
+	queue.servers[server].busy--
+	team.running--
+	queue.grants = queue.grants[:0]
+	queue.fill(server, now)
+	return queue.grants
+}
 
 // Expire refuses the queued items whose deadline has passed or whose expected wait passes it.
-func (queue *Queue) Expire(now spool.Instant) []Refusal { return nil }
+func (queue *Queue) Expire(now spool.Instant) []Refusal {
+	queue.refused = append(queue.refused[:0], queue.overdue...)
+	queue.overdue = queue.overdue[:0]
+	if queue.waiting == 0 {
+		return queue.refused
+	}
+	for _, team := range queue.order {
+		if team.waiting > 0 {
+			queue.expire(team, now)
+		}
+	}
+	return queue.refused
+}
 
 // Cancel drops a queued item and reports whether it was still queued.
-func (queue *Queue) Cancel(id uint64) bool { return false }
+func (queue *Queue) Cancel(id uint64) bool {
+	for _, team := range queue.order {
+		dropped := team.drop(func(_ *lane, entry entry) bool { return entry.id == id })
+		if dropped > 0 {
+			queue.waiting -= dropped
+			return true
+		}
+	}
+	return false
+}
 
 // Connect reserves one of a server's connections and reports whether the limit allows it.
-func (queue *Queue) Connect(server int) bool { return false }
+func (queue *Queue) Connect(server int) bool {
+	limited := &queue.servers[server]
+	if !limited.takesWork() {
+		return false
+	}
+	if limited.limit.Connections > 0 && limited.connections >= limited.limit.Connections {
+		return false
+	}
+	limited.connections++
+	return true
+}
 
 // Disconnect gives a reserved connection back.
-func (queue *Queue) Disconnect(server int) {}
+func (queue *Queue) Disconnect(server int) {
+	if queue.servers[server].connections == 0 {
+		panic("slots: closed a connection that was not reserved")
+	}
+	queue.servers[server].connections--
+}
+
+// fill grants the free slots of a server to the waiting teams that used the least slot time lately.
+func (queue *Queue) fill(index int, now spool.Instant) {
+	for queue.waiting > 0 && queue.servers[index].free() > 0 {
+		chosen := queue.neediest(Servers(1)<<index, now)
+		if chosen == nil {
+			return
+		}
+		entry := chosen.oldest(Servers(1) << index).entries.Pop()
+		chosen.waiting--
+		queue.waiting--
+		if entry.deadline <= now {
+			refusal := Refusal{ID: entry.id, RetryAfter: queue.retryAfter(0, entry.deadline, now)}
+			queue.overdue = append(queue.overdue, refusal)
+			continue
+		}
+		queue.start(index, chosen, now)
+		queue.grants = append(queue.grants, Grant{ID: entry.id, Team: chosen.name, Server: index})
+	}
+}
+
+func (queue *Queue) start(index int, team *team, now spool.Instant) {
+	team.charge(now, queue.memory)
+	queue.meter.change(1, now)
+	team.running++
+	queue.servers[index].busy++
+}
+
+// neediest returns the team with the least slot time used lately among those that wait for one of the servers.
+func (queue *Queue) neediest(servers Servers, now spool.Instant) *team {
+	var chosen *team
+	for _, team := range queue.order {
+		if team.waiting == 0 || team.oldest(servers) == nil {
+			continue
+		}
+		team.charge(now, queue.memory)
+		if chosen == nil || team.used < chosen.used {
+			chosen = team
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/core/slots/wait.go
@@ -0,0 +1,138 @@
+package slots
+
+import (
+	"math/bits"
+	"time"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	slotTimeMemory = 0.98    // part of the measurements that one more release keeps
+	leastFairShare = 1.0 / 8 // slots that a team is expected to have at least
+)
+
+// meter measures for how long an item holds a slot.
+type meter struct {
+	busy     int
+	slotTime float64 // sum of slot time in seconds, decayed with each release
+	releases float64
+	measured spool.Instant
+}
+
+func (meter *meter) change(step int, now spool.Instant) {
+	if elapsed := now.Sub(meter.measured); elapsed > 0 {
+		meter.slotTime += float64(meter.busy) * elapsed.Seconds()
+		meter.measured = now
+	}
+	meter.busy += step
+	if step < 0 {
+		meter.slotTime *= slotTimeMemory
+		meter.releases = meter.releases*slotTimeMemory + 1
+	}
+}
+
+// mean returns the mean slot time of an item in seconds.
+func (meter *meter) mean() float64 { return meter.slotTime / meter.releases }
+
+// wait returns how long a team's item at that place of its queue is expected to wait for one of the servers.
+func (queue *Queue) wait(team *team, servers Servers, place int, now spool.Instant) time.Duration {
+	share := queue.fairShare(team, servers, now)
+	if share <= 0 {
+		return 0
+	}
+	seconds := float64(place) * queue.meter.mean() / max(share, leastFairShare)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// fairShare returns the team's max-min share of the servers' slots, or zero if none of them takes work.
+func (queue *Queue) fairShare(asking *team, servers Servers, now spool.Instant) float64 {
+	eligible := 0
+	total := 0
+	for i := range queue.servers {
+		capacity := queue.servers[i].capacity()
+		total += capacity
+		if servers&(Servers(1)<<i) != 0 {
+			eligible += capacity
+		}
+	}
+	if eligible == 0 {
+		return 0
+	}
+	part := float64(eligible) / float64(total)
+	queue.demands = queue.demands[:0]
+	for _, team := range queue.order {
+		if team != asking && team.oldest(servers) == nil {
+			team.charge(now, queue.memory)
+			queue.demands = append(queue.demands, team.used/queue.memory.Seconds()*part)
+		}
+	}
+	hungry := len(queue.order) - len(queue.demands)
+	return fill(float64(eligible), queue.demands, hungry)
+}
+
+// fill shares capacity max-min between the given demands and hungry teams of endless demand and returns a hungry team's share.
+func fill(capacity float64, demands []float64, hungry int) float64 {
+	share := capacity / float64(len(demands)+hungry)
+	for range demands {
+		left := capacity
+		above := hungry
+		for _, demand := range demands {
+			if demand > share {
+				above++
+				continue
+			}
+			left -= demand
+		}
+		raised := left / float64(above)
+		if raised <= share {
+			break
+		}
+		share = raised
+	}
+	return share
+}
+
+// retryAfter returns when an item with as much time left as this one can hope for a slot.
+func (queue *Queue) retryAfter(wait time.Duration, deadline, now spool.Instant) time.Duration {
+	mean := time.Duration(queue.meter.mean() * float64(time.Second))
+	return max(wait-max(0, deadline.Sub(now)), mean, time.Millisecond)
+}
+
+// expire refuses a team's items whose deadline has passed or whose expected wait passes it.
+func (queue *Queue) expire(team *team, now spool.Instant) {
+	place := 0
+	var last *lane
+	var each time.Duration
+	queue.waiting -= team.drop(func(lane *lane, entry entry) bool {
+		if lane != last {
+			last = lane
+			place = 0
+			each = queue.wait(team, lane.servers, 1, now)
+		}
+		wait := time.Duration(place+1) * each
+		if now < entry.deadline && now.Add(wait) < entry.deadline {
+			place++
+			return false
+		}
+		refusal := Refusal{ID: entry.id, RetryAfter: queue.retryAfter(wait, entry.deadline, now)}
+		queue.refused = append(queue.refused, refusal)
+		return true
+	})
+}
+
+// freest returns the server with the most free slots among those that are eligible.
+func (queue *Queue) freest(eligible Servers) (index int, found bool) {
+	most := 0
+	for set := eligible; set != 0; set &= set - 1 {
+		candidate := bits.TrailingZeros64(uint64(set))
+		if candidate >= len(queue.servers) {
+			break
+		}
+		if free := queue.servers[candidate].free(); free > most {
+			most = free
+			index = candidate
+		}
+	}
+	return index, most > 0
+}
