--- /dev/null
+++ b/internal/core/policy/doc.go
@@ -0,0 +1,2 @@
+// Package policy decides which manifests are in force and answers lookups in them.
+package policy
