--- a/internal/certs/bundle.go
+++ b/internal/certs/bundle.go
@@ -145,6 +145,21 @@
 	}
 }
 
+// DialAny returns the TLS settings for a connection to a proxy whose VM is not known; any name of the authority will do.
+func (bundle *Bundle) DialAny() *tls.Config {
+	certificate, authority := bundle.current()
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{*certificate},
+		InsecureSkipVerify: true, // VerifyConnection checks the chain without the name
+		VerifyConnection: func(state tls.ConnectionState) error {
+			options := x509.VerifyOptions{Roots: authority}
+			_, err := state.PeerCertificates[0].Verify(options)
+			return err
+		},
+	}
+}
+
 // Identity returns the VM that the other side's checked certificate names.
 func Identity(state tls.ConnectionState) (spool.VM, error) {
 	if len(state.PeerCertificates) == 0 {
--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -35,7 +35,7 @@
 	core.view.Hear(from, incarnation, beat, now)
 	for name, location := range core.located {
 		if location.vm == from && !slices.Contains(beat.Held, string(name)) {
-			delete(core.located, name)
+			core.forget(name)
 		}
 	}
 	for _, name := range beat.Held {
@@ -105,11 +105,17 @@
 func (core *Core) locate(name lease.Role, vm spool.VM, now spool.Instant) {
 	known := core.located[name]
 	core.located[name] = location{vm: vm, heard: now}
-	if team, isTeam := name.Team(); isTeam && known.vm != vm {
-		core.emit(ChangeOwner{Team: team})
+	if known.vm != vm {
+		core.emit(MoveRole{Role: name, VM: vm})
 	}
 }
 
+// forget drops what is known of a role's holder.
+func (core *Core) forget(name lease.Role) {
+	delete(core.located, name)
+	core.emit(MoveRole{Role: name})
+}
+
 func (core *Core) locateAnswered(answer *wire.LocateAnswer, now spool.Instant) {
 	name := lease.Role(answer.Role)
 	if _, known := core.located[name]; !known && answer.Holder != "" {
@@ -123,8 +129,12 @@
 	return location.vm, known
 }
 
-// seek asks the witnesses who holds a role.
-func (core *Core) seek(name lease.Role) {
+// seek asks the witnesses who holds a role, at most once an interval.
+func (core *Core) seek(name lease.Role, now spool.Instant) {
+	if now < core.sought[name] {
+		return
+	}
+	core.sought[name] = now.Add(askInterval)
 	for _, witness := range core.roster.Members {
 		if witness != core.self.VM {
 			core.send(witness, &wire.Envelope{Body: &wire.Envelope_LocateRequest{
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -50,6 +50,7 @@
 	nextBeat   spool.Instant
 	nextAssign spool.Instant
 	asked      map[spool.VM]spool.Instant
+	sought     map[lease.Role]spool.Instant
 	sequence   uint64
 
 	effects []Effect
@@ -73,11 +74,6 @@
 	return func(core *Core) { core.shareOptions = append(core.shareOptions, options...) }
 }
 
-// WithSeeds tells of VMs that are known before the platform's list was read.
-func WithSeeds(members ...spool.Member) Option {
-	return func(core *Core) { core.view.List(members) }
-}
-
 // New returns the core of a proxy that starts at now; self.Incarnation must rise with each start of the VM.
 func New(self spool.Member, now spool.Instant, options ...Option) *Core {
 	core := &Core{
@@ -91,6 +87,7 @@
 		located: map[lease.Role]location{},
 		started: now,
 		asked:   map[spool.VM]spool.Instant{},
+		sought:  map[lease.Role]spool.Instant{},
 	}
 	for _, option := range options {
 		option(core)
@@ -135,6 +132,10 @@
 		core.send(event.To, &wire.Envelope{Body: &wire.Envelope_ProbeAnswer{ProbeAnswer: event.Answer}})
 	case TokensWanted:
 		core.tokensWanted(event.Request, now)
+	case Found:
+		core.found(event.Member)
+	case Missing:
+		core.seek(event.Role, now)
 	case Leave:
 		core.leave(now)
 	case Drained:
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/core/policy"
 	"corianderspool.example/spool/internal/core/terms"
 	"corianderspool.example/spool/internal/wire"
@@ -83,8 +84,11 @@
 // GiveTokens brings the owner's answer to this proxy's client of a team's rate.
 type GiveTokens struct{ Answer *wire.GrantAnswer }
 
-// ChangeOwner tells that another proxy holds a team's role now.
-type ChangeOwner struct{ Team spool.Team }
+// MoveRole tells which VM holds a role now; it is empty if none is known to.
+type MoveRole struct {
+	Role lease.Role
+	VM   spool.VM
+}
 
 // ApplyPolicy puts a snapshot of all manifests in force.
 type ApplyPolicy struct {
@@ -135,6 +139,6 @@
 func (PromoteServer) effect() {}
 func (FollowServer) effect()  {}
 func (GiveTokens) effect()    {}
-func (ChangeOwner) effect()   {}
+func (MoveRole) effect()      {}
 func (ApplyPolicy) effect()   {}
 func (Note) effect()          {}
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/core/terms"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
@@ -71,6 +72,12 @@
 // TokensWanted brings a request of this proxy's client of a team's rate.
 type TokensWanted struct{ Request *wire.GrantRequest }
 
+// Found tells of a VM that a seed address led to.
+type Found struct{ Member spool.Member }
+
+// Missing tells that a request waits for the holder of a role and none is known.
+type Missing struct{ Role lease.Role }
+
 // Leave tells that the proxy shuts down: it gives up every role as soon as Drained allows it.
 type Leave struct{}
 
@@ -89,5 +96,7 @@
 func (GroupEvent) event()    {}
 func (Probed) event()        {}
 func (TokensWanted) event()  {}
+func (Found) event()         {}
+func (Missing) event()       {}
 func (Leave) event()         {}
 func (Drained) event()       {}
--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -92,6 +92,10 @@
 	if json.Unmarshal(object.Body, &member) != nil {
 		return
 	}
+	core.found(member)
+}
+
+func (core *Core) found(member spool.Member) {
 	if _, known := core.view.Entry(member.VM); !known {
 		core.view.List(append(core.view.Members(), member))
 	}
@@ -230,8 +234,6 @@
 			core.emit(ReadObject{Kind: spool.KindRoster, Name: lease.RosterName})
 		case lease.WriteRoster:
 			core.emit(WriteObject{Object: action.Roster.Object(action.Expected), Nonce: core.nonce()})
-		case lease.Note:
-			core.emit(Note{Topic: TopicRoster, Version: action.Roster.Version, Text: action.Text})
 		}
 	}
 }
--- a/internal/core/teams.go
+++ b/internal/core/teams.go
@@ -12,7 +12,7 @@
 	owner, known := core.Locate(name)
 	switch {
 	case !known:
-		core.seek(name)
+		core.seek(name, now)
 	case owner == core.self.VM:
 		if answer := core.grant(core.self.VM, request, now); answer != nil {
 			core.emit(GiveTokens{Answer: answer})
@@ -35,7 +35,7 @@
 func (core *Core) granted(from spool.VM, answer *wire.GrantAnswer) {
 	name := lease.TeamRole(spool.Team(answer.Team))
 	if location, known := core.located[name]; answer.NotOwner && known && location.vm == from {
-		delete(core.located, name)
+		core.forget(name)
 	}
 	core.emit(GiveTokens{Answer: answer})
 }
--- /dev/null
+++ b/internal/node/doc.go
@@ -0,0 +1,2 @@
+// Package node is the running proxy: it carries out the core's effects and makes the decisions for the callers' side.
+package node
--- /dev/null
+++ b/internal/node/gate.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"corianderspool.example/spool/internal/core/policy"
+	"corianderspool.example/spool/internal/keeper"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const defaultTimeout = 30 * time.Second
+
+// Login finds the key and route of a new caller or says why it may not enter.
+func (node *Node) Login(key, route string) (spool.Login, *spool.Refusal) {
+	if node.leaving.Load() {
+		return spool.Login{}, &spool.Refusal{Code: spool.CodeShutdown, Message: "the proxy is shutting down"}
+	}
+	return node.snapshot.Load().Login(key, route)
+}
+
+// Attach registers a connected session.
+func (node *Node) Attach(login spool.Login) (endings <-chan spool.Ending, detach func()) {
+	entry := node.sessions.add(login)
+	go node.sessions.recheck(entry, node.snapshot.Load())
+	return entry.endings, func() { node.sessions.remove(entry) }
+}
+
+// recheck catches a withdrawal that came between login and registration.
+func (sessions *sessions) recheck(entry *attached, snapshot *policy.Snapshot) {
+	if refusal := snapshot.Check(entry.login); refusal != nil {
+		select {
+		case entry.endings <- spool.Ending{AtOnce: true, Refusal: refusal}:
+		default:
+		}
+	}
+}
+
+// Begin admits work against its team's rate.
+func (node *Node) Begin(ctx context.Context, work spool.Work) (spool.Lane, error) {
+	snapshot := node.snapshot.Load()
+	if refusal := snapshot.Check(work.Session.Login); refusal != nil {
+		return nil, refusal
+	}
+	route, _ := snapshot.Route(work.Session.Login.Route.Name)
+	timeout := node.timeout(route, work)
+	deadline := node.timers.Now().Add(timeout)
+	if refusal := node.purse(work.Session.Login.Team).admit(ctx, deadline); refusal != nil {
+		return nil, refusal
+	}
+	return &lane{node: node, group: route.Group, request: request(route, work, deadline), timeout: timeout}, nil
+}
+
+func (node *Node) timeout(route spool.RouteSpec, work spool.Work) time.Duration {
+	timeout := time.Duration(route.Timeout)
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if !work.Deadline.IsZero() {
+		timeout = min(timeout, time.Until(work.Deadline))
+	}
+	return timeout
+}
+
+func request(route spool.RouteSpec, work spool.Work, deadline spool.Instant) keeper.Request {
+	session := work.Session
+	maxAge := time.Duration(route.MaxAge)
+	if session.MaxAge > 0 {
+		maxAge = session.MaxAge
+	}
+	return keeper.Request{
+		Team: session.Login.Team, Token: session.Token, Tokenless: session.Token.Term == 0,
+		Read: work.Read, Idempotent: work.Idempotent, Durable: route.Durable,
+		MaxAge: maxAge, Deadline: deadline,
+	}
+}
--- /dev/null
+++ b/internal/node/kept.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"corianderspool.example/spool/internal/back"
+	"corianderspool.example/spool/internal/core"
+	"corianderspool.example/spool/internal/core/terms"
+	"corianderspool.example/spool/internal/keeper"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	pollInterval = 25 * time.Millisecond
+	pollTimeout  = 300 * time.Millisecond
+)
+
+// kept is a group whose keeper this proxy is, with the polls of its servers.
+type kept struct {
+	*keeper.Group
+	node  *Node
+	name  spool.Group
+	ctx   context.Context
+	stop  context.CancelFunc
+	polls map[spool.Server]poll
+}
+
+// poll is the running poll of one server.
+type poll struct {
+	address string
+	stop    context.CancelFunc
+}
+
+func (node *Node) keep(spec spool.GroupSpec) {
+	ctx, stop := context.WithCancel(node.ctx)
+	group := &kept{
+		Group: keeper.New(spec, node.timers, node.dial, keeper.WithObserver(node)),
+		node:  node, name: spec.Name, ctx: ctx, stop: stop, polls: map[spool.Server]poll{},
+	}
+	node.groups.set(spec.Name, group)
+	group.update(spec)
+}
+
+func (node *Node) drop(name spool.Group) {
+	group, known := node.groups.remove(name)
+	if known {
+		group.stop()
+		group.Drop()
+	}
+}
+
+func (node *Node) dial(ctx context.Context, server spool.ServerSpec) (keeper.Conn, error) {
+	return back.Dial(ctx, server, node.credentials)
+}
+
+// update takes over a changed list of servers; calls come one at a time.
+func (kept *kept) update(spec spool.GroupSpec) {
+	kept.SetServers(spec.Servers)
+	listed := map[spool.Server]bool{}
+	for _, server := range spec.Servers {
+		listed[server.Name] = true
+		running, known := kept.polls[server.Name]
+		if known && running.address == server.Address {
+			continue
+		}
+		if known {
+			running.stop()
+		}
+		ctx, stop := context.WithCancel(kept.ctx)
+		kept.polls[server.Name] = poll{address: server.Address, stop: stop}
+		go kept.poll(ctx, server, spec.Dialect)
+	}
+	for name, running := range kept.polls {
+		if !listed[name] {
+			running.stop()
+			delete(kept.polls, name)
+		}
+	}
+}
+
+// poll asks a server for its status until the context ends.
+func (kept *kept) poll(ctx context.Context, server spool.ServerSpec, dialect string) {
+	admin, err := kept.node.admin(dialect)
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		sentAt := kept.node.timers.Now()
+		kept.ask(ctx, admin, server, sentAt)
+		pause(ctx, pollInterval-kept.node.timers.Now().Sub(sentAt))
+	}
+}
+
+func (kept *kept) ask(ctx context.Context, admin spool.Admin, server spool.ServerSpec, sentAt spool.Instant) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	status, err := admin.Status(ctx, server)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	if err != nil {
+		kept.Miss(server.Name)
+		kept.tell(terms.StatusFailed{Server: server.Name, SentAt: sentAt, Refused: refused(err)})
+		return
+	}
+	status.Server = server.Name
+	kept.See(status, sentAt)
+	kept.tell(terms.StatusSeen{Status: status, SentAt: sentAt})
+}
+
+func (kept *kept) tell(event terms.Event) {
+	kept.node.handle(core.GroupEvent{Group: kept.name, Event: event})
+}
+
+// refused tells whether an error shows that nobody listens at an address any more.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.EPIPE)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/back"
+	"corianderspool.example/spool/internal/certs"
+	"corianderspool.example/spool/internal/clock"
+	"corianderspool.example/spool/internal/config"
+	"corianderspool.example/spool/internal/core"
+	"corianderspool.example/spool/internal/core/lease"
+	"corianderspool.example/spool/internal/core/policy"
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/front"
+	"corianderspool.example/spool/internal/peer"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const tickInterval = 10 * time.Millisecond
+
+// Node is one running proxy.
+type Node struct {
+	settings    config.Settings
+	logger      *zap.Logger
+	timers      spool.Timers
+	platform    spool.Platform
+	credentials back.Credentials
+	transport   *peer.Transport
+	front       *front.Front
+	peerBundle  *certs.Bundle
+
+	ctx    context.Context // ends when the proxy stops
+	cancel context.CancelFunc
+
+	mutex sync.Mutex // guards core and the order of its effects
+	core  *core.Core
+
+	snapshot atomic.Pointer[policy.Snapshot]
+	holders  sync.Map // lease.Role to spool.VM
+	groups   registry[spool.Group, *kept]
+	purses   registry[spool.Team, *purse]
+	admins   registry[string, spool.Admin]
+	sessions sessions
+	streams  streams
+	waits    waits
+	watcher  watcher
+	leaving  atomic.Bool
+}
+
+// Option changes a node under construction.
+type Option func(*Node)
+
+// WithTimers sets the timer service.
+func WithTimers(timers spool.Timers) Option {
+	return func(node *Node) { node.timers = timers }
+}
+
+// New returns a node that serves nobody yet; it fails when files that the settings name cannot be read.
+func New(settings config.Settings, platform spool.Platform, logger *zap.Logger, options ...Option) (*Node, error) {
+	node := &Node{settings: settings, platform: platform, logger: logger, timers: clock.Real{}}
+	for _, option := range options {
+		option(node)
+	}
+	node.ctx, node.cancel = context.WithCancel(context.Background())
+	node.snapshot.Store(policy.NewStore().Snapshot())
+	if err := node.loadFiles(); err != nil {
+		return nil, err
+	}
+	self := spool.Member{
+		VM: settings.VM, Domain: settings.Domain, Address: settings.Peer.Address,
+		Incarnation: uint64(time.Now().UnixNano()),
+	}
+	node.core = core.New(self, node.timers.Now())
+	node.transport = peer.New(settings.VM, node.peerBundle, node.address, peer.WithLogger(logger))
+	return node, nil
+}
+
+func (node *Node) loadFiles() error {
+	password, err := config.ReadSecret(node.settings.Backend.PasswordFile)
+	if err != nil {
+		return err
+	}
+	node.credentials = back.Credentials{User: node.settings.Backend.User, Password: password}
+	node.peerBundle, err = certs.Load(certs.Files{
+		Certificate: node.settings.Peer.Certificate,
+		PrivateKey:  node.settings.Peer.PrivateKey,
+		Authority:   node.settings.Peer.Authority,
+	})
+	if err != nil {
+		return err
+	}
+	node.front, err = node.newFront()
+	return err
+}
+
+func (node *Node) newFront() (*front.Front, error) {
+	caller := node.settings.Caller
+	if caller.Certificate == "" {
+		return front.New(node), nil
+	}
+	bundle, err := certs.Load(certs.Files{Certificate: caller.Certificate, PrivateKey: caller.PrivateKey})
+	if err != nil {
+		return nil, err
+	}
+	node.reload(bundle)
+	return front.New(node, front.WithTLS(bundle.Server())), nil
+}
+
+func (node *Node) reload(bundle *certs.Bundle) {
+	bundle.Watch(node.timers, func(err error) {
+		node.logger.Warn("certificate not reloaded", zap.Error(err))
+	})
+}
+
+// Run serves until ctx ends, then drains; it fails when an address cannot be listened on.
+func (node *Node) Run(ctx context.Context) error {
+	defer node.cancel()
+	peers, err := net.Listen("tcp", node.settings.Peer.Address)
+	if err != nil {
+		return eris.Wrap(err, "listen for other proxies")
+	}
+	callers, err := net.Listen("tcp", node.settings.Caller.Address)
+	if err != nil {
+		_ = peers.Close()
+		return eris.Wrap(err, "listen for callers")
+	}
+	node.reload(node.peerBundle)
+	node.transport.Listen(peers, node)
+	defer node.transport.Close()
+	node.start()
+	event.Log(node.logger, event.ProxyStarted, zap.String("Address", callers.Addr().String()))
+	failed := make(chan error, 1)
+	go func() { failed <- node.front.Serve(callers) }()
+	select {
+	case <-ctx.Done():
+		node.drain()
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+func (node *Node) start() {
+	node.handle(core.Started{})
+	stop := node.timers.Every(tickInterval, spool.TimerFunc(func(spool.Instant) { node.handle(core.Tick{}) }))
+	context.AfterFunc(node.ctx, stop)
+	for _, seed := range node.settings.Peer.Seeds {
+		go node.findSeed(seed)
+	}
+}
+
+// handle brings an event to the core and carries out the effects in their order; none of them may block.
+func (node *Node) handle(event core.Event) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	for _, effect := range node.core.Handle(event, node.timers.Now()) {
+		node.execute(effect)
+	}
+}
+
+func (node *Node) address(vm spool.VM) (string, bool) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.core.Address(vm)
+}
+
+// Receive handles a control message of another proxy.
+func (node *Node) Receive(from spool.VM, envelope *wire.Envelope) {
+	node.handle(core.Received{From: from, Envelope: envelope})
+}
+
+// holder returns the VM that is known to hold a role.
+func (node *Node) holder(role lease.Role) (spool.VM, bool) {
+	vm, known := node.holders.Load(role)
+	if !known {
+		return "", false
+	}
+	return vm.(spool.VM), true
+}
+
+// findSeed asks a seed address for its VM until it answers.
+func (node *Node) findSeed(address string) {
+	for node.ctx.Err() == nil {
+		vm, err := node.transport.Identify(node.ctx, address)
+		if err == nil {
+			node.handle(core.Found{Member: spool.Member{VM: vm, Address: address}})
+			return
+		}
+		select {
+		case <-node.ctx.Done():
+		case <-time.After(seedRetry):
+		}
+	}
+}
+
+const seedRetry = 1 * time.Second
--- /dev/null
+++ b/internal/node/sessions.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"sync"
+
+	"corianderspool.example/spool/internal/core/policy"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// sessions are the connected callers, who are told when their key is withdrawn.
+type sessions struct {
+	mutex   sync.Mutex
+	entries map[*attached]struct{}
+}
+
+type attached struct {
+	login   spool.Login
+	endings chan spool.Ending
+}
+
+func (sessions *sessions) add(login spool.Login) *attached {
+	entry := &attached{login: login, endings: make(chan spool.Ending, 1)}
+	sessions.mutex.Lock()
+	defer sessions.mutex.Unlock()
+	if sessions.entries == nil {
+		sessions.entries = map[*attached]struct{}{}
+	}
+	sessions.entries[entry] = struct{}{}
+	return entry
+}
+
+func (sessions *sessions) remove(entry *attached) {
+	sessions.mutex.Lock()
+	defer sessions.mutex.Unlock()
+	delete(sessions.entries, entry)
+}
+
+func (sessions *sessions) count() int {
+	sessions.mutex.Lock()
+	defer sessions.mutex.Unlock()
+	return len(sessions.entries)
+}
+
+// check ends the sessions that a snapshot no longer allows.
+func (sessions *sessions) check(snapshot *policy.Snapshot) {
+	sessions.mutex.Lock()
+	defer sessions.mutex.Unlock()
+	for entry := range sessions.entries {
+		refusal := snapshot.Check(entry.login)
+		if refusal == nil {
+			continue
+		}
+		select {
+		case entry.endings <- spool.Ending{AtOnce: true, Refusal: refusal}:
+		default:
+		}
+	}
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -287,3 +287,16 @@
 	config.LogOutput = io.Discard
 	return config
 }
+
+// Identify returns the VM that listens at an address.
+func (transport *Transport) Identify(ctx context.Context, address string) (spool.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := tls.Dialer{Config: transport.bundle.DialAny()}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return "", eris.Wrapf(err, "dial %s", address)
+	}
+	defer func() { _ = conn.Close() }()
+	return certs.Identity(conn.(*tls.Conn).ConnectionState())
+}
