Add the caller-facing side of the proxy

Cause: callers need the PostgreSQL protocol with a key check, cycles, prepared statements over shared connections, and refusals of what a shared connection would leak.

--- a/internal/back/admin.go
+++ b/internal/back/admin.go
@@ -96,21 +96,30 @@
 		return nil, eris.Wrapf(ctx.Err(), "wait for the admin connection to server %s", server.Name)
 	}
 	defer func() { <-line.semaphore }()
-	if err := line.dial(ctx, server, admin.credentials); err != nil {
-		return nil, err
+	kept := line.client != nil
+	rows, err := line.run(ctx, server, admin.credentials, text)
+	if err != nil && kept && line.client == nil && ctx.Err() == nil {
+		rows, err = line.run(ctx, server, admin.credentials, text)
 	}
-	rows, err := line.query(ctx, text)
 	if err != nil {
 		return nil, eris.Wrapf(err, "%s on server %s", text, server.Name)
 	}
 	return rows, nil
 }
 
+func (line *line) run(
+	ctx context.Context, server spool.ServerSpec, credentials Credentials, text string,
+) ([][]string, error) {
+	if err := line.dial(ctx, server, credentials); err != nil {
+		return nil, err
+	}
+	return line.query(ctx, text)
+}
+
 func (line *line) dial(ctx context.Context, server spool.ServerSpec, credentials Credentials) error {
-	if line.client != nil && line.client.CheckConn() == nil {
+	if line.client != nil {
 		return nil
 	}
-	line.hangUp()
 	config, err := newConfig(server, credentials)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/front/refusal.go
@@ -0,0 +1,66 @@
+package front
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	severityError = "ERROR"
+	severityFatal = "FATAL"
+
+	codeTooLarge         = "54000" // program_limit_exceeded
+	codeInvalidValue     = "22023" // invalid_parameter_value
+	codeFailed           = "25P02" // in_failed_sql_transaction
+	codeIdle             = "25P03" // idle_in_transaction_session_timeout
+	codeInternal         = "XX000" // internal_error
+	codeUnknownSetting   = "42704" // undefined_object
+	codeSyntax           = "42601" // syntax_error
+	codeUnknownStatement = "26000" // invalid_sql_statement_name
+
+	farewellTimeout = 500 * time.Millisecond
+)
+
+// errorResponse shows a refusal to the caller.
+func errorResponse(refusal *spool.Refusal, severity string) *pgproto3.ErrorResponse {
+	response := &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                refusal.Code,
+		Message:             refusal.Message,
+	}
+	switch refusal.Verdict {
+	case spool.NotRun:
+		response.Detail = "The statement was not run."
+	case spool.Unknown:
+		response.Detail = "The outcome is not known: a server may have run the statement."
+	}
+	if refusal.RetryAfter > 0 {
+		response.Hint = fmt.Sprintf("Retry after %s.", refusal.RetryAfter)
+	}
+	return response
+}
+
+// unsupported refuses what a shared connection can't give.
+func unsupported(format string, arguments ...any) *spool.Refusal {
+	return notRun(spool.CodeUnsupported, format, arguments...)
+}
+
+func notRun(code, format string, arguments ...any) *spool.Refusal {
+	return &spool.Refusal{Verdict: spool.NotRun, Code: code, Message: fmt.Sprintf(format, arguments...)}
+}
+
+// refuse tells a caller before its login why it may not enter, and closes the socket.
+func refuse(socket net.Conn, refusal *spool.Refusal) {
+	message, err := errorResponse(refusal, severityFatal).Encode(nil)
+	if err == nil {
+		_ = socket.SetWriteDeadline(time.Now().Add(farewellTimeout))
+		_, _ = socket.Write(message)
+	}
+	_ = socket.Close()
+}
--- /dev/null
+++ b/internal/front/session.go
@@ -0,0 +1,240 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// Transaction states of ReadyForQuery.
+const (
+	txIdle   = 'I'
+	txOpen   = 'T'
+	txFailed = 'E'
+)
+
+// session is one caller's connection.
+type session struct {
+	assembly
+	front       *Front
+	socket      net.Conn
+	input       *input
+	output      *output
+	encrypted   bool
+	process     uint32
+	secret      []byte
+	login       spool.Login
+	token       spool.Token
+	maxAge      time.Duration
+	application string
+	lane        spool.Lane
+	status      byte
+
+	mutex  sync.Mutex
+	cancel context.CancelFunc // ends the running cycle; nil between cycles
+	ending *spool.Ending
+	idle   bool // waits for a cycle outside of a transaction
+}
+
+func (front *Front) newSession(socket net.Conn) *session {
+	return &session{
+		assembly: newAssembly(&front.settings),
+		front:    front,
+		socket:   socket,
+		input:    newInput(socket),
+		output:   newOutput(socket, front.writeTimeout),
+		status:   txIdle,
+	}
+}
+
+// run serves the caller from its login to its end.
+func (session *session) run() {
+	defer session.front.cancels.remove(session)
+	session.input.limit = session.messageSize
+	endings, detach := session.front.gate.Attach(session.login)
+	defer detach()
+	done := make(chan struct{})
+	defer close(done)
+	go session.watch(endings, done)
+	defer session.closeLane()
+	for {
+		more, refusal := session.serveCycle()
+		if refusal != nil {
+			session.output.farewell(errorResponse(refusal, severityFatal))
+			session.closeLane()
+			session.linger()
+			return
+		}
+		if !more {
+			session.leave()
+			return
+		}
+	}
+}
+
+// serveCycle reads and answers one cycle; a refusal is the reason for which the session ends.
+func (session *session) serveCycle() (more bool, refusal *spool.Refusal) {
+	session.reset()
+	session.open = session.lane != nil
+	for {
+		message, refusal := session.receive()
+		if message == nil || refusal != nil || message[0] == 'X' {
+			return false, refusal
+		}
+		done, refusal := session.add(message)
+		if refusal != nil {
+			return false, refusal
+		}
+		if done {
+			break
+		}
+	}
+	if session.lane == nil && session.status == txIdle && !session.unsynced && !session.skipping {
+		clear(session.definitions.portals)
+	}
+	session.perform()
+	if !session.output.between() {
+		return false, nil
+	}
+	return session.output.Flush() == nil, nil
+}
+
+// receive waits for the next message; none and no refusal mean that the caller left.
+func (session *session) receive() ([]byte, *spool.Refusal) {
+	if session.input.Buffered() == 0 {
+		if refusal, ok := session.wait(); !ok {
+			return nil, refusal
+		}
+	}
+	message, err := session.input.next()
+	if err == nil {
+		return message, nil
+	}
+	if refusal, ok := err.(*spool.Refusal); ok {
+		return nil, refusal
+	}
+	return nil, nil
+}
+
+// wait returns once the caller has sent something; else it gives the reason to end, if there is one.
+func (session *session) wait() (refusal *spool.Refusal, ok bool) {
+	session.mutex.Lock()
+	if session.ending != nil && session.ending.AtOnce {
+		session.mutex.Unlock()
+		return session.ending.Refusal, false
+	}
+	session.idle = session.lane == nil && !session.lost && !session.started() && !session.skipping
+	switch {
+	case !session.idle:
+		_ = session.socket.SetReadDeadline(time.Now().Add(session.transactionTimeout))
+	case session.ending != nil:
+		_ = session.socket.SetReadDeadline(time.Now().Add(session.endingGrace))
+	}
+	session.mutex.Unlock()
+	_, err := session.input.Peek(1)
+	session.mutex.Lock()
+	defer session.mutex.Unlock()
+	idle := session.idle
+	session.idle = false
+	if err == nil {
+		_ = session.socket.SetReadDeadline(time.Time{})
+		return nil, true
+	}
+	if session.ending != nil && (idle || session.ending.AtOnce) {
+		return session.ending.Refusal, false
+	}
+	if timeout, isNet := err.(net.Error); isNet && timeout.Timeout() {
+		return notRun(codeIdle, "the transaction was idle for more than %s", session.transactionTimeout), false
+	}
+	return nil, false
+}
+
+// watch waits for the gate to end the session.
+func (session *session) watch(endings <-chan spool.Ending, done <-chan struct{}) {
+	for {
+		select {
+		case ending, open := <-endings:
+			if !open {
+				return
+			}
+			session.conclude(ending)
+		case <-done:
+			return
+		}
+	}
+}
+
+// conclude ends the session at once, or after the running transaction.
+func (session *session) conclude(ending spool.Ending) {
+	session.mutex.Lock()
+	if session.ending == nil || ending.AtOnce {
+		session.ending = &ending
+	}
+	if session.idle && !ending.AtOnce {
+		_ = session.socket.SetReadDeadline(time.Now().Add(session.endingGrace))
+	}
+	cancel := session.cancel
+	session.mutex.Unlock()
+	if !ending.AtOnce {
+		return
+	}
+	if cancel != nil {
+		cancel()
+	}
+	session.output.hurry()
+	session.output.farewell(errorResponse(ending.Refusal, severityFatal))
+	_ = session.socket.SetReadDeadline(time.Now())
+	time.AfterFunc(2*farewellTimeout, func() { _ = session.socket.Close() })
+}
+
+// cancelCycle ends the running cycle at the caller's wish.
+func (session *session) cancelCycle() {
+	session.mutex.Lock()
+	defer session.mutex.Unlock()
+	if session.cancel != nil {
+		session.cancel()
+	}
+}
+
+// leave ends a session whose caller left or was told to end.
+func (session *session) leave() {
+	session.mutex.Lock()
+	told := session.ending != nil
+	session.mutex.Unlock()
+	session.closeLane()
+	if told {
+		session.linger()
+	}
+}
+
+// linger reads what the caller still sends, so that the last message is not lost with the connection.
+func (session *session) linger() {
+	if half, ok := session.socket.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = session.socket.SetReadDeadline(time.Now().Add(farewellTimeout))
+	_, _ = io.Copy(io.Discard, session.input)
+}
+
+func (session *session) closeLane() {
+	if session.lane == nil {
+		return
+	}
+	session.lane.Close()
+	session.lane = nil
+}
+
+// ready queues ReadyForQuery with the state of the transaction.
+func (session *session) ready() {
+	status := session.status
+	if session.lost {
+		status = txFailed
+	}
+	session.output.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+}
