--- a/internal/core/terms/effect.go
+++ b/internal/core/terms/effect.go
@@ -10,6 +10,9 @@
 // Effect is something that a Keeper asks its shell to do.
 type Effect interface{ effect() }
 
+// Poll asks for every server's status at once, besides the regular polls.
+type Poll struct{}
+
 // ReadTerm asks for the platform's record of the term.
 type ReadTerm struct{ Group spool.Group }
 
@@ -49,6 +52,9 @@
 	History []*wire.TermStart
 }
 
+// Drain asks to begin no new work on the primary of a term and to let running work end; Closed or Open follows.
+type Drain struct{ Term spool.Term }
+
 // Closed tells that acknowledgements of the term that was open end at once.
 type Closed struct{ Reason Reason }
 
@@ -62,6 +68,7 @@
 	Server spool.Server
 }
 
+func (Poll) effect()      {}
 func (ReadTerm) effect()  {}
 func (WriteTerm) effect() {}
 func (Probe) effect()     {}
@@ -69,6 +76,7 @@
 func (Follow) effect()    {}
 func (Pledge) effect()    {}
 func (Open) effect()      {}
+func (Drain) effect()     {}
 func (Closed) effect()    {}
 func (Yield) effect()     {}
 func (Note) effect()      {}
--- a/internal/core/terms/reason.go
+++ b/internal/core/terms/reason.go
@@ -17,5 +17,7 @@
 	ReasonCandidateGone Reason = "candidate failed"
 	ReasonOpened        Reason = "term opened"
 	ReasonWriteUnknown  Reason = "outcome of the conditional update unknown"
-	ReasonFollow        Reason = "replica ordered to follow"
+	ReasonMisplaced     Reason = "primary answers in another role or term"
+	ReasonLeaving       Reason = "primary leaves"
+	ReasonRaised        Reason = "later term seen that was never opened"
 )
