Prove the bound on a team's rate in every window

The claim needs an oracle that sees every window: one reference bucket fed with all admissions in the order of true time runs dry exactly when some window of length t holds more than burst + rate*t. Clocks err by the full drift, messages are delayed, repeated, reordered and lost, owners die and change, clients pause and restart; six pairs of rate and burst, down to a burst of one token.

--- /dev/null
+++ b/internal/core/share/bound_test.go
@@ -0,0 +1,89 @@
+package share
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+func TestMain(main *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "4")
+		_ = flag.Set("rapid.steps", "400")
+	}
+	os.Exit(main.Run())
+}
+
+var boundSpecs = []spool.TeamSpec{
+	{Name: "large", RatePerSecond: 400, Burst: 200},
+	{Name: "steep", RatePerSecond: 400, Burst: 20},
+	{Name: "small", RatePerSecond: 20, Burst: 5},
+	{Name: "three", RatePerSecond: 50, Burst: 3},
+	{Name: "single", RatePerSecond: 50, Burst: 1},
+	{Name: "partial", RatePerSecond: 50, Burst: 1.5},
+}
+
+func TestBoundHoldsInEveryWindow(t *testing.T) {
+	for _, spec := range boundSpecs {
+		t.Run(string(spec.Name), func(t *testing.T) {
+			c := qt.New(t)
+			admitted := 0
+			for seed := range uint64(20) {
+				world, err := runSeed(seed, spec, 4000)
+				c.Assert(err, qt.IsNil)
+				admitted += world.admitted
+			}
+			t.Logf("%d admissions", admitted)
+			c.Assert(admitted > 250, qt.IsTrue)
+		})
+	}
+}
+
+func TestBoundHoldsForAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := rapid.SampledFrom(boundSpecs).Draw(t, "spec")
+		draw := func(below int) int { return rapid.IntRange(0, below-1).Draw(t, "choice") }
+		world := newWorld(spec, 3, draw)
+		repeated := map[string]func(*rapid.T){}
+		for name, action := range world.actions() {
+			repeated[name] = func(t *rapid.T) {
+				if err := action(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		t.Repeat(repeated)
+	})
+}
+
+// TestBoundBreaksWithoutMechanism shows that the oracle sees a breach when a mechanism is off.
+func TestBoundBreaksWithoutMechanism(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults faults
+		spec   spool.TeamSpec
+		seed   uint64
+	}{
+		{name: "life counted from arrival", faults: faults{lifeFromArrival: true}, spec: boundSpecs[0], seed: 65},
+		{name: "new owner starts with a full bucket", faults: faults{fullStart: true}, spec: boundSpecs[0], seed: 0},
+		{name: "new owner without grace", faults: faults{noGrace: true}, spec: boundSpecs[1], seed: 53},
+		{name: "no cap on outstanding tokens", faults: faults{noCap: true}, spec: boundSpecs[0], seed: 27},
+	}
+	for _, broken := range cases {
+		t.Run(broken.name, func(t *testing.T) {
+			c := qt.New(t)
+			off := func(timing *Timing) { timing.faults = broken.faults }
+			_, err := runSeed(broken.seed, broken.spec, 4000, off)
+			c.Assert(err, qt.ErrorMatches, ".*breaks the bound")
+			t.Log(err)
+			_, err = runSeed(broken.seed, broken.spec, 4000)
+			c.Assert(err, qt.IsNil)
+		})
+	}
+}
--- a/internal/core/share/bucket.go
+++ b/internal/core/share/bucket.go
@@ -28,6 +28,8 @@
 	}
 	if timing.faults.fullStart {
 		bucket.level = spec.Burst
+	}
+	if timing.faults.noGrace || timing.faults.fullStart {
 		bucket.grace = now
 	}
 	return bucket
--- /dev/null
+++ b/internal/core/share/client_test.go
@@ -0,0 +1,121 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const second = spool.Instant(time.Second)
+
+func TestOwnerMintsOnceForARepeatedRequest(t *testing.T) {
+	c := qt.New(t)
+	spec := spool.TeamSpec{Name: "a", RatePerSecond: 10, Burst: 10}
+	owner := NewOwner(spec, 0)
+	request := &wire.GrantRequest{Team: "a", Sequence: 2, Want: 3}
+	first := owner.Grant("vm1", request, 10*second)
+	c.Assert(first.GetTokens(), qt.Equals, 3.0)
+	c.Assert(owner.Grant("vm1", request, 10*second), qt.Equals, first)
+	c.Assert(owner.bucket.outstanding, qt.Equals, 3.0)
+	c.Assert(owner.Grant("vm1", &wire.GrantRequest{Team: "a", Sequence: 1, Want: 3}, 10*second), qt.IsNil)
+	c.Assert(owner.Grant("vm1", &wire.GrantRequest{Team: "b", Sequence: 3}, 10*second).GetNotOwner(), qt.IsTrue)
+}
+
+func TestOwnerCountsAReportOnce(t *testing.T) {
+	c := qt.New(t)
+	owner := NewOwner(spool.TeamSpec{Name: "a", RatePerSecond: 10, Burst: 10}, 0)
+	owner.Grant("vm1", &wire.GrantRequest{Team: "a", Sequence: 1, Want: 5}, 10*second)
+	c.Assert(owner.bucket.outstanding, qt.Equals, 5.0)
+	returned := []*wire.GrantUse{{Grant: 1, Unused: 2}, {Grant: 1, Unused: 5}, {Grant: 9, Unused: 5}}
+	owner.Grant("vm2", &wire.GrantRequest{Team: "a", Sequence: 1, Returned: returned[2:]}, 10*second)
+	owner.Grant("vm1", &wire.GrantRequest{Team: "a", Sequence: 2, Returned: returned}, 10*second)
+	c.Assert(owner.bucket.outstanding, qt.Equals, 0.0)
+	c.Assert(owner.bucket.level, qt.Equals, 7.0)
+}
+
+func TestOwnerSharesMaxMinByWant(t *testing.T) {
+	c := qt.New(t)
+	owner := NewOwner(spool.TeamSpec{Name: "a", RatePerSecond: 300, Burst: 300}, 0)
+	got := map[spool.VM]float64{}
+	wants := map[spool.VM]float64{"vm1": 1, "vm2": 100, "vm3": 100}
+	vms := []spool.VM{"vm1", "vm2", "vm3"}
+	for round := range uint64(500) {
+		now := 10*second + spool.Instant(round)*10*1e6
+		for _, vm := range vms {
+			last := []*wire.GrantUse{{Grant: round}}
+			request := &wire.GrantRequest{Team: "a", Sequence: round + 1, Want: wants[vm], Returned: last}
+			got[vm] += owner.Grant(vm, request, now).GetTokens()
+		}
+	}
+	c.Assert(got["vm1"] >= 490, qt.IsTrue, qt.Commentf("%v", got))
+	c.Assert(got["vm2"]/got["vm3"] > 0.9 && got["vm2"]/got["vm3"] < 1.1, qt.IsTrue, qt.Commentf("%v", got))
+}
+
+func TestOwnerResizes(t *testing.T) {
+	c := qt.New(t)
+	owner := NewOwner(spool.TeamSpec{Name: "a", RatePerSecond: 100, Burst: 100}, 0)
+	owner.Resize(spool.TeamSpec{Name: "a", RatePerSecond: 10, Burst: 10}, 10*second)
+	answer := owner.Grant("vm1", &wire.GrantRequest{Team: "a", Sequence: 1, Want: 100}, 10*second)
+	c.Assert(answer.GetTokens(), qt.Equals, 5.0)
+	c.Assert(owner.bucket.level, qt.Equals, 5.0)
+	owner.Resize(spool.TeamSpec{Name: "a", RatePerSecond: 1000, Burst: 100}, 10*second)
+	answer = owner.Grant("vm1", &wire.GrantRequest{Team: "a", Sequence: 2, Want: 100}, 11*second)
+	c.Assert(answer.GetTokens(), qt.Equals, 50.0)
+}
+
+func TestClientRefusesEarlyWithTimeToComeBack(t *testing.T) {
+	c := qt.New(t)
+	client := NewClient("a", 1, 0)
+	c.Assert(client.Ask(1, second, 0).Verdict, qt.Equals, Queued)
+	request := client.Step(0).Request
+	c.Assert(request.GetWant(), qt.Equals, 1.0)
+	client.Receive(&wire.GrantAnswer{Team: "a", Sequence: request.GetSequence(), RetryNanos: int64(3 * time.Second)}, 1e6)
+	outcome := client.Step(1e6)
+	c.Assert(outcome.Refused, qt.HasLen, 1)
+	c.Assert(outcome.Refused[0].RetryAfter > 1900*time.Millisecond, qt.IsTrue)
+	answer := client.Ask(2, second, 1e6)
+	c.Assert(answer.Verdict, qt.Equals, Refused)
+	c.Assert(answer.RetryAfter > 1900*time.Millisecond, qt.IsTrue)
+	c.Assert(client.Ask(3, 9*second, 1e6).Verdict, qt.Equals, Queued)
+	c.Assert(client.Cancel(3), qt.IsTrue)
+	c.Assert(client.Cancel(3), qt.IsFalse)
+}
+
+func TestClientForgetsTokensWhilePaused(t *testing.T) {
+	c := qt.New(t)
+	client := NewClient("a", 1, 0)
+	client.Ask(1, second, 0)
+	request := client.Step(0).Request
+	answer := &wire.GrantAnswer{
+		Sequence: request.GetSequence(), Grant: request.GetSequence(), Tokens: 9, LifeNanos: int64(defaultLife),
+	}
+	client.Receive(answer, 1e6)
+	client.Receive(answer, 1e6)
+	c.Assert(client.Step(1e6).Admitted, qt.DeepEquals, []uint64{1})
+	c.Assert(client.purse.total, qt.Equals, 8)
+	c.Assert(client.Ask(2, 2*second, 2e6).Verdict, qt.Equals, Admitted)
+	c.Assert(client.Ask(3, 2*second, spool.Instant(defaultLife)).Verdict, qt.Equals, Queued)
+}
+
+func TestAdmissionDoesNotAllocate(t *testing.T) {
+	client := stocked()
+	qt.Assert(t, testing.AllocsPerRun(1000, func() { client.Ask(1, second, 1) }), qt.Equals, 0.0)
+}
+
+func BenchmarkAdmission(b *testing.B) {
+	client := stocked()
+	b.ReportAllocs()
+	for b.Loop() {
+		client.Ask(1, second, 1)
+	}
+}
+
+func stocked() *Client {
+	client := NewClient("a", 1, 0)
+	client.purse.put(holding{grant: 1, left: 1 << 40, ends: second})
+	return client
+}
--- a/internal/core/share/options.go
+++ b/internal/core/share/options.go
@@ -24,7 +24,8 @@
 // faults turns mechanisms off to show in tests that the bound breaks without them.
 type faults struct {
 	lifeFromArrival bool // the client counts a grant's life from the answer's arrival
-	fullStart       bool // a new owner starts with a full bucket and no grace
+	fullStart       bool // a new owner starts with a full bucket
+	noGrace         bool // a new owner does not spare its predecessor's grants
 	noCap           bool // outstanding tokens are neither capped nor counted against the burst
 }
 
