Read the settings of a proxy in strict JSON

Parse checks form and addresses, Load also the files: readable, not empty, certificate fits its key and names the VM, since the transport takes the sender's identity from the first name in the certificate. Every fault carries its path. File names are relative to the settings' folder, so that a folder can be moved whole.

--- /dev/null
+++ b/internal/config/doc.go
@@ -0,0 +1,2 @@
+// Package config reads the settings of a proxy.
+package config
--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,125 @@
+package config
+
+import (
+	_ "embed"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"corianderspool.example/spool/internal/certs"
+	"corianderspool.example/spool/internal/strict"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const maxSettingsBytes = 64 << 10
+
+//go:embed settings.schema.json
+var schemaText []byte
+
+var schema = strict.MustCompile("settings.schema.json", schemaText)
+
+// Load reads settings and checks them and the files that they name, whose paths are relative to the settings' folder.
+func Load(path string) (Settings, spool.Faults) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, spool.Faults{{Reason: fmt.Sprintf("settings cannot be read: %v", err)}}
+	}
+	settings, faults := Parse(body)
+	if len(faults) > 0 {
+		return Settings{}, faults
+	}
+	settings.resolve(filepath.Dir(path))
+	faults = settings.checkFiles()
+	if len(faults) > 0 {
+		return Settings{}, faults
+	}
+	return settings, nil
+}
+
+// Parse reads settings and checks everything but the files that they name.
+func Parse(body []byte) (Settings, spool.Faults) {
+	if len(body) > maxSettingsBytes {
+		reason := fmt.Sprintf("settings have %d bytes, more than %d", len(body), maxSettingsBytes)
+		return Settings{}, spool.Faults{{Reason: reason}}
+	}
+	settings := Settings{Log: Log{Level: DefaultLogLevel}, DrainTimeout: DefaultDrainTimeout}
+	faults, decoded := schema.Decode(body, &settings)
+	if !decoded {
+		return Settings{}, strict.Merge(faults, nil)
+	}
+	faults = strict.Merge(faults, settings.check())
+	if len(faults) > 0 {
+		return Settings{}, faults
+	}
+	return settings, nil
+}
+
+// files returns the path settings by the place where they stand.
+func (settings *Settings) files() map[string]*string {
+	return map[string]*string{
+		"Caller.Certificate":   &settings.Caller.Certificate,
+		"Caller.PrivateKey":    &settings.Caller.PrivateKey,
+		"Peer.Certificate":     &settings.Peer.Certificate,
+		"Peer.PrivateKey":      &settings.Peer.PrivateKey,
+		"Peer.Authority":       &settings.Peer.Authority,
+		"Platform.TokenFile":   &settings.Platform.TokenFile,
+		"Backend.PasswordFile": &settings.Backend.PasswordFile,
+	}
+}
+
+// resolve makes the paths of files relative to dir.
+func (settings *Settings) resolve(dir string) {
+	for _, file := range settings.files() {
+		if *file != "" && !filepath.IsAbs(*file) {
+			*file = filepath.Join(dir, *file)
+		}
+	}
+}
+
+// checkFiles checks that all files can be read and that the certificates fit their keys and the VM.
+func (settings *Settings) checkFiles() spool.Faults {
+	var faults spool.Faults
+	for path, file := range settings.files() {
+		if *file == "" {
+			continue
+		}
+		body, err := os.ReadFile(*file)
+		if err != nil {
+			faults.Add(path, err.Error())
+		} else if len(body) == 0 {
+			faults.Add(path, fmt.Sprintf("file %s is empty", *file))
+		}
+	}
+	if len(faults) > 0 {
+		return faults.Sorted()
+	}
+	settings.checkCertificates(&faults)
+	return faults
+}
+
+func (settings *Settings) checkCertificates(faults *spool.Faults) {
+	if settings.Caller.Certificate != "" {
+		files := certs.Files{Certificate: settings.Caller.Certificate, PrivateKey: settings.Caller.PrivateKey}
+		if _, err := certs.Load(files); err != nil {
+			faults.Add("Caller.Certificate", err.Error())
+		}
+	}
+	bundle, err := certs.Load(certs.Files{
+		Certificate: settings.Peer.Certificate,
+		PrivateKey:  settings.Peer.PrivateKey,
+		Authority:   settings.Peer.Authority,
+	})
+	if err != nil {
+		faults.Add("Peer.Certificate", err.Error())
+		return
+	}
+	certificate, err := bundle.Server().GetCertificate(nil)
+	if err != nil || certificate.Leaf == nil {
+		faults.Add("Peer.Certificate", "certificate cannot be parsed")
+		return
+	}
+	names := certificate.Leaf.DNSNames
+	if len(names) == 0 || names[0] != string(settings.VM) {
+		faults.Add("Peer.Certificate", fmt.Sprintf("certificate names %q first and not the VM %q", names, settings.VM))
+	}
+}
--- a/internal/strict/schema.go
+++ b/internal/strict/schema.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"slices"
 	"strconv"
-	"strings"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
@@ -81,10 +80,7 @@
 	printer := message.NewPrinter(language.English)
 	var faults spool.Faults
 	collect(invalid, document, printer, &faults)
-	slices.SortStableFunc(faults, func(left, right spool.Fault) int {
-		return strings.Compare(left.Path, right.Path)
-	})
-	return faults
+	return faults.Sorted()
 }
 
 // collect turns the leaves of a validation error into faults.
--- a/pkg/spool/fault.go
+++ b/pkg/spool/fault.go
@@ -1,6 +1,9 @@
 package spool
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Fault is one reason why a document is refused.
 type Fault struct {
@@ -32,3 +35,10 @@
 func (faults *Faults) Add(path, reason string) {
 	*faults = append(*faults, Fault{Path: path, Reason: reason})
 }
+
+// Sorted returns the faults in the order of their paths.
+func (faults Faults) Sorted() Faults {
+	return slices.SortedStableFunc(slices.Values(faults), func(left, right Fault) int {
+		return strings.Compare(left.Path, right.Path)
+	})
+}
