--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -52,17 +52,17 @@
 	return idle[len(idle)-1]
 }
 
-func (streams *streams) put(vm spool.VM, stream *stream) {
+func (streams *streams) put(vm spool.VM, unused *stream) {
 	streams.mutex.Lock()
 	defer streams.mutex.Unlock()
 	if streams.idle == nil {
 		streams.idle = map[spool.VM][]*stream{}
 	}
 	if len(streams.idle[vm]) >= maxIdle {
-		_ = stream.Close()
+		_ = unused.Close()
 		return
 	}
-	streams.idle[vm] = append(streams.idle[vm], stream)
+	streams.idle[vm] = append(streams.idle[vm], unused)
 }
 
 // forward is a lane to the keeper on another proxy.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +26,10 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-const tickInterval = 10 * time.Millisecond
+const (
+	tickInterval = 10 * time.Millisecond
+	seedRetry    = 1 * time.Second
+)
 
 // Node is one running proxy.
 type Node struct {
@@ -84,7 +89,7 @@
 }
 
 func (node *Node) loadFiles() error {
-	password, err := config.ReadSecret(node.settings.Backend.PasswordFile)
+	password, err := readSecret(node.settings.Backend.PasswordFile)
 	if err != nil {
 		return err
 	}
@@ -101,6 +106,15 @@
 	return err
 }
 
+// readSecret returns the text of a file without the space around it.
+func readSecret(path string) (string, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return "", eris.Wrap(err, "read a secret")
+	}
+	return strings.TrimSpace(string(content)), nil
+}
+
 func (node *Node) newFront() (*front.Front, error) {
 	caller := node.settings.Caller
 	if caller.Certificate == "" {
@@ -200,5 +214,3 @@
 		}
 	}
 }
-
-const seedRetry = 1 * time.Second
