Test connections to backend servers

Cause: internal/back was untested. The stand-in and a scripted server give prepared statements beyond the bound, Flush, 25006, FATAL answers, cuts before and within answers, COPY, taint, cancellation and the admin side.

Seen and mended: a FATAL that came in one segment with the previous answer was noticed only after the next cycle was sent.

--- a/internal/back/answer.go
+++ b/internal/back/answer.go
@@ -13,6 +13,8 @@
 	sink      spool.Sink
 	next      int  // index of the step that is due
 	fresh     bool // the cycle began outside of a transaction
+	sent      bool // the sink got messages
+	committed bool // a statement that may have committed on its own is completed
 	begun     bool // a row or a completed statement is among the messages
 	streaming bool // pending went to the sink; from now on parts of buffer do
 	region    int  // start of the part of buffer that is to be passed on, when streaming
@@ -109,6 +111,9 @@
 	}
 	if due.reply == spool.ReplyExecute || due.reply == spool.ReplyQuery {
 		answer.begun = answer.begun || kind != 'T'
+		if err := answer.noteCompletion(kind, size); err != nil {
+			return err
+		}
 	}
 	answer.settle(due, kind)
 	if ends(due.reply, kind) {
@@ -125,6 +130,22 @@
 	return nil
 }
 
+// noteCompletion looks for statements that end a transaction in the middle of a cycle.
+func (answer *answer) noteCompletion(kind byte, size int) error {
+	if kind != 'C' || answer.committed || size > len(answer.buffer) {
+		return nil
+	}
+	if err := answer.ensure(size); err != nil {
+		return err
+	}
+	tag, _, _ := cutString(answer.buffer[answer.start+headerSize : answer.start+size])
+	switch string(tag) {
+	case "COMMIT", "CALL", "DO", "PREPARE TRANSACTION", "COMMIT PREPARED":
+		answer.committed = true
+	}
+	return nil
+}
+
 // settle records what the server has prepared and closed.
 func (answer *answer) settle(due step, kind byte) {
 	switch {
--- a/internal/back/conn.go
+++ b/internal/back/conn.go
@@ -36,7 +36,7 @@
 	pending  []byte
 	steps    []step
 	prepared prepared
-	token    spool.Token
+	token    spool.Token // what the server reported during the last cycle
 	status   byte
 	unsynced bool // a Flush cycle ran and its Sync did not
 	tainted  bool // a session parameter may have changed
@@ -57,9 +57,6 @@
 		prepared: newPrepared(settings.preparedLimit),
 		status:   hijacked.TxStatus,
 	}
-	if position, ok := hijacked.ParameterStatuses[positionParameter]; ok {
-		conn.token, _ = parsePosition(position)
-	}
 	if tcp, ok := hijacked.Conn.(*net.TCPConn); ok {
 		conn.raw, _ = tcp.SyscallConn()
 	}
--- a/internal/back/exchange.go
+++ b/internal/back/exchange.go
@@ -26,6 +26,7 @@
 		fresh: conn.status == txIdle && !conn.unsynced,
 	}
 	conn.pending = conn.pending[:0]
+	conn.token = spool.Token{}
 	watch := conn.watch(ctx)
 	defer watch.stop()
 	written, err := conn.socket.Write(messages)
--- /dev/null
+++ b/internal/back/exchange_test.go
@@ -0,0 +1,242 @@
+package back_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"corianderspool.example/spool/internal/back"
+	"corianderspool.example/spool/internal/fake/regsrv"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+func TestAnswersAndPositions(t *testing.T) {
+	c := qt.New(t)
+	conn := dial(c, start(c, regsrv.WithPrimary(3)))
+	for i, example := range []struct {
+		text, kinds string
+		status      byte
+		position    spool.Position
+	}{
+		{"APPEND k 1", "C", 'I', 1},
+		{"LIST k", "TDC", 'I', 0},
+		{"BEGIN", "C", 'T', 0},
+		{"APPEND k 2", "C", 'T', 0},
+		{"BOOK k", "E", 'E', 0},
+		{"ROLLBACK", "C", 'I', 0},
+		{"", "I", 'I', 0},
+	} {
+		sink := &kinds{}
+		result, err := conn.Exchange(bounded(c), query(example.text), sink)
+		c.Assert(err, qt.IsNil)
+		c.Assert(sink.text, qt.Equals, example.kinds, qt.Commentf("cycle %d", i))
+		c.Assert(sink.writes, qt.Equals, 1)
+		c.Assert(result.TxStatus, qt.Equals, example.status)
+		c.Assert(result.Token.Position, qt.Equals, example.position)
+		c.Assert(result.Sent, qt.IsTrue)
+	}
+}
+
+func TestPreparedStatementsFollowTheCaller(t *testing.T) {
+	c := qt.New(t)
+	conn := dial(c, start(c, regsrv.WithPrimary(1)), back.WithPreparedLimit(2))
+	parse := func(name, text string) *spool.Cycle {
+		return cycle(&pgproto3.Parse{Name: name, Query: text}, &pgproto3.Bind{PreparedStatement: name},
+			&pgproto3.Execute{}, &pgproto3.Sync{})
+	}
+	for range 3 {
+		for _, name := range []string{"a", "b", "c", "a", "d"} {
+			for _, example := range []struct {
+				cycle *spool.Cycle
+				kinds string
+			}{{bound(name, "SELECT "+name), "2DC"}, {parse(name, "SELECT "+name), "12DC"}} {
+				sink := &kinds{}
+				_, err := conn.Exchange(bounded(c), example.cycle, sink)
+				c.Assert(err, qt.IsNil)
+				c.Assert(sink.codes, qt.HasLen, 0)
+				c.Assert(sink.text, qt.Equals, example.kinds)
+			}
+		}
+	}
+	sink := &kinds{}
+	_, err := conn.Exchange(bounded(c), bound("bad", "'"), sink)
+	c.Assert(err, qt.IsNil)
+	c.Assert(sink.text, qt.Equals, "E")
+	_, err = conn.Exchange(bounded(c), bound("a", "SELECT a"), &kinds{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.Broken(), qt.IsFalse)
+}
+
+func TestUnknownStatementsArePreparedAnew(t *testing.T) {
+	c := qt.New(t)
+	conn := dial(c, start(c, regsrv.WithPrimary(1)))
+	run := func(cycle *spool.Cycle) string {
+		sink := &kinds{}
+		_, err := conn.Exchange(bounded(c), cycle, sink)
+		c.Assert(err, qt.IsNil)
+		return sink.text
+	}
+	c.Assert(run(bound("a", "SELECT 1")), qt.Equals, "2DC")
+	c.Assert(run(query("DISCARD ALL")), qt.Equals, "C")
+	c.Assert(run(bound("a", "SELECT 1")), qt.Equals, "E")
+	c.Assert(run(bound("a", "SELECT 1")), qt.Equals, "2DC")
+}
+
+func TestFlushReadsWhatIsOwed(t *testing.T) {
+	c := qt.New(t)
+	conn := dial(c, start(c, regsrv.WithPrimary(1)))
+	for name, example := range map[string]struct{ text, kinds string }{
+		"good": {"SELECT 1", "12TDC"},
+		"bad":  {"APPEND", "12nE"},
+	} {
+		sink := &kinds{}
+		result, err := conn.Exchange(bounded(c), cycle(
+			&pgproto3.Parse{Name: name, Query: example.text}, &pgproto3.Bind{PreparedStatement: name},
+			&pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Flush{}), sink)
+		c.Assert(err, qt.IsNil)
+		c.Assert(result.TxStatus, qt.Equals, byte(0))
+		c.Assert(sink.text, qt.Equals, example.kinds)
+		c.Assert(conn.Reset(bounded(c)), qt.IsNil)
+		c.Assert(conn.TxStatus(), qt.Equals, byte('I'))
+	}
+}
+
+func TestReplicaRefusesWritesUnseen(t *testing.T) {
+	c := qt.New(t)
+	conn := dial(c, start(c))
+	for _, cycle := range []*spool.Cycle{query("PUT a b"), bound("p", "PUT a b"), query("SELECT 1; PUT a b")} {
+		sink := &kinds{}
+		result, err := conn.Exchange(bounded(c), cycle, sink)
+		refusal := &spool.Refusal{}
+		c.Assert(errors.As(err, &refusal), qt.IsTrue)
+		c.Assert(refusal.Verdict, qt.Equals, spool.NotRun)
+		c.Assert(refusal.Code, qt.Equals, spool.CodeReadOnly)
+		c.Assert(result.TxStatus, qt.Equals, byte('I'))
+		c.Assert(sink.text, qt.Equals, "")
+		c.Assert(conn.Broken(), qt.IsFalse)
+	}
+	sink := &kinds{}
+	_, err := conn.Exchange(bounded(c), query("BEGIN"), sink)
+	c.Assert(err, qt.IsNil)
+	_, err = conn.Exchange(bounded(c), query("PUT a b"), sink)
+	c.Assert(err, qt.IsNil)
+	c.Assert(sink.text, qt.Equals, "CE")
+	c.Assert(conn.Reset(bounded(c)), qt.IsNil)
+}
+
+func TestVerdictsOfLostConnections(t *testing.T) {
+	type messages = []pgproto3.BackendMessage
+	row := &pgproto3.DataRow{Values: [][]byte{[]byte("1")}}
+	commit := &pgproto3.CommandComplete{CommandTag: []byte("COMMIT")}
+	for _, example := range []struct {
+		name    string
+		answer  messages
+		verdict spool.Verdict
+		code    string
+	}{
+		{"cut", nil, spool.Unknown, spool.CodeOutcomeUnknown},
+		{"cut after a row", messages{row}, spool.Unknown, spool.CodeOutcomeUnknown},
+		{"shutdown", messages{failed("FATAL", "57P01")}, spool.NotRun, "57P01"},
+		{"starting", messages{failed("FATAL", "57P03")}, spool.NotRun, "57P03"},
+		{"crash", messages{failed("FATAL", "57P02")}, spool.Unknown, spool.CodeOutcomeUnknown},
+		{"shutdown after an answer", messages{complete, failed("FATAL", "57P01")}, spool.Unknown, spool.CodeOutcomeUnknown},
+		{"read only", messages{complete, failed("ERROR", "25006"), idle}, spool.NotRun, "25006"},
+		{"read only after a commit", messages{commit, failed("ERROR", "25006"), idle}, spool.Answered, "25006"},
+		{"answer to another", messages{&pgproto3.BindComplete{}, complete, idle}, spool.Unknown, spool.CodeOutcomeUnknown},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			c := qt.New(t)
+			server, _ := scripted(c, example.answer)
+			conn := dial(c, server)
+			sink := &kinds{}
+			_, err := conn.Exchange(bounded(c), query("SELECT 1"), sink)
+			if example.verdict == spool.Answered {
+				c.Assert(err, qt.IsNil)
+				c.Assert(sink.codes, qt.DeepEquals, []string{example.code})
+				return
+			}
+			refusal := &spool.Refusal{}
+			c.Assert(errors.As(err, &refusal), qt.IsTrue)
+			c.Assert(refusal.Verdict, qt.Equals, example.verdict)
+			c.Assert(refusal.Code, qt.Equals, example.code)
+			c.Assert(conn.Broken(), qt.Equals, example.code != spool.CodeReadOnly)
+		})
+	}
+}
+
+func TestClosedConnectionIsNoticedBeforeSending(t *testing.T) {
+	c := qt.New(t)
+	for _, last := range [][]pgproto3.BackendMessage{{complete, idle, failed("FATAL", "57P01")}, {complete, idle}} {
+		server, sent := scripted(c, last)
+		conn := dial(c, server, back.WithCancelWait(time.Second))
+		_, err := conn.Exchange(bounded(c), query("SELECT 1"), &kinds{})
+		c.Assert(err, qt.IsNil)
+		<-sent
+		if len(last) == 2 {
+			_, _ = conn.Exchange(bounded(c), query("SELECT 2"), &kinds{})
+			<-sent
+		}
+		time.Sleep(20 * time.Millisecond)
+		result, err := conn.Exchange(bounded(c), query("SELECT 3"), &kinds{})
+		refusal := &spool.Refusal{}
+		c.Assert(errors.As(err, &refusal), qt.IsTrue)
+		c.Assert(refusal.Verdict, qt.Equals, spool.NotRun)
+		c.Assert(result.Sent, qt.IsFalse)
+	}
+}
+
+func TestCancelKeepsTheConnectionFromOthers(t *testing.T) {
+	c := qt.New(t)
+	server := start(c, regsrv.WithPrimary(1))
+	conn := dial(c, server)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	sink := &kinds{}
+	_, err := conn.Exchange(ctx, query("SLEEP 60000"), sink)
+	c.Assert(err, qt.IsNil)
+	c.Assert(sink.codes, qt.DeepEquals, []string{"57014"})
+	c.Assert(conn.Broken(), qt.IsTrue)
+	_, err = conn.Exchange(ctx, query("SELECT 1"), sink)
+	refusal := &spool.Refusal{}
+	c.Assert(errors.As(err, &refusal), qt.IsTrue)
+	c.Assert(refusal.Verdict, qt.Equals, spool.NotRun)
+}
+
+func TestCopyIsRefused(t *testing.T) {
+	for name, script := range map[string][][]pgproto3.BackendMessage{
+		"in": {{&pgproto3.CopyInResponse{}}, {failed("ERROR", "57014"), idle}},
+		"out": {{
+			&pgproto3.CopyOutResponse{}, &pgproto3.CopyData{Data: []byte("a")}, &pgproto3.CopyDone{}, complete, idle,
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server, _ := scripted(c, script...)
+			conn := dial(c, server)
+			sink := &kinds{}
+			_, err := conn.Exchange(bounded(c), query("COPY"), sink)
+			c.Assert(err, qt.IsNil)
+			c.Assert(sink.codes, qt.DeepEquals, []string{spool.CodeUnsupported})
+			c.Assert(sink.text, qt.Equals, "E")
+			c.Assert(conn.Broken(), qt.IsTrue)
+		})
+	}
+}
+
+func TestTaintedConnectionIsReset(t *testing.T) {
+	c := qt.New(t)
+	changed := &pgproto3.ParameterStatus{Name: "TimeZone", Value: "Asia/Tokyo"}
+	server, sent := scripted(c, []pgproto3.BackendMessage{changed, complete, idle}, []pgproto3.BackendMessage{complete, idle})
+	conn := dial(c, server)
+	sink := &kinds{}
+	_, err := conn.Exchange(bounded(c), query("SELECT 1"), sink)
+	c.Assert(err, qt.IsNil)
+	c.Assert(sink.text, qt.Equals, "SC")
+	<-sent
+	c.Assert(conn.Reset(bounded(c)), qt.IsNil)
+	c.Assert(string(<-sent), qt.Contains, "DISCARD ALL")
+}
--- a/internal/back/peek.go
+++ b/internal/back/peek.go
@@ -6,7 +6,10 @@
 
 // hungUp tells that the server closed the connection, or said that it ends the session, while it was idle.
 func (conn *Conn) hungUp() bool {
-	if conn.raw == nil || conn.start < conn.end {
+	if conn.start < conn.end {
+		return !conn.unsynced && conn.buffer[conn.start] == 'E'
+	}
+	if conn.raw == nil {
 		return false
 	}
 	var first [1]byte
--- a/internal/back/reject.go
+++ b/internal/back/reject.go
@@ -45,7 +45,7 @@
 
 // retryable tells that the cycle had no effect and that the caller has seen nothing of it.
 func (answer *answer) retryable() bool {
-	return answer.fresh && !answer.begun && !answer.streaming && answer.refusal == nil && !answer.muted
+	return answer.fresh && !answer.sent && !answer.committed && answer.refusal == nil && !answer.muted
 }
 
 func fatal(response *pgproto3.ErrorResponse) bool {
@@ -58,7 +58,7 @@
 
 // fatal ends the connection; the error it returns is the server's reason.
 func (answer *answer) fatal(response *pgproto3.ErrorResponse) error {
-	if !answer.retryable() || !refusesSessions(response.Code) {
+	if !answer.retryable() || answer.begun || !refusesSessions(response.Code) {
 		return eris.New(response.Code + " " + response.Message)
 	}
 	answer.refusal = notRun(response)
--- a/internal/back/stream.go
+++ b/internal/back/stream.go
@@ -137,6 +137,7 @@
 	if answer.sinkError != nil {
 		return
 	}
+	answer.sent = true
 	if _, err := answer.sink.Write(messages); err != nil {
 		answer.sinkError = err
 		answer.muted = true
--- /dev/null
+++ b/internal/fake/plain/gate.go
@@ -0,0 +1,154 @@
+package plain
+
+import (
+	"context"
+	"sync"
+
+	"corianderspool.example/spool/internal/back"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// Gate lets the listed logins in and runs their work on one server.
+type Gate struct {
+	Server      spool.ServerSpec
+	Credentials back.Credentials
+	Logins      map[string]spool.Login               // by key name
+	Refuse      func(work spool.Work) *spool.Refusal // nil refuses nothing
+	Wrap        func(lane spool.Lane) spool.Lane     // nil wraps nothing
+
+	mutex    sync.Mutex
+	idle     []*back.Conn
+	works    []spool.Work
+	sessions map[chan spool.Ending]struct{}
+	lanes    int
+}
+
+var _ spool.Gate = (*Gate)(nil)
+
+// Login returns the login of a key or says that the key is unknown.
+func (gate *Gate) Login(key, route string) (spool.Login, *spool.Refusal) {
+	login, found := gate.Logins[key]
+	if !found {
+		return spool.Login{}, &spool.Refusal{Verdict: spool.NotRun, Code: spool.CodeBadKey, Message: "unknown key"}
+	}
+	if login.Route.Name != route {
+		return spool.Login{}, &spool.Refusal{
+			Verdict: spool.NotRun,
+			Code:    spool.CodeUnknownRoute,
+			Message: "unknown route",
+		}
+	}
+	return login, nil
+}
+
+// Attach registers a session for End.
+func (gate *Gate) Attach(spool.Login) (endings <-chan spool.Ending, detach func()) {
+	channel := make(chan spool.Ending, 2)
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	if gate.sessions == nil {
+		gate.sessions = map[chan spool.Ending]struct{}{}
+	}
+	gate.sessions[channel] = struct{}{}
+	return channel, func() {
+		gate.mutex.Lock()
+		defer gate.mutex.Unlock()
+		delete(gate.sessions, channel)
+	}
+}
+
+// End ends all sessions.
+func (gate *Gate) End(ending spool.Ending) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	for channel := range gate.sessions {
+		channel <- ending
+	}
+}
+
+// Works returns what was asked for so far.
+func (gate *Gate) Works() []spool.Work {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	return append([]spool.Work(nil), gate.works...)
+}
+
+// Lanes returns the number of open lanes.
+func (gate *Gate) Lanes() int {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	return gate.lanes
+}
+
+// Idle returns the number of connections that wait for work.
+func (gate *Gate) Idle() int {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	return len(gate.idle)
+}
+
+// Begin opens a lane over an idle or a new connection.
+func (gate *Gate) Begin(ctx context.Context, work spool.Work) (spool.Lane, error) {
+	gate.mutex.Lock()
+	if len(gate.works) < maxWorks {
+		gate.works = append(gate.works, work)
+	}
+	gate.mutex.Unlock()
+	if gate.Refuse != nil {
+		if refusal := gate.Refuse(work); refusal != nil {
+			return nil, refusal
+		}
+	}
+	conn, err := gate.take(ctx)
+	if err != nil {
+		return nil, &spool.Refusal{Verdict: spool.NotRun, Code: spool.CodeNoPrimary, Message: err.Error()}
+	}
+	opened := &lane{Conn: conn, gate: gate}
+	if gate.Wrap != nil {
+		return gate.Wrap(opened), nil
+	}
+	return opened, nil
+}
+
+const maxWorks = 1000
+
+func (gate *Gate) take(ctx context.Context) (*back.Conn, error) {
+	gate.mutex.Lock()
+	gate.lanes++
+	if last := len(gate.idle) - 1; last >= 0 {
+		conn := gate.idle[last]
+		gate.idle = gate.idle[:last]
+		gate.mutex.Unlock()
+		return conn, nil
+	}
+	gate.mutex.Unlock()
+	conn, err := back.Dial(ctx, gate.Server, gate.Credentials)
+	if err != nil {
+		gate.give(nil)
+	}
+	return conn, err
+}
+
+func (gate *Gate) give(conn *back.Conn) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	gate.lanes--
+	if conn != nil {
+		gate.idle = append(gate.idle, conn)
+	}
+}
+
+type lane struct {
+	*back.Conn
+	gate *Gate
+}
+
+// Close resets the connection and keeps it unless it is broken.
+func (lane *lane) Close() {
+	if lane.Broken() || lane.Reset(context.Background()) != nil {
+		lane.Conn.Close()
+		lane.gate.give(nil)
+		return
+	}
+	lane.gate.give(lane.Conn)
+}
