Keep drains, failovers and queued requests from stalling or lying

Found by killing the primary and stopping a proxy under load: - a durable write waited out its deadline when the term changed before a replica confirmed it; it now ends as soon as the next term opens, and is acknowledged if that term's log holds it. - a request queued for the old primary's slots was never looked at again after a promotion; a change of the servers now makes it choose anew. - a drain waited its whole timeout for callers that never pause and then told them "not run" in the middle of a statement; an ending session now reads no new cycle after 1 s, and a cut running statement is unknown. - a keeper released its lease before the last answer had left for the entry proxy, which then called it unknown; the answer now holds the lease.

--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -181,3 +181,8 @@
 	}
 	return false
 }
+
+// Survived tells whether the open term's log holds a position of an earlier term, and whether a term is open.
+func (table *Table) Survived(term spool.Term, position spool.Position) (survived, open bool) {
+	return position <= table.end(term) || term == table.Reign.Term, table.Primary >= 0
+}
--- a/internal/front/option.go
+++ b/internal/front/option.go
@@ -11,6 +11,7 @@
 	defaultTransactionTimeout = 5 * time.Minute
 	defaultKeepAlive          = 30 * time.Second
 	defaultEndingGrace        = 20 * time.Millisecond
+	defaultEndingPatience     = 1 * time.Second
 	defaultStartups           = 256
 	defaultMessageSize        = 4 << 20
 	defaultCycleSize          = 16 << 20
@@ -24,6 +25,7 @@
 	transactionTimeout time.Duration
 	keepAlive          time.Duration
 	endingGrace        time.Duration
+	endingPatience     time.Duration
 	startups           int
 	messageSize        int
 	cycleSize          int
@@ -37,6 +39,7 @@
 		transactionTimeout: defaultTransactionTimeout,
 		keepAlive:          defaultKeepAlive,
 		endingGrace:        defaultEndingGrace,
+		endingPatience:     defaultEndingPatience,
 		startups:           defaultStartups,
 		messageSize:        defaultMessageSize,
 		cycleSize:          defaultCycleSize,
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -39,7 +39,8 @@
 	mutex  sync.Mutex
 	cancel context.CancelFunc // ends the running cycle; nil between cycles
 	ending *spool.Ending
-	idle   bool // waits for a cycle outside of a transaction
+	endBy  time.Time // instant after which an ending session reads no further cycle
+	idle   bool      // waits for a cycle outside of a transaction
 }
 
 func (front *Front) newSession(socket net.Conn) *session {
@@ -107,6 +108,9 @@
 
 // receive waits for the next message; none and no refusal mean that the caller left.
 func (session *session) receive() ([]byte, *spool.Refusal) {
+	if refusal := session.overdue(); refusal != nil {
+		return nil, refusal
+	}
 	if session.input.Buffered() == 0 {
 		if refusal, ok := session.wait(); !ok {
 			return nil, refusal
@@ -122,6 +126,19 @@
 	return nil, nil
 }
 
+// overdue returns why an ending session whose caller never pauses ends between two transactions.
+func (session *session) overdue() *spool.Refusal {
+	if session.lane != nil || session.lost || session.started() || session.skipping {
+		return nil
+	}
+	session.mutex.Lock()
+	defer session.mutex.Unlock()
+	if session.ending == nil || time.Now().Before(session.endBy) {
+		return nil
+	}
+	return session.ending.Refusal
+}
+
 // wait returns once the caller has sent something; else it gives the reason to end, if there is one.
 func (session *session) wait() (refusal *spool.Refusal, ok bool) {
 	session.mutex.Lock()
@@ -173,6 +190,9 @@
 // conclude ends the session at once, or after the running transaction.
 func (session *session) conclude(ending spool.Ending) {
 	session.mutex.Lock()
+	if session.ending == nil {
+		session.endBy = time.Now().Add(session.endingPatience)
+	}
 	if session.ending == nil || ending.AtOnce {
 		session.ending = &ending
 	}
@@ -188,11 +208,21 @@
 		cancel()
 	}
 	session.output.hurry()
-	session.output.farewell(errorResponse(ending.Refusal, severityFatal))
+	session.output.farewell(errorResponse(interrupting(ending.Refusal, cancel != nil), severityFatal))
 	_ = session.socket.SetReadDeadline(time.Now())
 	time.AfterFunc(2*farewellTimeout, func() { _ = session.socket.Close() })
 }
 
+// interrupting gives the reason to end a session at once; a cycle that runs meanwhile may have reached a server.
+func interrupting(refusal *spool.Refusal, running bool) *spool.Refusal {
+	if !running || refusal.Verdict != spool.NotRun {
+		return refusal
+	}
+	unknown := *refusal
+	unknown.Verdict = spool.Unknown
+	return &unknown
+}
+
 // cancelCycle ends the running cycle at the caller's wish.
 func (session *session) cancelCycle() {
 	session.mutex.Lock()
--- a/internal/keeper/acquire.go
+++ b/internal/keeper/acquire.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"corianderspool.example/spool/internal/core/route"
 	"corianderspool.example/spool/internal/core/slots"
 	"corianderspool.example/spool/pkg/spool"
@@ -14,6 +17,9 @@
 	redialPause   = 10 * time.Millisecond
 )
 
+// errReset says that the servers that may answer changed while a request waited for a slot.
+var errReset = eris.New("the servers that may answer changed")
+
 // place is a slot on a server, taken for a need under an open term.
 type place struct {
 	server  int
@@ -35,6 +41,9 @@
 		switch choice {
 		case route.Found:
 			found, err := group.wait(ctx, team, set, deadline)
+			if errors.Is(err, errReset) {
+				continue
+			}
 			if err != nil {
 				return place{}, err
 			}
@@ -86,12 +95,15 @@
 	waiter := make(chan verdict, 1)
 	group.waiters[id] = waiter
 	group.running++
+	reset := group.reset
 	group.mutex.Unlock()
 	select {
 	case told := <-waiter:
 		return group.told(told)
+	case <-reset:
+		return group.abandon(id, team, waiter, errReset)
 	case <-ctx.Done():
-		return group.abandon(id, team, waiter)
+		return group.abandon(id, team, waiter, canceled())
 	}
 }
 
@@ -103,8 +115,8 @@
 	return told.server, nil
 }
 
-// abandon ends the wait of a request whose caller gave up; a slot granted meanwhile goes back.
-func (group *Group) abandon(id uint64, team spool.Team, waiter chan verdict) (int, error) {
+// abandon ends a request's wait for a reason; a slot granted meanwhile goes back.
+func (group *Group) abandon(id uint64, team spool.Team, waiter chan verdict, reason error) (int, error) {
 	group.mutex.Lock()
 	waiting := group.queue.Cancel(id)
 	delete(group.waiters, id)
@@ -112,11 +124,11 @@
 	if !waiting {
 		if told := <-waiter; told.refusal == nil {
 			group.release(told.server, team)
-			return 0, canceled()
+			return 0, reason
 		}
 	}
 	group.leave()
-	return 0, canceled()
+	return 0, reason
 }
 
 // confirm checks after a wait that the server may still answer the need, and gives the slot back if not.
--- a/internal/keeper/group.go
+++ b/internal/keeper/group.go
@@ -58,6 +58,7 @@
 	pools    []pool
 	waiters  map[uint64]chan verdict
 	changed  chan struct{} // closed and replaced when the table changes
+	reset    chan struct{} // closed and replaced when another set of servers may answer
 	sequence uint64
 	running  int
 	closedAt spool.Instant
@@ -91,7 +92,7 @@
 	group := &Group{
 		name: spec.Name, timers: timers, dial: dial, observer: silent{}, patience: defaultPatience,
 		table: route.New(nil), queue: slots.New(),
-		waiters: map[uint64]chan verdict{}, changed: make(chan struct{}), idle: make(chan struct{}),
+		waiters: map[uint64]chan verdict{}, changed: make(chan struct{}), reset: make(chan struct{}), idle: make(chan struct{}),
 		closedAt: timers.Now(),
 	}
 	for _, option := range options {
@@ -148,7 +149,7 @@
 		}
 	}
 	group.grant(group.queue.SetServers(limits, group.timers.Now()))
-	group.announce()
+	group.restart()
 }
 
 // See records a server's status that was asked for at sentAt.
@@ -195,7 +196,7 @@
 	group.table.History = history
 	group.table.Open(open.Primary, route.Reign{Term: open.Term, Start: open.Start})
 	group.closedAt = 0
-	group.announce()
+	group.restart()
 }
 
 // Close lets no request run on the primary until the next Open.
@@ -204,7 +205,7 @@
 	defer group.mutex.Unlock()
 	group.table.Close()
 	group.closedAt = group.timers.Now()
-	group.announce()
+	group.restart()
 }
 
 // SetFence replaces the acknowledgement rule.
@@ -229,7 +230,7 @@
 	defer group.mutex.Unlock()
 	if !group.draining {
 		group.draining = true
-		group.announce()
+		group.restart()
 		group.settle()
 	}
 	return group.idle
@@ -246,10 +247,18 @@
 	for i := range group.pools {
 		group.pools[i].closeIdle(func() { group.queue.Disconnect(i) })
 	}
-	group.announce()
+	group.restart()
 	group.settle()
 }
 
+// Hold keeps a draining group from ending until the returned function is called.
+func (group *Group) Hold() (release func()) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.running++
+	return group.leave
+}
+
 func (group *Group) settle() {
 	if (group.draining || group.dropped) && group.running == 0 {
 		select {
@@ -266,6 +275,13 @@
 	group.changed = make(chan struct{})
 }
 
+// restart has the requests that wait for a slot look again for servers that may answer.
+func (group *Group) restart() {
+	close(group.reset)
+	group.reset = make(chan struct{})
+	group.announce()
+}
+
 func (group *Group) expire(now spool.Instant) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
--- a/internal/keeper/lane.go
+++ b/internal/keeper/lane.go
@@ -135,7 +135,7 @@
 	if reported != lane.link.last && reported.Position > 0 {
 		lane.link.last = reported
 		result.Token.Position = max(result.Token.Position, reported.Position)
-		if lane.request.Durable && !lane.group.replicated(ctx, lane.place.term, reported.Position) {
+		if lane.request.Durable && !lane.replicated(ctx, reported.Position) {
 			return result, notReplicated()
 		}
 		lane.group.acknowledge(lane.place.term, reported.Position)
@@ -155,15 +155,22 @@
 	group.table.Acknowledge(term, position)
 }
 
-// replicated waits until a replica of the term holds a position.
-func (group *Group) replicated(ctx context.Context, term spool.Term, position spool.Position) bool {
+// replicated waits until a replica holds a position, or until the position proves to be part of a later term's log.
+func (lane *Lane) replicated(ctx context.Context, position spool.Position) bool {
+	group := lane.group
 	for {
 		group.mutex.Lock()
-		held := group.table.Replicated(term, position)
+		held := group.table.Replicated(lane.place.term, position)
+		survived, open := group.table.Survived(lane.place.term, position)
+		term := group.table.Reign.Term
 		changed := group.changed
 		group.mutex.Unlock()
-		if held {
+		switch {
+		case held && open:
 			return true
+		case term > lane.place.term && open:
+			lane.place.term = term
+			return survived
 		}
 		select {
 		case <-changed:
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -85,7 +85,8 @@
 	client, err := scram.SHA256.NewClient("", secret, "")
 	c.Assert(err, qt.IsNil)
 	factors := scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096}
-	stored := client.GetStoredCredentials(factors)
+	stored, err := client.GetStoredCredentialsWithError(factors)
+	c.Assert(err, qt.IsNil)
 	return spool.Verifier{
 		Iterations: 4096, Salt: []byte(factors.Salt), StoredKey: stored.StoredKey, ServerKey: stored.ServerKey,
 	}.String()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -16,6 +16,7 @@
 type served struct {
 	node    *Node
 	writer  *peer.Writer[wire.Frame, *wire.Frame]
+	group   *kept
 	lane    *keeper.Lane
 	timeout time.Duration
 
@@ -49,6 +50,7 @@
 	if !known {
 		return
 	}
+	served.group = group
 	served.lane = group.Start(keeper.Request{
 		Team: spool.Team(work.Team),
 		Token: spool.Token{
@@ -76,6 +78,7 @@
 	defer cancel()
 	served.receivedAt = inbox.begin(cancel)
 	defer inbox.end()
+	defer served.group.Hold()()
 	cycle := &spool.Cycle{Messages: chunk.Messages, Statements: fromWire(chunk.Statements), Flush: chunk.Flush}
 	for _, reply := range chunk.Replies {
 		cycle.Replies = append(cycle.Replies, spool.Reply(reply))
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -35,12 +35,6 @@
 	delete(sessions.entries, entry)
 }
 
-func (sessions *sessions) count() int {
-	sessions.mutex.Lock()
-	defer sessions.mutex.Unlock()
-	return len(sessions.entries)
-}
-
 // check ends the sessions that a snapshot no longer allows.
 func (sessions *sessions) check(snapshot *policy.Snapshot) {
 	sessions.mutex.Lock()
--- a/internal/node/waits.go
+++ b/internal/node/waits.go
@@ -31,11 +31,14 @@
 	delete(waits.streams[role], waiting)
 }
 
-// interrupt ends the waits for a proxy that holds the role no longer; its answers would not be valid.
+// interruptGrace is left to answers that were sent before the role moved.
+const interruptGrace = 200 * time.Millisecond
+
+// interrupt ends the waits for a proxy that holds the role no longer; its later answers would not be valid.
 func (waits *waits) interrupt(role lease.Role) {
 	waits.mutex.Lock()
 	defer waits.mutex.Unlock()
 	for waiting := range waits.streams[role] {
-		_ = waiting.SetReadDeadline(time.Now())
+		_ = waiting.SetReadDeadline(time.Now().Add(interruptGrace))
 	}
 }
