Add the demo's driver and the script that starts its processes

The script starts and ends every process by its id; the driver only kills by the ids that the script wrote down. Every write has a key of its own and is sent once, so that the final primary's log tells lost, repeated and torn writes and refusals that ran apart without guessing. Reads of own writes judge staleness and mixing on the fly.

--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 
 generate:
 	$(GO) generate ./internal/wire
+
+demo: build
+	scripts/demo.sh
--- /dev/null
+++ b/internal/fake/demo/ledger.go
@@ -0,0 +1,158 @@
+package demo
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"corianderspool.example/spool/pkg/spool"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+const (
+	notRunDetail     = "The statement was not run."
+	codeDuplicateKey = "23505"
+)
+
+// Outcome is what a caller learned of its request.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	Answered  Outcome = iota
+	NotRun            // refused, and told that it was not run
+	Unsent            // the connection was gone before anything was sent
+	Duplicate         // a write with a key of its own found that key taken
+	Unknown
+)
+
+// classify tells the outcome from the error that a client got.
+func classify(err error) Outcome {
+	var pgError *pgconn.PgError
+	switch {
+	case err == nil:
+		return Answered
+	case !errors.As(err, &pgError):
+		if pgconn.SafeToRetry(err) {
+			return Unsent
+		}
+		return Unknown
+	case pgError.Detail == notRunDetail:
+		return NotRun
+	case pgError.Code == codeDuplicateKey:
+		return Duplicate
+	}
+	return Unknown
+}
+
+// lostWrite tells if the error says that data which the session has seen is lost.
+func lostWrite(err error) bool {
+	var pgError *pgconn.PgError
+	return errors.As(err, &pgError) && pgError.Code == spool.CodeLostWrite
+}
+
+// Write is a write that a worker sent, with a key of its own.
+type Write struct {
+	Key     string
+	Values  []string // more than one when they were written in a transaction
+	Outcome Outcome
+}
+
+// ledger keeps what the callers were told.
+type ledger struct {
+	mutex    sync.Mutex
+	counts   map[Outcome]int
+	writes   []Write
+	acks     []time.Time // of acknowledged writes
+	stale    int
+	repeated int // reads that showed a value more than once
+	mixed    int // reads that showed what another request wrote
+	lost     int // sessions that were told of a lost write
+	problems map[string]int
+}
+
+func newLedger() *ledger {
+	return &ledger{counts: map[Outcome]int{}, problems: map[string]int{}}
+}
+
+func (ledger *ledger) request(err error) Outcome {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	outcome := classify(err)
+	ledger.counts[outcome]++
+	if err != nil {
+		ledger.problems[describe(err)]++
+	}
+	if lostWrite(err) {
+		ledger.lost++
+	}
+	return outcome
+}
+
+func (ledger *ledger) write(write Write) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.writes = append(ledger.writes, write)
+	if write.Outcome == Answered {
+		ledger.acks = append(ledger.acks, time.Now())
+	}
+}
+
+// read judges the values that a session read of its own acknowledged write.
+func (ledger *ledger) read(write Write, values []string) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	for _, value := range values {
+		if !slices.Contains(write.Values, value) {
+			ledger.mixed++
+			return
+		}
+	}
+	switch {
+	case slices.Equal(values, write.Values):
+	case len(values) < len(write.Values):
+		ledger.stale++
+	default:
+		ledger.repeated++
+	}
+}
+
+// gap returns the longest time without an acknowledged write that overlaps the span.
+func (ledger *ledger) gap(from, till time.Time) time.Duration {
+	ledger.mutex.Lock()
+	acks := slices.Clone(ledger.acks)
+	ledger.mutex.Unlock()
+	slices.SortFunc(acks, time.Time.Compare)
+	longest := time.Duration(0)
+	previous := from
+	for _, ack := range append(acks, till) {
+		if ack.After(from) && previous.Before(till) {
+			longest = max(longest, ack.Sub(previous))
+		}
+		previous = ack
+	}
+	return longest
+}
+
+// answeredSince counts the writes acknowledged since an instant.
+func (ledger *ledger) answeredSince(since time.Time) int {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	count := 0
+	for _, ack := range ledger.acks {
+		if ack.After(since) {
+			count++
+		}
+	}
+	return count
+}
+
+// describe shortens an error for the summary.
+func describe(err error) string {
+	var pgError *pgconn.PgError
+	if errors.As(err, &pgError) {
+		return pgError.Code + " " + pgError.Message
+	}
+	return "connection lost"
+}
--- a/internal/fake/regsrv/data.go
+++ b/internal/fake/regsrv/data.go
@@ -28,8 +28,14 @@
 	return "SELECT 1", nil
 }
 
+// read counts the read and returns the values of a key.
+func (session *session) read(key string) []string {
+	session.server.seen.read(session.server.store.isPrimary())
+	return session.server.store.read(key, session.pending)
+}
+
 func runGet(_ context.Context, session *session, arguments []string) (string, error) {
-	values := session.server.store.read(arguments[0], session.pending)
+	values := session.read(arguments[0])
 	if len(values) == 0 {
 		return "SELECT 0", nil
 	}
@@ -38,7 +44,7 @@
 }
 
 func runList(_ context.Context, session *session, arguments []string) (string, error) {
-	values := session.server.store.read(arguments[0], session.pending)
+	values := session.read(arguments[0])
 	for _, value := range values {
 		session.sendRow(value)
 	}
--- a/internal/fake/regsrv/seen.go
+++ b/internal/fake/regsrv/seen.go
@@ -29,6 +29,8 @@
 	Logins         []Login
 	Statements     []Executed // the first of them
 	StatementCount int
+	PrimaryReads   int // GET and LIST run as primary
+	ReplicaReads   int // GET and LIST run as replica
 	MaxConnections int // at once
 	Executing      int
 	MaxExecuting   int // at once
@@ -66,6 +68,17 @@
 	}
 }
 
+// read counts a read by the server's role.
+func (seen *seen) read(primary bool) {
+	seen.mutex.Lock()
+	defer seen.mutex.Unlock()
+	if primary {
+		seen.data.PrimaryReads++
+	} else {
+		seen.data.ReplicaReads++
+	}
+}
+
 func (seen *seen) countConnections(count int) {
 	seen.mutex.Lock()
 	defer seen.mutex.Unlock()
