--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -22,8 +22,8 @@
 	dialTimeout      = 1 * time.Second
 	writeTimeout     = 3 * time.Second
 	handshakeTimeout = 2 * time.Second
-	backoffMin       = 50 * time.Millisecond
-	backoffMax       = 1 * time.Second
+	shortestBackoff  = 50 * time.Millisecond
+	longestBackoff   = 1 * time.Second
 	queueLength      = 512 // envelopes
 	maxEnvelope      = 16 << 20
 	streamWindow     = 1 << 20
@@ -108,7 +108,7 @@
 			return
 		}
 		if err != nil {
-			time.Sleep(backoffMin)
+			time.Sleep(shortestBackoff)
 			continue
 		}
 		go transport.accept(conn.(*tls.Conn))
@@ -287,3 +287,16 @@
 	config.LogOutput = io.Discard
 	return config
 }
+
+// Identify returns the VM that listens at an address.
+func (transport *Transport) Identify(ctx context.Context, address string) (spool.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := tls.Dialer{Config: transport.bundle.DialAny()}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return "", eris.Wrapf(err, "dial %s", address)
+	}
+	defer func() { _ = conn.Close() }()
+	return certs.Identity(conn.(*tls.Conn).ConnectionState())
+}
