Test leases under pauses, cuts, restarts and roster changes

A world of 3 to 7 proxies with clocks that differ by up to 0.8 % delivers requests, answers, gossip and platform calls late, twice or not at all in virtual time; the oracle counts holders at every step.

--- /dev/null
+++ b/internal/core/lease/world_test.go
@@ -0,0 +1,279 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	worldTick   = 5 * time.Millisecond
+	worldGossip = 100 * time.Millisecond
+	worldRole   = Role("Group/books")
+)
+
+// proxy is one VM with a clock of its own.
+type proxy struct {
+	spool.Member
+	witness *Witness
+	holder  *Holder
+	changer *Changer
+	drift   float64
+	origin  spool.Instant
+	paused  bool
+	inbox   []func() // what arrives during a pause
+}
+
+// world delivers messages between proxies and a platform in virtual time.
+type world struct {
+	now       spool.Instant
+	random    *rand.Rand
+	queue     []delivery
+	proxies   []*proxy
+	options   []Option
+	roster    Roster // as the platform holds it
+	down      bool
+	loss      int // per cent
+	delay     time.Duration
+	cut       map[spool.VM]bool
+	violation string
+	gains     int
+	changes   int // rosters recorded
+}
+
+type delivery struct {
+	at spool.Instant
+	do func()
+}
+
+func newWorld(seed uint64, count int, options ...Option) *world {
+	world := &world{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		options: append([]Option{func(config *Config) { config.Gone = 2 * time.Second }}, options...),
+		delay:   5 * time.Millisecond,
+		cut:     map[spool.VM]bool{},
+	}
+	for i := range count {
+		member := spool.Member{VM: spool.VM(fmt.Sprintf("vm%d", i)), Domain: spool.Domain(fmt.Sprintf("d%d", i%3))}
+		proxy := &proxy{Member: member}
+		world.proxies = append(world.proxies, proxy)
+		world.restart(proxy)
+	}
+	return world
+}
+
+// clock is the proxy's own reading of the time.
+func (world *world) clock(proxy *proxy) spool.Instant {
+	return proxy.origin + spool.Instant(float64(world.now)*(1+proxy.drift))
+}
+
+func (world *world) restart(proxy *proxy) {
+	proxy.origin = spool.Instant(world.random.Int64N(int64(time.Hour)))
+	proxy.drift = (world.random.Float64() - 0.5) * 0.008
+	now := world.clock(proxy)
+	proxy.Incarnation = world.random.Uint64()
+	proxy.witness = NewWitness(proxy.VM, now, world.options...)
+	proxy.holder = NewHolder(worldRole, proxy.Incarnation, world.options...)
+	proxy.changer = NewChanger(world.options...)
+	proxy.paused = false
+	proxy.inbox = nil
+	proxy.holder.Seek(slices.Index(world.proxies, proxy), now)
+}
+
+// after runs do at the proxy after a random delay, unless the message is lost; it may arrive twice.
+func (world *world) after(from spool.VM, to *proxy, do func()) {
+	for range 1 + world.random.IntN(8)/7 {
+		if world.random.IntN(100) < world.loss || (from != to.VM && (world.cut[from] || world.cut[to.VM])) {
+			continue
+		}
+		delay := time.Duration(world.random.Int64N(int64(world.delay)))
+		world.queue = append(world.queue, delivery{at: world.now.Add(delay), do: func() {
+			if to.paused {
+				to.inbox = append(to.inbox, do)
+				return
+			}
+			do()
+		}})
+	}
+}
+
+// advance moves the time on, delivers what is due and checks the invariant at each step.
+func (world *world) advance(duration time.Duration) {
+	for end := world.now.Add(duration); world.now < end; {
+		world.now = world.now.Add(worldTick)
+		slices.SortStableFunc(world.queue, func(left, right delivery) int { return int(left.at - right.at) })
+		for len(world.queue) > 0 && world.queue[0].at <= world.now {
+			next := world.queue[0]
+			world.queue = world.queue[1:]
+			next.do()
+			world.check()
+		}
+		for _, proxy := range world.proxies {
+			if !proxy.paused {
+				world.tick(proxy)
+			}
+		}
+		world.check()
+	}
+}
+
+func (world *world) check() {
+	var holders []spool.VM
+	for _, proxy := range world.proxies {
+		if proxy.holder.Held(world.clock(proxy)) {
+			holders = append(holders, proxy.VM)
+		}
+	}
+	if len(holders) > 1 && world.violation == "" {
+		world.violation = fmt.Sprintf("%v hold the role at %v", holders, time.Duration(world.now))
+	}
+}
+
+func (world *world) tick(proxy *proxy) {
+	now := world.clock(proxy)
+	for _, out := range proxy.holder.Due(now) {
+		world.send(proxy, out)
+	}
+	for change := proxy.holder.Poll(now); change != Unchanged; change = proxy.holder.Poll(now) {
+		if change == Gained {
+			world.gains++
+		}
+	}
+	if time.Duration(world.now)%worldGossip == 0 {
+		world.gossip(proxy)
+	}
+	world.act(proxy, proxy.changer.Tick(now))
+}
+
+func (world *world) send(from *proxy, out Out) {
+	to := world.find(out.To)
+	world.after(from.VM, to, func() {
+		answer := to.witness.Pledge(from.VM, out.Request, world.clock(to))
+		world.after(to.VM, from, func() { from.holder.Receive(to.VM, answer, world.clock(from)) })
+	})
+}
+
+func (world *world) find(vm spool.VM) *proxy {
+	return world.proxies[slices.IndexFunc(world.proxies, func(proxy *proxy) bool { return proxy.VM == vm })]
+}
+
+// gossip spreads what the proxy's witness has seen, tells it who is alive and reads the platform.
+func (world *world) gossip(proxy *proxy) {
+	var members []spool.Member
+	for _, other := range world.proxies {
+		if !other.paused {
+			members = append(members, other.Member)
+		}
+		seen := proxy.witness.Seen()
+		world.after(proxy.VM, other, func() {
+			world.act(other, other.changer.Seen(proxy.VM, seen, world.clock(other)))
+		})
+	}
+	proxy.changer.SetMembers(members, world.clock(proxy))
+	world.read(proxy)
+}
+
+// read asks the platform for the roster; an answer to an earlier start of the proxy is dropped.
+func (world *world) read(proxy *proxy) {
+	incarnation := proxy.Incarnation
+	world.after(proxy.VM, proxy, func() {
+		if world.down {
+			return
+		}
+		roster := world.roster
+		world.after(proxy.VM, proxy, func() {
+			if proxy.Incarnation == incarnation {
+				proxy.witness.Confirm(roster, true)
+				proxy.holder.SetRoster(roster, world.clock(proxy))
+				world.act(proxy, proxy.changer.Observe(roster, world.clock(proxy)))
+			}
+		})
+	})
+}
+
+// act carries out a changer's actions; the platform may take a write whose answer is lost.
+func (world *world) act(proxy *proxy, actions []Action) {
+	for _, action := range actions {
+		write, ok := action.(WriteRoster)
+		if !ok {
+			continue
+		}
+		if !world.down && write.Expected == world.roster.Version {
+			version := world.roster.Version + 1
+			world.roster = write.Roster
+			world.roster.Version = version
+			world.changes++
+		}
+		world.after(proxy.VM, proxy, func() { proxy.changer.Failed(world.clock(proxy)) })
+	}
+}
+
+// fault brings about the n-th kind of fault at a proxy, or ends it.
+func (world *world) fault(kind, index int) {
+	proxy := world.proxies[index%len(world.proxies)]
+	switch kind {
+	case faultPause:
+		proxy.paused = true
+	case faultWake:
+		world.wake(proxy)
+	case faultRestart:
+		world.restart(proxy)
+	case faultCut:
+		world.cut[proxy.VM] = !world.cut[proxy.VM]
+	case faultLoss:
+		world.loss = index % 3 * 20
+	case faultDelay:
+		world.delay = []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, time.Second}[index%3]
+	case faultPlatform:
+		world.down = !world.down
+	}
+}
+
+const (
+	faultPause = iota
+	faultWake
+	faultRestart
+	faultCut
+	faultLoss
+	faultDelay
+	faultPlatform
+	faultKinds
+)
+
+func (world *world) wake(proxy *proxy) {
+	proxy.paused = false
+	world.check()
+	for _, do := range proxy.inbox {
+		do()
+	}
+	proxy.inbox = nil
+}
+
+// heal ends all faults.
+func (world *world) heal() {
+	world.loss, world.down = 0, false
+	world.delay = 5 * time.Millisecond
+	world.cut = map[spool.VM]bool{}
+	for _, proxy := range world.proxies {
+		world.wake(proxy)
+	}
+}
+
+// holder returns the VM that holds the role now, if any.
+func (world *world) holder() spool.VM {
+	for _, proxy := range world.proxies {
+		if proxy.holder.Held(world.clock(proxy)) {
+			return proxy.VM
+		}
+	}
+	return ""
+}
+
+func (world *world) locate(vm spool.VM) *wire.LocateAnswer {
+	proxy := world.find(vm)
+	return proxy.witness.Locate(worldRole, world.clock(proxy))
+}
