--- a/internal/core/slots/queue.go
+++ b/internal/core/slots/queue.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"slices"
 	"time"
 
 	"corianderspool.example/spool/pkg/spool"
@@ -124,7 +125,9 @@
 			return true
 		}
 	}
-	return false
+	before := len(queue.overdue)
+	queue.overdue = slices.DeleteFunc(queue.overdue, func(refusal Refusal) bool { return refusal.ID == id })
+	return len(queue.overdue) < before
 }
 
 // Connect reserves one of a server's connections and reports whether the limit allows it.
