--- /dev/null
+++ b/internal/audit/doc.go
@@ -0,0 +1,2 @@
+// Package audit keeps the trail of changes in the platform, where it outlasts the VMs.
+package audit
