--- /dev/null
+++ b/internal/oper/doc.go
@@ -0,0 +1,2 @@
+// Package oper answers operators and their monitoring over HTTP.
+package oper
