--- a/cmd/corianderspool/main.go
+++ b/cmd/corianderspool/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"corianderspool.example/spool/internal/cmds"
+	"corianderspool.example/spool/internal/node"
 	"corianderspool.example/spool/internal/objapi"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -16,6 +17,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	program := cmds.New(
+		cmds.WithServer(cmds.ServerFunc(node.Run)),
 		cmds.WithConnect(connect),
 		cmds.WithActor(os.Getenv("USER")),
 	)
