Give the demo's servers names that a manifest may have

All names in a manifest begin with the partner, those of servers too, so proxies refused the demo's manifest (event 502, path Groups[0].Servers[0].Name).

--- a/internal/fake/demo/manifest.go
+++ b/internal/fake/demo/manifest.go
@@ -58,7 +58,7 @@
 	specs := []spool.ServerSpec{}
 	for _, server := range plan.Servers {
 		specs = append(specs, spool.ServerSpec{
-			Name:        spool.Server(server.Name),
+			Name:        spool.Server(partner + "." + server.Name),
 			Address:     server.Address,
 			Domain:      server.Domain,
 			Slots:       serverSlots,
