Refuse a document that is just null

The decoder told a document that cannot be read by its value being nil, which is also the value of the document null. Such a manifest passed without a fault as an empty one, and every key of the partner would have been withdrawn. Other documents that are no object were refused already.

--- a/internal/core/policy/parse_test.go
+++ b/internal/core/policy/parse_test.go
@@ -185,6 +185,13 @@
 	c.Assert(faults, qt.HasLen, 101)
 }
 
+func TestParseRefusesOtherDocuments(t *testing.T) {
+	for _, body := range []string{"", " ", "null", "[]", "{}", `"kyushu"`, "1", "true", `{"Partner":null}`} {
+		_, faults := Parse("kyushu", []byte(body))
+		qt.Assert(t, len(faults) > 0, qt.IsTrue, qt.Commentf("%q", body))
+	}
+}
+
 func TestParseNeverRepeatsVerifier(t *testing.T) {
 	c := qt.New(t)
 	manifest := testManifest()
--- a/internal/strict/document.go
+++ b/internal/strict/document.go
@@ -21,19 +21,21 @@
 }
 
 // parse reads the whole body and reports what encoding/json passes over: repeated fields and trailing data.
-func parse(body []byte) (any, spool.Faults) {
+//
+// With parsed true value holds the document, which may be nil.
+func parse(body []byte) (value any, faults spool.Faults, parsed bool) {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.UseNumber()
 	document := &document{decoder: decoder}
 	value, err := document.value("", 0)
 	if err != nil {
 		document.faults.Add("", fmt.Sprintf("invalid JSON near byte %d: %v", decoder.InputOffset(), err))
-		return nil, document.faults
+		return nil, document.faults, false
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		document.faults.Add("", fmt.Sprintf("data after the document at byte %d", decoder.InputOffset()))
 	}
-	return value, document.faults
+	return value, document.faults, true
 }
 
 func (document *document) value(path string, depth int) (any, error) {
--- a/internal/strict/schema.go
+++ b/internal/strict/schema.go
@@ -42,8 +42,8 @@
 //
 // With decoded true target holds the document even if it has faults, so that the caller can look for more.
 func (schema *Schema) Decode(body []byte, target any) (faults spool.Faults, decoded bool) {
-	document, faults := parse(body)
-	if document == nil {
+	document, faults, parsed := parse(body)
+	if !parsed {
 		return faults, false
 	}
 	faults = append(faults, schema.validate(document)...)
