Tell stale reads and lost confirmation of the manifests

A starting witness must read the roster and terms as they are now; it writes a mark first and refuses lists that show a lower version. Heartbeats pass on how long ago the platform confirmed the versions in force. A proxy without confirmation for 3 s that does not reach a majority of the witnesses refuses keyed requests, since it may have missed a withdrawal.

--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -21,6 +21,10 @@
 		Leaving: core.view.Self().Leaving, Versions: core.versions(),
 		Sequence: core.nonce(), Members: core.view.Digest(now),
 	}
+	if core.confirmed.known {
+		beat.Confirmed = true
+		beat.ConfirmedAgeNanos = int64(now.Sub(core.confirmed.at))
+	}
 	for _, role := range core.sortedRoles() {
 		if role.held {
 			beat.Held = append(beat.Held, string(role.name))
@@ -41,6 +45,9 @@
 	for _, name := range beat.Held {
 		core.locate(lease.Role(name), from, now)
 	}
+	if beat.Confirmed && !core.behind(beat.Versions) {
+		core.confirmed.raise(now - spool.Instant(beat.ConfirmedAgeNanos) - spool.Instant(beatDelay))
+	}
 	core.compare(from, beat.Versions, now)
 	for _, version := range beat.Versions {
 		if version.Kind == spool.KindRoster {
@@ -51,16 +58,13 @@
 
 // compare asks a peer for the objects of which it has a newer version.
 func (core *Core) compare(from spool.VM, versions []*wire.ObjectVersion, now spool.Instant) {
-	own := core.versions()
-	for _, version := range versions {
-		if newer(version, own) && now >= core.asked[from] {
-			core.asked[from] = now.Add(askInterval)
-			core.send(from, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{
-				ConfigRequest: &wire.ConfigRequest{Versions: own},
-			}})
-			return
-		}
+	if now < core.asked[from] || !core.behind(versions) {
+		return
 	}
+	core.asked[from] = now.Add(askInterval)
+	core.send(from, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{
+		ConfigRequest: &wire.ConfigRequest{Versions: core.versions()},
+	}})
 }
 
 func newer(version *wire.ObjectVersion, than []*wire.ObjectVersion) bool {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,6 +42,8 @@
 	located map[lease.Role]location
 
 	started    spool.Instant
+	confirmed  confirmation
+	trusted    bool
 	complete   bool // every kind of object was read from the platform itself
 	configured bool // manifests came from the platform or from a complete peer
 	reading    bool
@@ -119,6 +121,7 @@
 		core.reading = false
 		core.readAfter = now.Add(readRetry)
 	case ObjectsSeen:
+		core.confirmed.raise(event.SentAt)
 		core.learnAll(event.Objects, now)
 	case ObjectRead:
 		core.objectRead(event.Object, now)
@@ -159,6 +162,7 @@
 	}
 	core.tickRoles(now)
 	core.tickGroups(now)
+	core.judgeTrust(now)
 	if now >= core.nextBeat {
 		core.beat(now)
 	}
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -90,6 +90,9 @@
 	VM   spool.VM
 }
 
+// Trust tells whether the manifests in force can be relied on: no withdrawal of a key can have been missed for long.
+type Trust struct{ Trusted bool }
+
 // ApplyPolicy puts a snapshot of all manifests in force.
 type ApplyPolicy struct {
 	Snapshot *policy.Snapshot
@@ -140,5 +143,6 @@
 func (FollowServer) effect()  {}
 func (GiveTokens) effect()    {}
 func (MoveRole) effect()      {}
+func (Trust) effect()         {}
 func (ApplyPolicy) effect()   {}
 func (Note) effect()          {}
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -26,13 +26,17 @@
 type ObjectsRead struct {
 	Objects []spool.Object
 	Version spool.Version
+	SentAt  spool.Instant // when the first call was sent
 }
 
 // ObjectsFailed tells that ReadObjects was not answered.
 type ObjectsFailed struct{}
 
-// ObjectsSeen brings changed objects from a watch of the platform.
-type ObjectsSeen struct{ Objects []spool.Object }
+// ObjectsSeen brings the objects that changed until a watch of the platform ended, or none.
+type ObjectsSeen struct {
+	Objects []spool.Object
+	SentAt  spool.Instant // when the watch was sent
+}
 
 // ObjectRead answers ReadObject; a zero version says that the object does not exist.
 type ObjectRead struct{ Object spool.Object }
--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -24,6 +24,7 @@
 	core.reading = false
 	core.complete = true
 	core.configured = true
+	core.confirmed.raise(event.SentAt)
 	roster := lease.Roster{}
 	for _, object := range event.Objects {
 		if object.Kind == spool.KindTerm {
--- /dev/null
+++ b/internal/core/trust.go
@@ -0,0 +1,61 @@
+package core
+
+import (
+	"time"
+
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	trustLimit = 3 * time.Second
+	beatDelay  = 200 * time.Millisecond
+)
+
+// confirmation is the latest instant at which the platform is known to have had nothing newer than the own versions.
+type confirmation struct {
+	at    spool.Instant
+	known bool
+}
+
+func (confirmation *confirmation) raise(at spool.Instant) {
+	if !confirmation.known || at > confirmation.at {
+		confirmation.at = at
+		confirmation.known = true
+	}
+}
+
+// judgeTrust tells the shell when the manifests in force can or can no longer be relied on.
+//
+// They can while the platform confirmed them lately, on any path. When it does not answer, a proxy in touch with a
+// majority of the witnesses takes that for an outage, in which nobody can withdraw a key; any other proxy may be cut
+// off and must not let keys work on.
+func (core *Core) judgeTrust(now spool.Instant) {
+	confirmed := core.confirmed.known && now.Sub(core.confirmed.at) <= trustLimit
+	trusted := core.configured && (confirmed || core.reachesMajority(now))
+	if trusted != core.trusted {
+		core.trusted = trusted
+		core.emit(Trust{Trusted: trusted})
+	}
+}
+
+func (core *Core) reachesMajority(now spool.Instant) bool {
+	reached := 0
+	for _, witness := range core.roster.Members {
+		if core.view.Alive(witness, now) {
+			reached++
+		}
+	}
+	return len(core.roster.Members) > 0 && reached >= core.roster.Majority()
+}
+
+// behind tells whether a peer has seen a newer version of any object.
+func (core *Core) behind(versions []*wire.ObjectVersion) bool {
+	own := core.versions()
+	for _, version := range versions {
+		if newer(version, own) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -39,6 +39,8 @@
 		node.purse(spool.Team(effect.Answer.Team)).give(effect.Answer)
 	case core.MoveRole:
 		node.moveRole(effect)
+	case core.Trust:
+		node.trusted.Store(effect.Trusted)
 	case core.ApplyPolicy:
 		node.applyPolicy(effect)
 	case core.Note:
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -102,7 +102,7 @@
 	}
 	return spool.Manifest{
 		Partner: "kyushu",
-		Teams:   []spool.TeamSpec{{Name: "kyushu.office", RatePerSecond: 2000, Burst: 2000}},
+		Teams:   []spool.TeamSpec{{Name: "kyushu.office", RatePerSecond: 50000, Burst: 50000}},
 		Keys:    []spool.KeySpec{{Name: keyName, Team: "kyushu.office", Verifier: verifier(fleet.c)}},
 		Groups:  []spool.GroupSpec{group},
 		Routes: []spool.RouteSpec{{
@@ -167,7 +167,7 @@
 		logger, _ = zap.NewDevelopment()
 		logger = logger.With(zap.String("VM", string(proxy.settings.VM)))
 	}
-	running, err := node.New(proxy.settings, objapi.New(fleet.platform.URL()), logger)
+	running, err := node.New(proxy.settings, objapi.New(fleet.platform.URL(), objapi.WithWait(time.Second)), logger)
 	fleet.c.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
 	proxy.stop = stop
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -16,7 +16,22 @@
 	if node.leaving.Load() {
 		return spool.Login{}, &spool.Refusal{Code: spool.CodeShutdown, Message: "the proxy is shutting down"}
 	}
-	return node.snapshot.Load().Login(key, route)
+	login, refusal := node.snapshot.Load().Login(key, route)
+	if refusal == nil {
+		refusal = node.checkTrust(login.Route)
+	}
+	return login, refusal
+}
+
+// checkTrust refuses keys while this proxy may have missed their withdrawal.
+func (node *Node) checkTrust(route spool.RouteSpec) *spool.Refusal {
+	if route.Open || node.trusted.Load() {
+		return nil
+	}
+	return &spool.Refusal{
+		Verdict: spool.NotRun, Code: spool.CodeNoPrimary, RetryAfter: movedRetryAfter,
+		Message: "the proxy is cut off from the platform and from most other proxies",
+	}
 }
 
 // Attach registers a connected session.
@@ -43,6 +58,9 @@
 		return nil, refusal
 	}
 	route, _ := snapshot.Route(work.Session.Login.Route.Name)
+	if refusal := node.checkTrust(route); refusal != nil {
+		return nil, refusal
+	}
 	timeout := node.timeout(route, work)
 	deadline := node.timers.Now().Add(timeout)
 	if refusal := node.purse(work.Session.Login.Team).admit(ctx, deadline); refusal != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	waits    waits
 	watcher  watcher
 	leaving  atomic.Bool
+	trusted  atomic.Bool
 }
 
 // Option changes a node under construction.
--- a/internal/node/objects.go
+++ b/internal/node/objects.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/core"
@@ -15,24 +19,58 @@
 const (
 	callTimeout = 2 * time.Second
 	watchRetry  = 200 * time.Millisecond
+	marks       = 64
 )
 
 func (node *Node) readObjects(kinds []string) {
 	ctx, cancel := context.WithTimeout(node.ctx, callTimeout)
 	defer cancel()
-	read := core.ObjectsRead{}
+	read, err := node.list(ctx, kinds)
+	if err != nil {
+		node.handle(core.ObjectsFailed{})
+		return
+	}
+	node.handle(read)
+}
+
+// list reads all objects of the kinds and fails if the platform answers from before the call.
+func (node *Node) list(ctx context.Context, kinds []string) (core.ObjectsRead, error) {
+	read := core.ObjectsRead{SentAt: node.timers.Now()}
+	mark, err := node.mark(ctx)
+	if err != nil {
+		return read, err
+	}
 	for i, kind := range kinds {
 		objects, version, err := node.platform.List(ctx, kind)
 		if err != nil {
-			node.handle(core.ObjectsFailed{})
-			return
+			return read, err
+		}
+		if version < mark {
+			return read, eris.Errorf("the list of %s shows version %d, before %d", kind, version, mark)
 		}
 		read.Objects = append(read.Objects, objects...)
 		if i == 0 {
 			read.Version = version
 		}
 	}
-	node.handle(read)
+	return read, nil
+}
+
+// mark writes an object and returns its version; what is read later and shows a lower version is stale.
+func (node *Node) mark(ctx context.Context) (spool.Version, error) {
+	name := fmt.Sprint(xxhash.Sum64String(string(node.settings.VM)) % marks)
+	object, err := node.platform.Get(ctx, spool.KindMark, name)
+	if err != nil && !errors.Is(err, spool.ErrNotFound) {
+		return 0, err
+	}
+	body, err := json.Marshal(node.settings.VM)
+	if err != nil {
+		return 0, err
+	}
+	written, err := node.platform.Put(ctx, spool.Object{
+		Kind: spool.KindMark, Name: name, Version: object.Version, Body: body,
+	})
+	return written.Version, err
 }
 
 func (node *Node) readObject(kind, name string) {
@@ -88,6 +126,7 @@
 func (node *Node) watch(ctx context.Context, after spool.Version) {
 	lost := false
 	for ctx.Err() == nil {
+		sentAt := node.timers.Now()
 		objects, version, err := node.platform.Watch(ctx, watchedKinds, after)
 		if ctx.Err() != nil {
 			return
@@ -101,9 +140,7 @@
 			continue
 		}
 		after = version
-		if len(objects) > 0 {
-			node.handle(core.ObjectsSeen{Objects: objects})
-		}
+		node.handle(core.ObjectsSeen{Objects: objects, SentAt: sentAt})
 	}
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -9,9 +10,11 @@
 	"corianderspool.example/spool/internal/objapi"
 )
 
+const watchWait = 1 * time.Second
+
 // Run serves with the given settings until ctx ends, then drains.
 func Run(ctx context.Context, settings config.Settings, logger *zap.Logger) error {
-	options := []objapi.Option{}
+	options := []objapi.Option{objapi.WithWait(watchWait)}
 	if settings.Platform.TokenFile != "" {
 		token, err := readSecret(settings.Platform.TokenFile)
 		if err != nil {
