--- a/internal/core/share/asking.go
+++ b/internal/core/share/asking.go
@@ -56,6 +56,9 @@
 
 // float returns how many tokens to keep for the requests that arrive while the owner answers.
 func (client *Client) float() int {
+	if client.queue.Len() > 0 && client.forecast.perToken > 0 {
+		return 0
+	}
 	horizon := client.forecast.roundTrip + 2*client.timing.Poll
 	expected := client.demand.perSecond * horizon.Seconds()
 	if expected < smallestFloat {
--- a/internal/core/share/client.go
+++ b/internal/core/share/client.go
@@ -8,7 +8,10 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-const incarnationShift = 32
+const (
+	incarnationShift = 32
+	doubt            = 2 // part of its expected wait for which a queued request must lack the time to be refused
+)
 
 // waiting is a queued request.
 type waiting struct {
@@ -137,7 +140,7 @@
 	kept := 0
 	client.queue.Filter(func(waiting waiting) bool {
 		wait := client.forecast.wait(kept+1, &client.timing, now)
-		if now < waiting.deadline && (!client.forecast.fresh || now.Add(wait) < waiting.deadline) {
+		if now < waiting.deadline && (!client.forecast.fresh || now.Add(wait/doubt) < waiting.deadline) {
 			kept++
 			return true
 		}
--- a/internal/core/share/fair.go
+++ b/internal/core/share/fair.go
@@ -9,7 +9,7 @@
 
 const fillSteps = 40
 
-// part returns how many whole tokens holder gets now, max-min by want among the VMs that asked lately.
+// part returns how many whole tokens holder gets now; the VM with the least part of its demand served comes first.
 func (owner *Owner) part(holder *holder, now spool.Instant) float64 {
 	ready := owner.bucket.ready()
 	wanted := 0.0
@@ -20,7 +20,7 @@
 		}
 		rival.fade(now)
 		wanted += rival.want
-		if rival.served < least.served {
+		if rival.satisfied() < least.satisfied() {
 			least = rival
 		}
 	}
@@ -34,15 +34,10 @@
 	return math.Floor(min(part, ready, holder.want))
 }
 
-// waterline returns the level of tokens granted lately up to which ready tokens raise all VMs that want some.
+// waterline returns the served part of their demand up to which ready tokens raise all VMs that want some.
 func (owner *Owner) waterline(ready float64, now spool.Instant) float64 {
 	low := 0.0
-	high := ready
-	for _, rival := range owner.holders {
-		if rival.wants(now) {
-			high = max(high, rival.served+ready)
-		}
-	}
+	high := 1.0
 	for range fillSteps {
 		middle := (low + high) / 2
 		sum := 0.0
@@ -60,12 +55,12 @@
 	return high
 }
 
-// wait returns how long holder's unmet want takes while the other VMs get their max-min part.
-func (owner *Owner) wait(holder *holder, now spool.Instant) time.Duration {
+// wait returns how long the VMs' unmet wants take together; they are met at the same pace.
+func (owner *Owner) wait(now spool.Instant) time.Duration {
 	ahead := 0.0
 	for _, rival := range owner.holders {
 		if rival.wants(now) {
-			ahead += min(rival.want, holder.want)
+			ahead += rival.want
 		}
 	}
 	ahead -= owner.bucket.level
@@ -76,9 +71,15 @@
 	return holder.want > 0 && now.Sub(holder.asked) <= wantLife
 }
 
-// claim returns how many tokens raise the holder to the waterline.
+// demand returns how many tokens the holder wanted lately, granted or not.
+func (holder *holder) demand() float64 { return holder.served + holder.want }
+
+// satisfied returns the served part of the demand.
+func (holder *holder) satisfied() float64 { return holder.served / max(1, holder.demand()) }
+
+// claim returns how many tokens raise the served part of the demand to the waterline.
 func (holder *holder) claim(waterline float64) float64 {
-	return max(0, min(holder.want, waterline-holder.served))
+	return max(0, min(holder.want, waterline*holder.demand()-holder.served))
 }
 
 // fade lets the tokens granted lately decay until now.
--- a/internal/core/share/owner.go
+++ b/internal/core/share/owner.go
@@ -94,7 +94,7 @@
 		LifeNanos: int64(owner.timing.Life),
 	}
 	if holder.want > 0 {
-		answer.RetryNanos = int64(owner.wait(holder, now))
+		answer.RetryNanos = int64(owner.wait(now))
 	}
 	if tokens > 0 {
 		owner.mint(holder, tokens, now)
--- a/internal/core/slots/queue.go
+++ b/internal/core/slots/queue.go
@@ -76,7 +76,7 @@
 		queue.start(index, team, now)
 		return Answer{Verdict: Granted, Server: index}
 	}
-	wait := queue.wait(team, item.Servers, team.waiting+1, now)
+	wait := queue.wait(team, item.Servers, queue.ahead(team, item.Servers), now)
 	if now.Add(wait) >= item.Deadline {
 		return Answer{Verdict: Refused, RetryAfter: queue.retryAfter(wait, item.Deadline, now)}
 	}
--- a/internal/core/slots/wait.go
+++ b/internal/core/slots/wait.go
@@ -10,6 +10,8 @@
 const (
 	slotTimeMemory = 0.98    // part of the measurements that one more release keeps
 	leastFairShare = 1.0 / 8 // slots that a team is expected to have at least
+	doubt          = 2       // part of its expected wait for which a queued item must lack the time to be refused
+	allServers     = ^Servers(0)
 )
 
 // meter measures for how long an item holds a slot.
@@ -35,31 +37,47 @@
 // mean returns the mean slot time of an item in seconds.
 func (meter *meter) mean() float64 { return meter.slotTime / meter.releases }
 
-// wait returns how long a team's item at that place of its queue is expected to wait for one of the servers.
-func (queue *Queue) wait(team *team, servers Servers, place int, now spool.Instant) time.Duration {
+// wait returns how long an item waits for one of the servers with that many of its team's items ahead of it.
+func (queue *Queue) wait(team *team, servers Servers, ahead float64, now spool.Instant) time.Duration {
 	share := queue.fairShare(team, servers, now)
 	if share <= 0 {
 		return 0
 	}
-	seconds := float64(place) * queue.meter.mean() / max(share, leastFairShare)
+	seconds := (ahead + 1) * queue.meter.mean() / max(share, leastFairShare)
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// fairShare returns the team's max-min share of the servers' slots, or zero if none of them takes work.
-func (queue *Queue) fairShare(asking *team, servers Servers, now spool.Instant) float64 {
-	eligible := 0
-	total := 0
+// ahead returns how many of a team's waiting items the servers will have to run.
+func (queue *Queue) ahead(team *team, servers Servers) float64 {
+	sum := 0.0
+	for i := range team.lanes {
+		lane := &team.lanes[i]
+		shared := queue.capacity(lane.servers & servers)
+		if lane.entries.Len() > 0 && shared > 0 {
+			sum += float64(lane.entries.Len()) * float64(shared) / float64(queue.capacity(lane.servers))
+		}
+	}
+	return sum
+}
+
+// capacity returns how many transactions the servers run at once.
+func (queue *Queue) capacity(servers Servers) int {
+	sum := 0
 	for i := range queue.servers {
-		capacity := queue.servers[i].capacity()
-		total += capacity
 		if servers&(Servers(1)<<i) != 0 {
-			eligible += capacity
+			sum += queue.servers[i].capacity()
 		}
 	}
+	return sum
+}
+
+// fairShare returns the team's max-min share of the servers' slots, or zero if none of them takes work.
+func (queue *Queue) fairShare(asking *team, servers Servers, now spool.Instant) float64 {
+	eligible := queue.capacity(servers)
 	if eligible == 0 {
 		return 0
 	}
-	part := float64(eligible) / float64(total)
+	part := float64(eligible) / float64(queue.capacity(allServers))
 	queue.demands = queue.demands[:0]
 	for _, team := range queue.order {
 		if team != asking && team.oldest(servers) == nil {
@@ -101,18 +119,16 @@
 
 // expire refuses a team's items whose deadline has passed or whose expected wait passes it.
 func (queue *Queue) expire(team *team, now spool.Instant) {
-	place := 0
 	var last *lane
-	var each time.Duration
+	var wait, each time.Duration
 	queue.waiting -= team.drop(func(lane *lane, entry entry) bool {
 		if lane != last {
 			last = lane
-			place = 0
-			each = queue.wait(team, lane.servers, 1, now)
+			each = queue.wait(team, lane.servers, 0, now)
+			wait = each
 		}
-		wait := time.Duration(place+1) * each
-		if now < entry.deadline && now.Add(wait) < entry.deadline {
-			place++
+		if now < entry.deadline && now.Add(wait/doubt) < entry.deadline {
+			wait += each
 			return false
 		}
 		refusal := Refusal{ID: entry.id, RetryAfter: queue.retryAfter(wait, entry.deadline, now)}
