--- a/internal/core/slots/queue_test.go
+++ b/internal/core/slots/queue_test.go
@@ -105,6 +105,45 @@
 	c.Assert(queue.servers[0].busy, qt.Equals, 2)
 }
 
+// TestGreedyTeamDelaysOnlyItself offers a slot queue 5 times what one team could use and a third of it from three others.
+func TestGreedyTeamDelaysOnlyItself(t *testing.T) {
+	c := qt.New(t)
+	queue := New()
+	queue.SetServers(up(3), 0)
+	ends := map[spool.Instant][]Grant{}
+	asked := map[spool.Team]int{}
+	served := map[spool.Team]int{}
+	begin := func(grant Grant, now spool.Instant) {
+		served[grant.Team]++
+		ends[now+10*millisecond] = append(ends[now+10*millisecond], grant)
+	}
+	id := uint64(0)
+	for now := spool.Instant(0); now < 20*1000*millisecond; now += millisecond {
+		for _, done := range ends[now] {
+			for _, grant := range queue.Release(done.Server, done.Team, now) {
+				begin(grant, now)
+			}
+		}
+		delete(ends, now)
+		queue.Expire(now)
+		for _, team := range []spool.Team{"greedy", "greedy", "a", "b", "c"} {
+			id++
+			if team != "greedy" && (id/5)%30 != 0 {
+				continue
+			}
+			asked[team]++
+			answer := queue.Ask(Item{ID: id, Team: team, Servers: 1, Deadline: now + 200*millisecond}, now)
+			if answer.Verdict == Granted {
+				begin(Grant{ID: id, Team: team, Server: answer.Server}, now)
+			}
+		}
+	}
+	for _, team := range []spool.Team{"a", "b", "c"} {
+		c.Assert(served[team] >= asked[team]-1, qt.IsTrue, qt.Commentf("%v of %v", served, asked))
+	}
+	c.Assert(served["greedy"] >= 3900, qt.IsTrue, qt.Commentf("%v of %v", served, asked))
+}
+
 // TestQueueAgainstOracle checks that no server exceeds its slots, no item is answered twice and no slot stays idle in vain.
 func TestQueueAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
