Read verifiers in one place

The caller-facing side and the demo had their own reading and writing of a verifier's text; both now use spool.Verifier, so that what a manifest may hold is what a login accepts.

--- a/internal/fake/demo/manifest.go
+++ b/internal/fake/demo/manifest.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"encoding/base64"
 	"fmt"
 	"time"
 
@@ -79,9 +78,10 @@
 	if err != nil {
 		return "", eris.Wrapf(err, "verifier of key %s", key.Name)
 	}
-	encode := base64.StdEncoding.EncodeToString
-	return fmt.Sprintf(
-		"SCRAM-SHA-256$%d:%s$%s:%s",
-		keyIterations, encode([]byte(salt)), encode(stored.StoredKey), encode(stored.ServerKey),
-	), nil
+	return spool.Verifier{
+		Iterations: keyIterations,
+		Salt:       []byte(salt),
+		StoredKey:  stored.StoredKey,
+		ServerKey:  stored.ServerKey,
+	}.String(), nil
 }
--- a/internal/front/scram.go
+++ b/internal/front/scram.go
@@ -4,12 +4,11 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
-	"encoding/base64"
-	"strconv"
-	"strings"
 
 	"github.com/rotisserie/eris"
 	"github.com/xdg-go/scram"
+
+	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
@@ -18,40 +17,17 @@
 	saltSize       = 16
 )
 
-// parseVerifier reads SCRAM-SHA-256$iterations:salt$stored:server.
+// parseVerifier reads a verifier as the credentials that the exchange needs.
 func parseVerifier(text string) (scram.StoredCredentials, error) {
-	var credentials scram.StoredCredentials
-	parts := strings.Split(text, "$")
-	if len(parts) != 3 || parts[0] != mechanism {
-		return credentials, eris.New("verifier is not of the form " + mechanism + "$iterations:salt$stored:server")
-	}
-	iterations, salt, _ := strings.Cut(parts[1], ":")
-	stored, server, _ := strings.Cut(parts[2], ":")
-	count, err := strconv.Atoi(iterations)
-	if err != nil || count < 1 {
-		return credentials, eris.New("verifier has an invalid number of iterations")
-	}
-	saltBytes, err := base64.StdEncoding.DecodeString(salt)
-	if err != nil {
-		return credentials, eris.Wrap(err, "salt of a verifier")
-	}
-	credentials.KeyFactors = scram.KeyFactors{Salt: string(saltBytes), Iters: count}
-	if credentials.StoredKey, err = decodeKey(stored); err != nil {
-		return credentials, err
-	}
-	credentials.ServerKey, err = decodeKey(server)
-	return credentials, err
-}
-
-func decodeKey(text string) ([]byte, error) {
-	key, err := base64.StdEncoding.DecodeString(text)
+	verifier, err := spool.ParseVerifier(text)
 	if err != nil {
-		return nil, eris.Wrap(err, "key of a verifier")
+		return scram.StoredCredentials{}, eris.Wrap(err, "read a verifier")
 	}
-	if len(key) != sha256.Size {
-		return nil, eris.Errorf("key of a verifier has %d bytes instead of %d", len(key), sha256.Size)
-	}
-	return key, nil
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(verifier.Salt), Iters: verifier.Iterations},
+		StoredKey:  verifier.StoredKey,
+		ServerKey:  verifier.ServerKey,
+	}, nil
 }
 
 // mockVerifiers stand in for unknown keys, so that an exchange doesn't show whether a key exists.
