--- /dev/null
+++ b/internal/core/policy/bench_test.go
@@ -0,0 +1,56 @@
+package policy
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// BenchmarkOffer puts manifests of growing size in force, which runs on the core's one thread.
+func BenchmarkOffer(b *testing.B) {
+	for _, keys := range []int{8, 500, 4000} {
+		b.Run(fmt.Sprintf("Keys%d", keys), func(b *testing.B) {
+			manifest := testManifest()
+			for i := range keys {
+				manifest.Keys = append(manifest.Keys, spool.KeySpec{
+					Name:     fmt.Sprintf("kyushu.key-%d", i),
+					Team:     "kyushu.counter",
+					Verifier: testVerifier(1),
+				})
+			}
+			body, err := json.Marshal(manifest)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.SetBytes(int64(len(body)))
+			store := NewStore()
+			version := spool.Version(0)
+			for b.Loop() {
+				version++
+				object := spool.Object{Kind: spool.KindManifest, Name: "kyushu", Version: version, Body: body}
+				if _, faults := store.Offer(object); len(faults) > 0 {
+					b.Fatal(faults)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkLogin is the check at the start of each transaction.
+func BenchmarkLogin(b *testing.B) {
+	store := NewStore()
+	body, err := json.Marshal(testManifest())
+	if err != nil {
+		b.Fatal(err)
+	}
+	store.Offer(spool.Object{Kind: spool.KindManifest, Name: "kyushu", Version: 1, Body: body})
+	login, _ := store.Snapshot().Login("kyushu.counter-1", "kyushu.family")
+	b.ReportAllocs()
+	for b.Loop() {
+		if store.Snapshot().Check(login) != nil {
+			b.Fatal("login is refused")
+		}
+	}
+}
