--- /dev/null
+++ b/internal/back/fuzz_test.go
@@ -0,0 +1,84 @@
+package back
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// whole fails unless it gets whole messages in the end.
+type whole struct {
+	rest   int
+	header []byte
+}
+
+// Write follows the messages' headers.
+func (whole *whole) Write(messages []byte) (int, error) {
+	for _, char := range messages {
+		if whole.rest > 0 {
+			whole.rest--
+			continue
+		}
+		whole.header = append(whole.header, char)
+		if len(whole.header) == headerSize {
+			whole.rest = messageSize(whole.header) - headerSize
+			whole.header = whole.header[:0]
+		}
+	}
+	return len(messages), nil
+}
+
+func FuzzAnswer(f *testing.F) {
+	extended := &spool.Cycle{
+		Replies: []spool.Reply{
+			spool.ReplyParse, spool.ReplyBind, spool.ReplyDescribePortal, spool.ReplyExecute, spool.ReplySync,
+		},
+		Statements: []spool.Statement{{Name: "a"}},
+	}
+	for _, message := range []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Name: "a"}, &pgproto3.Bind{PreparedStatement: "a"}, &pgproto3.Describe{ObjectType: 'P'},
+		&pgproto3.Execute{}, &pgproto3.Sync{},
+	} {
+		extended.Messages = encodeFrontend(extended.Messages, message)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, cycle := range []*spool.Cycle{queryCycle("SELECT 1"), extended} {
+			exchangeWith(t, cycle, data)
+		}
+	})
+}
+
+func exchangeWith(t *testing.T, cycle *spool.Cycle, data []byte) {
+	client, server := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, server) }()
+	go func() {
+		_, _ = server.Write(data)
+		_ = server.Close()
+	}()
+	hijacked := &pgconn.HijackedConn{Conn: client, TxStatus: txIdle}
+	conn := newConn(spool.ServerSpec{}, hijacked, newSettings(nil))
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	sink := &whole{}
+	_, err := conn.Exchange(ctx, cycle, sink)
+	refusal := &spool.Refusal{}
+	switch {
+	case ctx.Err() != nil:
+		t.Fatal("the exchange does not end")
+	case err == nil && (sink.rest > 0 || len(sink.header) > 0):
+		t.Fatal("the sink got a part of a message")
+	case err != nil && !errors.As(err, &refusal):
+		t.Fatalf("error of type %T", err)
+	case err == nil && conn.broken.Load():
+		t.Fatal("a whole answer left a broken connection")
+	}
+}
