Keep old pledges while a roster changes; test terms under faults

Cause: a roster change ended every lease for its whole length, over a second without acknowledgements for each witness replaced. Rule 3 already waits for the pledges under the old version, so a holder may count them until they end and renew at witnesses that have not seen the change.

The lease tests cut the fleet in two instead of cutting single VMs off.

--- a/internal/core/lease/changer.go
+++ b/internal/core/lease/changer.go
@@ -177,6 +177,9 @@
 		changer.sealed = changer.confirmations() >= changer.roster.Majority()
 		changer.sealedAt = now
 	}
+	if changer.config.unsealed {
+		return Roster{Base: changer.roster.Base, Members: changer.roster.Next}, true
+	}
 	if !changer.sealed || now.Sub(changer.sealedAt) < changer.config.waited() {
 		return Roster{}, false
 	}
--- a/internal/core/lease/config.go
+++ b/internal/core/lease/config.go
@@ -27,6 +27,7 @@
 
 	fromArrival bool // for tests: counts a pledge from its answer's arrival
 	forgetful   bool // for tests: pledges right after the start
+	unsealed    bool // for tests: completes a roster's change at once
 }
 
 // DefaultConfig returns the configuration used unless an option changes it.
--- a/internal/core/lease/holder.go
+++ b/internal/core/lease/holder.go
@@ -61,14 +61,15 @@
 	return &Holder{role: role, incarnation: incarnation, config: newConfig(options), supports: map[spool.VM]*support{}}
 }
 
-// SetRoster tells of a newer roster and ends all pledges that were counted under the old version.
+// SetRoster tells of a newer roster and ends all pledges that were counted under the old version. While a roster
+// changes, the old one counts: its witnesses renew until they have seen the change, and the change waits for the rest.
 func (holder *Holder) SetRoster(roster Roster, now spool.Instant) {
-	if roster.Version <= holder.roster.Version {
+	if roster.Changing || roster.Version <= holder.roster.Version {
 		return
 	}
 	holder.drop()
 	holder.roster = roster
-	holder.nextAt = max(holder.nextAt, now.Add(holder.stagger()))
+	holder.nextAt = max(now.Add(holder.stagger()), holder.yieldedTo)
 }
 
 // SetRecord sets the group's term record to carry in requests and has the next Due ask every witness.
@@ -121,7 +122,7 @@
 	}
 	outs := holder.releases
 	holder.releases = nil
-	if !holder.seeking || holder.roster.Changing {
+	if !holder.seeking {
 		return outs
 	}
 	if holder.phase == phaseIdle {
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -60,8 +60,11 @@
 			world.fault(faultCut, index)
 			world.fault(faultWake, index)
 			world.fault(faultRestart, faults.IntN(21))
-			world.advance(time.Duration(faults.IntN(100)) * 10 * time.Millisecond)
+			other := faults.IntN(21)
+			world.fault(faultCut, other)
+			world.advance(time.Duration(faults.IntN(400)) * 10 * time.Millisecond)
 			world.fault(faultCut, index)
+			world.fault(faultCut, other)
 		}
 		if world.violation != "" {
 			return world.violation, seed
@@ -80,6 +83,7 @@
 	}{
 		{name: "all on", option: func(*Config) {}, holds: true},
 		{name: "counted from the arrival", option: func(config *Config) { config.fromArrival = true }},
+		{name: "roster changed at once", option: func(config *Config) { config.unsealed = true }},
 		{name: "no abstention after a restart", option: func(config *Config) { config.forgetful = true }},
 	}
 	for _, test := range tests {
@@ -113,7 +117,16 @@
 	qt.Assert(t, world.roster.Members, qt.HasLen, 3)
 	gone := world.roster.Members[1]
 	world.find(gone).paused = true
-	world.advance(6 * time.Second)
+	var without, longest time.Duration
+	for range 6 * time.Second / worldTick {
+		world.advance(worldTick)
+		without += worldTick
+		if world.holder() != "" {
+			without = 0
+		}
+		longest = max(longest, without)
+	}
+	t.Logf("longest time without a holder: %v", longest)
 	qt.Assert(t, world.roster.Changing, qt.IsFalse)
 	qt.Assert(t, world.roster.Members, qt.HasLen, 3)
 	qt.Assert(t, world.roster.Contains(gone), qt.IsFalse)
--- a/internal/core/lease/world_test.go
+++ b/internal/core/lease/world_test.go
@@ -39,7 +39,7 @@
 	down      bool
 	loss      int // per cent
 	delay     time.Duration
-	cut       map[spool.VM]bool
+	cut       map[spool.VM]bool // the VMs on the far side of a partition, which the platform is not on
 	violation string
 	gains     int
 	changes   int // rosters recorded
@@ -87,7 +87,7 @@
 // after runs do at the proxy after a random delay, unless the message is lost; it may arrive twice.
 func (world *world) after(from spool.VM, to *proxy, do func()) {
 	for range 1 + world.random.IntN(8)/7 {
-		if world.random.IntN(100) < world.loss || (from != to.VM && (world.cut[from] || world.cut[to.VM])) {
+		if world.random.IntN(100) < world.loss || world.cut[from] != world.cut[to.VM] {
 			continue
 		}
 		delay := time.Duration(world.random.Int64N(int64(world.delay)))
@@ -165,7 +165,7 @@
 func (world *world) gossip(proxy *proxy) {
 	var members []spool.Member
 	for _, other := range world.proxies {
-		if !other.paused {
+		if !other.paused && world.cut[other.VM] == world.cut[proxy.VM] {
 			members = append(members, other.Member)
 		}
 		seen := proxy.witness.Seen()
@@ -181,7 +181,7 @@
 func (world *world) read(proxy *proxy) {
 	incarnation := proxy.Incarnation
 	world.after(proxy.VM, proxy, func() {
-		if world.down {
+		if world.down || world.cut[proxy.VM] {
 			return
 		}
 		roster := world.roster
@@ -202,7 +202,7 @@
 		if !ok {
 			continue
 		}
-		if !world.down && write.Expected == world.roster.Version {
+		if !world.down && !world.cut[proxy.VM] && write.Expected == world.roster.Version {
 			version := world.roster.Version + 1
 			world.roster = write.Roster
 			world.roster.Version = version
--- /dev/null
+++ b/internal/core/terms/scenario_test.go
@@ -0,0 +1,162 @@
+package terms
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const scenarioLatency = 1500 * time.Microsecond
+
+// started returns a world whose first proxy keeps the group, with the primary s0 in its failure domain.
+func started(t *testing.T, options ...Option) *world {
+	world := newWorld(5, scenarioLatency, options...)
+	world.clock.Advance(3 * time.Second)
+	qt.Assert(t, world.proxies[0].keeper.OpenTerm(), qt.Equals, spool.Term(1))
+	return world
+}
+
+// lostPromotion has the keeper open term 2 elsewhere and die at once, with the platform down and the old primary back.
+func lostPromotion(t *testing.T, options ...Option) *world {
+	world := started(t, options...)
+	world.isolated["d0"] = true
+	for world.highest < 2 {
+		world.clock.Advance(time.Millisecond)
+	}
+	world.platform.down = true
+	for _, proxy := range world.proxies {
+		proxy.paused = proxy.paused || proxy.keeper.OpenTerm() == 2
+	}
+	world.isolated = map[string]bool{}
+	world.clock.Advance(5 * time.Second)
+	return world
+}
+
+// frozenKeeper freezes the keeper while the primary dies and wakes it after another keeper has opened term 2.
+func frozenKeeper(t *testing.T, naive bool) *world {
+	world := started(t)
+	world.naive = naive
+	for writes := world.writes; world.writes == writes; {
+		world.clock.Advance(100 * time.Microsecond)
+	}
+	world.proxies[0].paused = true // with an answer under way
+	world.clock.Advance(5 * time.Millisecond)
+	world.servers[0].dead = true
+	world.clock.Advance(4 * time.Second)
+	qt.Assert(t, world.highest, qt.Equals, spool.Term(2))
+	world.wake(world.proxies[0])
+	world.clock.Advance(time.Second)
+	return world
+}
+
+// cutKeeper keeps the keeper from the primary, which all others reach.
+func cutKeeper(t *testing.T, options ...Option) *world {
+	world := started(t, options...)
+	world.cut["vm0s0"] = true
+	world.clock.Advance(4 * time.Second)
+	return world
+}
+
+// TestMechanismsMatter shows for seed 5 that each mechanism, turned off, breaks what it is for.
+func TestMechanismsMatter(t *testing.T) {
+	noPledge := func(config *Config) { config.noPledge = true }
+	noProbes := func(config *Config) { config.noProbes = true }
+	t.Run("pledges", func(t *testing.T) {
+		qt.Assert(t, lostPromotion(t).violations, qt.HasLen, 0)
+		world := lostPromotion(t, noPledge)
+		qt.Assert(t, len(world.violations) > 0, qt.IsTrue)
+		t.Log(world.violations[0])
+	})
+	t.Run("fence", func(t *testing.T) {
+		qt.Assert(t, frozenKeeper(t, false).violations, qt.HasLen, 0)
+		world := frozenKeeper(t, true)
+		qt.Assert(t, len(world.violations) > 0, qt.IsTrue)
+		t.Log(world.violations[0])
+	})
+	t.Run("probes", func(t *testing.T) {
+		world := cutKeeper(t)
+		world.requireProgress(t)
+		qt.Assert(t, world.highest, qt.Equals, spool.Term(1))
+		qt.Assert(t, cutKeeper(t, noProbes).highest > 1, qt.IsTrue)
+	})
+}
+
+// TestLostAnswer loses the answer of the conditional update that claims the term; the term is claimed once.
+func TestLostAnswer(t *testing.T) {
+	world := started(t)
+	world.platform.loses = true
+	world.platform.writes = 2
+	world.servers[0].dead = true
+	world.clock.Advance(3 * time.Second)
+	qt.Assert(t, world.violations, qt.HasLen, 0)
+	qt.Assert(t, world.highest, qt.Equals, spool.Term(2))
+	qt.Assert(t, world.platform.owners, qt.HasLen, 2)
+}
+
+// TestPlatformOutage has the platform down for 60 s, and the keeper's VM frozen in the meantime.
+func TestPlatformOutage(t *testing.T) {
+	world := started(t)
+	world.platform.down = true
+	world.clock.Advance(30 * time.Second)
+	world.proxies[0].paused = true
+	world.clock.Advance(30 * time.Second)
+	world.requireProgress(t)
+	qt.Assert(t, world.violations, qt.HasLen, 0)
+	qt.Assert(t, world.highest, qt.Equals, spool.Term(1))
+	gap := world.longestGap(0)
+	t.Logf("longest time without an acknowledgement: %v", gap)
+	qt.Assert(t, gap < 2*time.Second, qt.IsTrue)
+}
+
+// TestReturnDuringOutage has the primary out of reach and back while the platform can't take a claim.
+func TestReturnDuringOutage(t *testing.T) {
+	world := started(t)
+	world.platform.down = true
+	world.servers[0].dead = true
+	world.clock.Advance(3 * time.Second)
+	qt.Assert(t, world.proxies[0].keeper.OpenTerm(), qt.Equals, spool.Term(0))
+	world.servers[0].dead = false
+	world.clock.Advance(time.Second)
+	world.requireProgress(t)
+	qt.Assert(t, world.highest, qt.Equals, spool.Term(1))
+}
+
+// TestLeavingPrimary hands over without losing an acknowledged write.
+func TestLeavingPrimary(t *testing.T) {
+	world := started(t)
+	world.servers[0].Leaving = true
+	for _, proxy := range world.proxies {
+		world.setServers(proxy)
+	}
+	world.clock.Advance(2 * time.Second)
+	world.requireProgress(t)
+	qt.Assert(t, world.violations, qt.HasLen, 0)
+	qt.Assert(t, world.highest, qt.Equals, spool.Term(2))
+	qt.Assert(t, world.lost, qt.Equals, 0)
+	t.Logf("longest time without an acknowledgement: %v", world.longestGap(0))
+}
+
+// TestLatePromotion has an order of a dead keeper reach a replica long after; its term is passed over.
+func TestLatePromotion(t *testing.T) {
+	world := started(t)
+	world.servers[2].promote(2)
+	world.clock.Advance(3 * time.Second)
+	world.requireProgress(t)
+	qt.Assert(t, world.violations, qt.HasLen, 0)
+	qt.Assert(t, world.opened[3], qt.Equals, spool.Server("s0"))
+	qt.Assert(t, world.lost, qt.Equals, 0)
+}
+
+// longestGap returns the longest time between two acknowledgements since the instant.
+func (world *world) longestGap(since spool.Instant) time.Duration {
+	var longest time.Duration
+	for i, ack := range world.acks {
+		if i > 0 && ack.at > since {
+			longest = max(longest, ack.at.Sub(world.acks[i-1].at))
+		}
+	}
+	return longest
+}
