Number a client's requests from a value that the caller chooses

The composition passes the wall clock in nanoseconds as the incarnation, which a shift by 32 bits cut to its low half: a restarted proxy could begin below the numbers that the owner had answered, and then got no token until the owner forgot it after a minute. The client now starts at the number it is given.

--- a/internal/core/share/client.go
+++ b/internal/core/share/client.go
@@ -8,10 +8,7 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-const (
-	incarnationShift = 32
-	doubt            = 2 // part of its expected wait for which a queued request must lack the time to be refused
-)
+const doubt = 2 // a queued request is refused when even this part of its expected wait is too long
 
 // waiting is a queued request.
 type waiting struct {
@@ -36,10 +33,12 @@
 	refused  []Refusal
 }
 
-// NewClient returns a client without tokens; incarnation must rise with each start of the VM's proxy.
-func NewClient(team spool.Team, incarnation uint64, now spool.Instant, options ...Option) *Client {
+// NewClient returns a client without tokens that numbers its requests from first on.
+//
+// First must be above every number that earlier clients of the VM used, such as the wall clock in nanoseconds.
+func NewClient(team spool.Team, first uint64, now spool.Instant, options ...Option) *Client {
 	client := &Client{timing: newTiming(options), team: team, nextAsk: now, stepped: now}
-	client.ledger.sequence = incarnation << incarnationShift
+	client.ledger.sequence = first
 	client.demand.measured = now
 	return client
 }
--- a/internal/core/share/world_test.go
+++ b/internal/core/share/world_test.go
@@ -102,7 +102,7 @@
 
 func (world *world) restart(vm int) {
 	world.vms[vm].incarnation++
-	world.vms[vm].client = NewClient(world.spec.Name, world.vms[vm].incarnation, world.clock(vm), world.options...)
+	world.vms[vm].client = NewClient(world.spec.Name, world.vms[vm].incarnation<<32, world.clock(vm), world.options...)
 }
 
 // resize halves, doubles or keeps the original rate and burst.
--- a/internal/core/slots/wait.go
+++ b/internal/core/slots/wait.go
@@ -10,7 +10,7 @@
 const (
 	slotTimeMemory = 0.98    // part of the measurements that one more release keeps
 	leastFairShare = 1.0 / 8 // slots that a team is expected to have at least
-	doubt          = 2       // part of its expected wait for which a queued item must lack the time to be refused
+	doubt          = 2       // a queued item is refused when even this part of its expected wait is too long
 	allServers     = ^Servers(0)
 )
 
