Tell clock drift between VMs from an owner's rate error

Leases count with 1% drift between two VMs, shares counted with 0.05%: a grant could outlive the owner's count if clocks really differed by 1%. Lives now use 1%, which costs 3 ms of the grace. Minting 1% less was ruled out, since it would refuse a team at its full rate one request in a hundred; the owner mints 0.05% less, the slew that NTP allows.

--- a/internal/core/share/bucket.go
+++ b/internal/core/share/bucket.go
@@ -64,7 +64,7 @@
 	}
 	elapsed := until.Sub(bucket.filled)
 	bucket.filled = until
-	bucket.level += rate / (1 + bucket.timing.Drift) * elapsed.Seconds()
+	bucket.level += rate / (1 + bucket.timing.RateError) * elapsed.Seconds()
 	bucket.trim(limit)
 }
 
--- a/internal/core/share/options.go
+++ b/internal/core/share/options.go
@@ -4,21 +4,23 @@
 
 // Defaults of the timing that owners and clients share.
 const (
-	defaultLife     = 300 * time.Millisecond
-	defaultPoll     = 10 * time.Millisecond
-	defaultTimeout  = 150 * time.Millisecond
-	defaultOwnerGap = 1500 * time.Millisecond
-	defaultDrift    = 0.0005
+	defaultLife      = 300 * time.Millisecond
+	defaultPoll      = 10 * time.Millisecond
+	defaultTimeout   = 150 * time.Millisecond
+	defaultOwnerGap  = 1500 * time.Millisecond
+	defaultDrift     = 0.01
+	defaultRateError = 0.0005
 )
 
 // Timing holds the settings of owners and clients; all proxies of a fleet use the same.
 type Timing struct {
-	Life     time.Duration // life of a grant, counted by the client from sending its request
-	Poll     time.Duration // shortest time between two requests of a client
-	Timeout  time.Duration // time after which a request counts as lost
-	OwnerGap time.Duration // time that a change of the owner is expected to take
-	Drift    float64       // largest relative error of a VM's clock
-	faults   faults
+	Life      time.Duration // life of a grant, counted by the client from sending its request
+	Poll      time.Duration // shortest time between two requests of a client
+	Timeout   time.Duration // time after which a request counts as lost
+	OwnerGap  time.Duration // time that a change of the owner is expected to take
+	Drift     float64       // largest relative difference between the rates of two VMs' clocks
+	RateError float64       // largest relative error of an owner's clock against true time
+	faults    faults
 }
 
 // faults turns mechanisms off to show in tests that the bound breaks without them.
@@ -52,18 +54,24 @@
 	return func(timing *Timing) { timing.OwnerGap = gap }
 }
 
-// WithDrift sets the largest relative error of a VM's clock.
+// WithDrift sets the largest relative difference between the rates of two VMs' clocks.
 func WithDrift(drift float64) Option {
 	return func(timing *Timing) { timing.Drift = drift }
 }
 
+// WithRateError sets the largest relative error of an owner's clock, by which it mints fewer tokens.
+func WithRateError(rateError float64) Option {
+	return func(timing *Timing) { timing.RateError = rateError }
+}
+
 func newTiming(options []Option) Timing {
 	timing := Timing{
-		Life:     defaultLife,
-		Poll:     defaultPoll,
-		Timeout:  defaultTimeout,
-		OwnerGap: defaultOwnerGap,
-		Drift:    defaultDrift,
+		Life:      defaultLife,
+		Poll:      defaultPoll,
+		Timeout:   defaultTimeout,
+		OwnerGap:  defaultOwnerGap,
+		Drift:     defaultDrift,
+		RateError: defaultRateError,
 	}
 	for _, option := range options {
 		option(&timing)
@@ -73,6 +81,5 @@
 
 // ownerLife returns how long an owner counts a grant as alive, on a clock that may err against the client's.
 func (timing *Timing) ownerLife() time.Duration {
-	stretched := float64(timing.Life) * (1 + timing.Drift) / (1 - timing.Drift)
-	return time.Duration(stretched) + 1
+	return time.Duration(float64(timing.Life)*(1+timing.Drift)) + 1
 }
