Measure the path through the proxy in paired runs

Cause: the cost of the proxy was unknown. `make bench` runs the stock client's SELECT 1 direct to the stand-in and through front and back with a gate without decisions, all in one process, and reports medians of paired runs. Latencies are kept and sorted: the histogram library is not among the checksums.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEEDS ?= 20
 SECONDS ?= 60
 
-.PHONY: build test lint demo
+.PHONY: build test lint demo bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -19,3 +19,6 @@
 
 generate:
 	$(GO) generate ./internal/wire
+
+bench:
+	$(GO) run ./cmd/bench Path
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,68 @@
+// Command bench measures the proxy.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+
+	"corianderspool.example/spool/internal/bench/path"
+)
+
+func main() {
+	options := path.Options{
+		Query:       "SELECT 1",
+		Connections: []int{1, 16, 128},
+		Pairs:       5,
+		Duration:    time.Second,
+	}
+	asJSON := false
+	part := flaggy.NewSubcommand("Path")
+	part.Description = "Small queries through the proxy against direct ones, as the median of paired runs"
+	part.String(&options.Direct, "", "direct", "Connection string of a running server; without it a stand-in is started")
+	part.String(&options.Proxied, "", "proxied", "Connection string of a running proxy before that server")
+	part.String(&options.Query, "q", "query", "The query")
+	part.IntSlice(&options.Connections, "c", "connections", "Number of connections; may be given more than once")
+	part.Int(&options.Pairs, "p", "pairs", "Pairs of runs")
+	part.Duration(&options.Duration, "d", "duration", "Time of one run")
+	part.Bool(&asJSON, "", "json", "Print JSON in place of a table")
+	flaggy.SetName("bench")
+	flaggy.SetDescription("Measures the proxy.")
+	flaggy.AttachSubcommand(part, 1)
+	flaggy.Parse()
+	if !part.Used {
+		flaggy.ShowHelpAndExit("")
+	}
+	if err := run(options, asJSON); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(options path.Options, asJSON bool) error {
+	if (options.Direct == "") != (options.Proxied == "") {
+		return eris.New("--direct and --proxied belong together")
+	}
+	if options.Direct == "" {
+		stage, err := path.NewStage()
+		if err != nil {
+			return err
+		}
+		defer stage.Close()
+		options.Direct = stage.Direct()
+		options.Proxied = stage.Proxied()
+	}
+	report, err := path.Run(context.Background(), options)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(report)
+	}
+	return report.WriteTable(os.Stdout)
+}
