Take the demo's settings from the product's types and kill the group's keeper

The demo held a copy of the settings' structs and its server names lacked the partner's prefix, so that the proxies rejected its manifest; the test now loads the settings and parses the manifest by the product's own code. The proxy to kill is the keeper that the platform's term record names, as the loss of another one shows little. The withdrawal is measured from before the push, polled every 5 ms.

--- a/internal/fake/demo/demo_test.go
+++ b/internal/fake/demo/demo_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"corianderspool.example/spool/internal/certs"
+	"corianderspool.example/spool/internal/config"
+	"corianderspool.example/spool/internal/core/policy"
 	"corianderspool.example/spool/internal/fake/regsrv"
 	"corianderspool.example/spool/pkg/spool"
 	qt "github.com/frankban/quicktest"
@@ -149,12 +151,10 @@
 	plan, err := Load(dir)
 	c.Assert(err, qt.IsNil)
 	for _, proxy := range plan.Proxies {
-		content, err := os.ReadFile(filepath.Join(dir, proxy.Name+".json"))
-		c.Assert(err, qt.IsNil)
-		var written settings
-		c.Assert(json.Unmarshal(content, &written), qt.IsNil)
+		written, faults := config.Load(filepath.Join(dir, proxy.Name+".json"))
+		c.Assert(faults, qt.HasLen, 0)
 		c.Assert(written.Domain, qt.Equals, proxy.Domain)
-		_, err = certs.Load(certs.Files{
+		_, err := certs.Load(certs.Files{
 			Certificate: written.Peer.Certificate,
 			PrivateKey:  written.Peer.PrivateKey,
 			Authority:   written.Peer.Authority,
@@ -165,5 +165,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(manifest.Keys[0].Withdrawn, qt.IsFalse)
 	c.Assert(manifest.Keys[1].Withdrawn, qt.IsTrue)
-	c.Assert(manifest.Keys[0].Verifier, qt.Matches, `SCRAM-SHA-256\$4096:\S+\$\S+:\S+`)
+	body, err := json.Marshal(manifest)
+	c.Assert(err, qt.IsNil)
+	_, faults := policy.Parse(partner, body)
+	c.Assert(faults, qt.HasLen, 0)
 }
--- a/internal/fake/demo/manifest.go
+++ b/internal/fake/demo/manifest.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"encoding/base64"
 	"fmt"
 	"time"
 
@@ -21,7 +20,7 @@
 	serverSlots       = 3
 	serverConnections = 20
 	routeTimeout      = 5 * time.Second
-	keyIterations     = 4096
+	keyIterations     = spool.MinVerifierIterations
 )
 
 // Manifest returns the configuration that the demo pushes; the named keys are withdrawn.
@@ -58,7 +57,7 @@
 	specs := []spool.ServerSpec{}
 	for _, server := range plan.Servers {
 		specs = append(specs, spool.ServerSpec{
-			Name:        spool.Server(server.Name),
+			Name:        spool.Server(partner + "." + server.Name),
 			Address:     server.Address,
 			Domain:      server.Domain,
 			Slots:       serverSlots,
@@ -79,9 +78,11 @@
 	if err != nil {
 		return "", eris.Wrapf(err, "verifier of key %s", key.Name)
 	}
-	encode := base64.StdEncoding.EncodeToString
-	return fmt.Sprintf(
-		"SCRAM-SHA-256$%d:%s$%s:%s",
-		keyIterations, encode([]byte(salt)), encode(stored.StoredKey), encode(stored.ServerKey),
-	), nil
+	verifier := spool.Verifier{
+		Iterations: keyIterations,
+		Salt:       []byte(salt),
+		StoredKey:  stored.StoredKey,
+		ServerKey:  stored.ServerKey,
+	}
+	return verifier.String(), nil
 }
--- a/internal/fake/demo/plan.go
+++ b/internal/fake/demo/plan.go
@@ -69,14 +69,14 @@
 		if err != nil {
 			return err
 		}
-		files[proxy.Name+".json"] = plan.settings(dir, proxy, operators[i], certificate)
+		files[proxy.Name+".json"] = plan.settings(proxy, operators[i], certificate)
 	}
 	for name, content := range files {
 		if err := writeJSON(filepath.Join(dir, name), content); err != nil {
 			return err
 		}
 	}
-	if err := writeText(filepath.Join(dir, "password"), plan.BackendPassword+"\n"); err != nil {
+	if err := writeText(filepath.Join(dir, passwordFile), plan.BackendPassword+"\n"); err != nil {
 		return err
 	}
 	return writeText(filepath.Join(dir, "env.sh"), plan.shell())
--- a/internal/fake/demo/run.go
+++ b/internal/fake/demo/run.go
@@ -180,9 +180,25 @@
 	return run.withdraw()
 }
 
+// keeper returns the proxy that the platform's term record of the group names, else the first one.
+func (run *run) keeper() Process {
+	object, err := run.client.Get(context.Background(), spool.KindTerm, group)
+	if err != nil {
+		return run.plan.Proxies[0]
+	}
+	record := struct{ Holder string }{}
+	_ = json.Unmarshal(object.Body, &record)
+	for _, proxy := range run.plan.Proxies {
+		if proxy.Name == record.Holder {
+			return proxy
+		}
+	}
+	return run.plan.Proxies[0]
+}
+
 func (run *run) loseProxy() error {
-	victim := run.plan.Proxies[0]
-	run.say("Killing proxy %s under load.", victim.Name)
+	victim := run.keeper()
+	run.say("Killing proxy %s, the group's keeper, under load.", victim.Name)
 	killed := time.Now()
 	if err := run.fleet.kill(victim); err != nil {
 		return err
--- a/internal/fake/demo/settings.go
+++ b/internal/fake/demo/settings.go
@@ -4,68 +4,49 @@
 	"path/filepath"
 
 	"corianderspool.example/spool/internal/certs"
+	"corianderspool.example/spool/internal/config"
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// settings are the settings of one proxy, as its file holds them.
-type settings struct {
-	VM           spool.VM
-	Domain       spool.Domain
-	Caller       listener
-	Peer         listener
-	Operator     operator
-	Platform     platform
-	Backend      backend
-	Log          logging
-	DrainTimeout spool.Duration
-}
-
-type listener struct {
-	Address     string
-	Certificate string
-	PrivateKey  string
-	Authority   string `json:",omitempty"`
-}
-
-type operator struct {
-	Address string
-}
-
-type platform struct {
-	URL string
-}
+const passwordFile = "password"
 
-type backend struct {
-	User         string
-	PasswordFile string
-}
-
-type logging struct {
-	Level string
-}
-
-func (plan Plan) settings(dir string, proxy Process, operatorAddress string, files certs.Files) settings {
-	return settings{
+// settings returns the settings of one proxy; its files lie beside them.
+func (plan Plan) settings(proxy Process, operatorAddress string, files certs.Files) config.Settings {
+	certificate := filepath.Base(files.Certificate)
+	privateKey := filepath.Base(files.PrivateKey)
+	return config.Settings{
 		VM:     spool.VM(proxy.Name),
 		Domain: proxy.Domain,
-		Caller: listener{
+		Caller: config.Caller{
 			Address:     proxy.Address,
-			Certificate: files.Certificate,
-			PrivateKey:  files.PrivateKey,
+			Certificate: certificate,
+			PrivateKey:  privateKey,
 		},
-		Peer: listener{
+		Peer: config.Peer{
 			Address:     proxy.Control,
-			Certificate: files.Certificate,
-			PrivateKey:  files.PrivateKey,
-			Authority:   files.Authority,
+			Certificate: certificate,
+			PrivateKey:  privateKey,
+			Authority:   filepath.Base(files.Authority),
+			Seeds:       plan.seeds(proxy),
 		},
-		Operator: operator{Address: operatorAddress},
-		Platform: platform{URL: "http://" + plan.Platform},
-		Backend: backend{
+		Operator: config.Operator{Address: operatorAddress},
+		Platform: config.Platform{URL: "http://" + plan.Platform},
+		Backend: config.Backend{
 			User:         plan.BackendUser,
-			PasswordFile: filepath.Join(dir, "password"),
+			PasswordFile: passwordFile,
 		},
-		Log:          logging{Level: "info"},
+		Log:          config.Log{Level: config.DefaultLogLevel},
 		DrainTimeout: spool.Duration(drainTimeout),
 	}
 }
+
+// seeds returns the peer addresses of the other proxies.
+func (plan Plan) seeds(proxy Process) []string {
+	seeds := []string{}
+	for _, other := range plan.Proxies {
+		if other.Name != proxy.Name {
+			seeds = append(seeds, other.Control)
+		}
+	}
+	return seeds
+}
--- a/internal/fake/demo/withdraw.go
+++ b/internal/fake/demo/withdraw.go
@@ -8,6 +8,8 @@
 	"github.com/jackc/pgx/v5"
 )
 
+const holderInterval = 5 * time.Millisecond
+
 // withdraw withdraws a key from sessions on every living proxy and measures how long it goes on working.
 func (run *run) withdraw() error {
 	key := run.plan.Keys[1]
@@ -21,10 +23,10 @@
 		holders = append(holders, holder)
 	}
 	run.say("Withdrawing key %s while %d sessions use it.", key.Name, len(holders))
+	begin := time.Now()
 	if err := run.push(key.Name); err != nil {
 		return err
 	}
-	begin := time.Now()
 	group := sync.WaitGroup{}
 	for _, holder := range holders {
 		group.Go(func() { holder.persist(begin.Add(withdrawalTime)) })
@@ -49,7 +51,7 @@
 func (holder *holder) persist(till time.Time) {
 	for time.Now().Before(till) {
 		_ = holder.use()
-		time.Sleep(pollInterval)
+		time.Sleep(holderInterval)
 	}
 }
 
