--- a/internal/core/slots/queue.go
+++ b/internal/core/slots/queue.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"slices"
 	"time"
 
 	"corianderspool.example/spool/pkg/spool"
@@ -75,7 +76,7 @@
 		queue.start(index, team, now)
 		return Answer{Verdict: Granted, Server: index}
 	}
-	wait := queue.wait(team, item.Servers, team.waiting+1, now)
+	wait := queue.wait(team, item.Servers, queue.ahead(team, item.Servers), now)
 	if now.Add(wait) >= item.Deadline {
 		return Answer{Verdict: Refused, RetryAfter: queue.retryAfter(wait, item.Deadline, now)}
 	}
@@ -124,7 +125,9 @@
 			return true
 		}
 	}
-	return false
+	before := len(queue.overdue)
+	queue.overdue = slices.DeleteFunc(queue.overdue, func(refusal Refusal) bool { return refusal.ID == id })
+	return len(queue.overdue) < before
 }
 
 // Connect reserves one of a server's connections and reports whether the limit allows it.
--- a/internal/fake/demo/manifest.go
+++ b/internal/fake/demo/manifest.go
@@ -20,7 +20,7 @@
 	serverSlots       = 3
 	serverConnections = 20
 	routeTimeout      = 5 * time.Second
-	keyIterations     = spool.MinVerifierIterations
+	keyIterations     = 4096
 )
 
 // Manifest returns the configuration that the demo pushes; the named keys are withdrawn.
@@ -78,11 +78,10 @@
 	if err != nil {
 		return "", eris.Wrapf(err, "verifier of key %s", key.Name)
 	}
-	verifier := spool.Verifier{
+	return spool.Verifier{
 		Iterations: keyIterations,
 		Salt:       []byte(salt),
 		StoredKey:  stored.StoredKey,
 		ServerKey:  stored.ServerKey,
-	}
-	return verifier.String(), nil
+	}.String(), nil
 }
