--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -53,6 +53,9 @@
 	Reason terms.Reason
 }
 
+// DrainGroup tells that no new request may begin on the primary, while those that run may end.
+type DrainGroup struct{ Group spool.Group }
+
 // FenceGroup replaces the acknowledgement rule of a group.
 type FenceGroup struct {
 	Group spool.Group
@@ -137,6 +140,7 @@
 func (DropGroup) effect()     {}
 func (OpenGroup) effect()     {}
 func (CloseGroup) effect()    {}
+func (DrainGroup) effect()    {}
 func (FenceGroup) effect()    {}
 func (ProbeServer) effect()   {}
 func (PromoteServer) effect() {}
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -110,6 +110,8 @@
 	case terms.Open:
 		core.emit(OpenGroup{Group: group.name, Open: effect})
 		core.emit(Note{Topic: TopicTermOpened, Group: group.name, Term: effect.Term, Server: effect.Primary})
+	case terms.Drain:
+		core.emit(DrainGroup{Group: group.name})
 	case terms.Closed:
 		core.emit(CloseGroup{Group: group.name, Reason: effect.Reason})
 	case terms.Yield:
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -60,6 +60,10 @@
 		if kept, known := node.groups.get(effect.Group); known {
 			kept.Open(effect.Open)
 		}
+	case core.DrainGroup:
+		if kept, known := node.groups.get(effect.Group); known {
+			kept.Close()
+		}
 	case core.CloseGroup:
 		if kept, known := node.groups.get(effect.Group); known {
 			kept.Close()
