Cut requests that wait for a replaced primary

A frozen primary kept its callers waiting until it woke: 4.0 s gap on the keeper's own proxy. Opening a later term now closes the connections that count on an earlier one; their requests end as unknown at once. Ruled out: slot queue and relocation, which the remote proxies had passed. Tests of a leaving primary (no request refused or unknown) and of writes through a platform outage are new.

--- a/internal/keeper/group.go
+++ b/internal/keeper/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,7 @@
 	reset    chan struct{} // closed and replaced when another set of servers may answer
 	sequence uint64
 	running  int
+	links    map[*link]spool.Term // connections to a primary that carry a request, and the term that it counts on
 	closedAt spool.Instant
 	draining bool
 	dropped  bool
@@ -92,7 +94,7 @@
 	group := &Group{
 		name: spec.Name, timers: timers, dial: dial, observer: silent{}, patience: defaultPatience,
 		table: route.New(nil), queue: slots.New(),
-		waiters: map[uint64]chan verdict{}, changed: make(chan struct{}), reset: make(chan struct{}), idle: make(chan struct{}),
+		waiters: map[uint64]chan verdict{}, links: map[*link]spool.Term{}, changed: make(chan struct{}), reset: make(chan struct{}), idle: make(chan struct{}),
 		closedAt: timers.Now(),
 	}
 	for _, option := range options {
@@ -196,9 +198,19 @@
 	group.table.History = history
 	group.table.Open(open.Primary, route.Reign{Term: open.Term, Start: open.Start})
 	group.closedAt = 0
+	group.cut(open.Term)
 	group.restart()
 }
 
+// cut ends the requests that wait for the primary of an earlier term, whose answers nobody may pass on.
+func (group *Group) cut(term spool.Term) {
+	for link, counted := range group.links {
+		if counted < term {
+			link.Close()
+		}
+	}
+}
+
 // Close lets no request run on the primary until the next Open.
 func (group *Group) Close() {
 	group.mutex.Lock()
@@ -244,6 +256,7 @@
 	defer group.mutex.Unlock()
 	group.dropped = true
 	group.table.Close()
+	group.cut(math.MaxUint64)
 	for i := range group.pools {
 		group.pools[i].closeIdle(func() { group.queue.Disconnect(i) })
 	}
--- a/internal/keeper/lane.go
+++ b/internal/keeper/lane.go
@@ -83,6 +83,9 @@
 		link, refusal := lane.group.connect(ctx, taken.server)
 		if refusal == nil {
 			lane.place, lane.link = taken, link
+			if taken.primary {
+				lane.group.watch(link, taken.term)
+			}
 			return nil
 		}
 		lane.group.release(taken.server, lane.request.Team)
@@ -191,6 +194,7 @@
 func (lane *Lane) free(clean bool) {
 	link := lane.link
 	lane.link = nil
+	lane.group.unwatch(link)
 	lane.group.put(link, clean)
 	lane.group.release(lane.place.server, lane.request.Team)
 }
--- a/internal/keeper/pool.go
+++ b/internal/keeper/pool.go
@@ -66,6 +66,22 @@
 	return &link{Conn: conn, server: server}, nil
 }
 
+// watch has the connection cut when a term after the given one opens.
+func (group *Group) watch(link *link, term spool.Term) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.links[link] = term
+	if group.dropped || group.table.Reign.Term > term {
+		link.Close()
+	}
+}
+
+func (group *Group) unwatch(link *link) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	delete(group.links, link)
+}
+
 // put gives a connection back; one that cannot be reset is closed.
 func (group *Group) put(link *link, clean bool) {
 	if !clean && !link.Broken() {
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -12,12 +12,15 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"corianderspool.example/spool/internal/fake/objsrv"
+	"corianderspool.example/spool/internal/fake/regsrv"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
 	failoverTarget = 2 * time.Second
 	withdrawTarget = 4 * time.Second
+	leaveTarget    = 3 * time.Second
 )
 
 // writer writes unique keys through one proxy until it is stopped, connecting again when it is cut off.
@@ -187,3 +190,67 @@
 		writer.mutex.Unlock()
 	}
 }
+
+func TestLeavingPrimaryHandsOver(t *testing.T) {
+	fleet := newFleet(t, nil)
+	stop := make(chan struct{})
+	writers := []*writer{fleet.write(0, stop), fleet.write(1, stop), fleet.write(2, stop)}
+	time.Sleep(500 * time.Millisecond)
+	fleet.manifest.Groups[0].Servers[0].Leaving = true
+	fleet.push()
+	time.Sleep(leaveTarget)
+	before := fleet.servers[0].Seen()
+	reader := fleet.mustConnect(0)
+	for range 50 {
+		_, err := reader.Exec(context.Background(), "GET nothing")
+		fleet.c.Assert(err, qt.IsNil)
+	}
+	after := fleet.servers[0].Seen()
+	close(stop)
+	fleet.c.Check(after.PrimaryReads+after.ReplicaReads, qt.Equals, before.PrimaryReads+before.ReplicaReads)
+	primary := fleet.findPrimary()
+	fleet.c.Assert(primary, qt.Not(qt.Equals), 0)
+	fleet.check(primary, writers...)
+	for _, writer := range writers {
+		writer.mutex.Lock()
+		fleet.c.Check(writer.unknown, qt.Equals, 0)
+		fleet.c.Check(len(writer.refused), qt.Equals, 0)
+		writer.mutex.Unlock()
+	}
+}
+
+func TestWritesGoOnWhileThePlatformIsDown(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.platform.SetFaults(objsrv.Faults{DownFor: spool.Duration(time.Minute)})
+	stop := make(chan struct{})
+	writers := []*writer{fleet.write(0, stop), fleet.write(1, stop), fleet.write(2, stop)}
+	time.Sleep(5 * time.Second)
+	close(stop)
+	fleet.check(0, writers...)
+	for _, writer := range writers {
+		writer.mutex.Lock()
+		fleet.c.Check(len(writer.acked) > 100, qt.IsTrue)
+		fleet.c.Check(writer.unknown+len(writer.refused), qt.Equals, 0)
+		fleet.c.Check(writer.longest < failoverTarget, qt.IsTrue)
+		writer.mutex.Unlock()
+	}
+}
+
+func TestPrimaryFrozenUnderLoad(t *testing.T) {
+	fleet := newFleet(t, durable)
+	stop := make(chan struct{})
+	writers := []*writer{fleet.write(0, stop), fleet.write(1, stop), fleet.write(2, stop)}
+	time.Sleep(500 * time.Millisecond)
+	frozen := spool.Duration(4 * time.Second)
+	fleet.servers[0].Control(regsrv.Control{FrozenFor: &frozen})
+	time.Sleep(6 * time.Second)
+	close(stop)
+	primary := fleet.findPrimary()
+	fleet.c.Assert(primary, qt.Not(qt.Equals), 0)
+	fleet.check(primary, writers...)
+	for _, writer := range writers {
+		writer.mutex.Lock()
+		fleet.c.Check(writer.longest < failoverTarget, qt.IsTrue, qt.Commentf("gap %v", writer.longest))
+		writer.mutex.Unlock()
+	}
+}
