--- /dev/null
+++ b/internal/node/isolation_test.go
@@ -0,0 +1,190 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+
+	"corianderspool.example/spool/internal/fake/regsrv"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// TestTransactionsNeverMix runs more transactions than there are connections and compares the servers' log with them.
+func TestTransactionsNeverMix(t *testing.T) {
+	fleet := newFleet(t, nil)
+	const workers, rounds, steps = 24, 15, 3
+	var running sync.WaitGroup
+	for worker := range workers {
+		conn := fleet.mustConnect(worker % 3)
+		running.Go(func() {
+			for round := range rounds {
+				fleet.transact(conn, fmt.Sprintf("t%d-%d", worker, round), steps, round%4 != 3)
+			}
+		})
+	}
+	running.Wait()
+	tags := map[string]string{}
+	counts := map[string]int{}
+	for _, applied := range fleet.servers[0].Log() {
+		transaction := fmt.Sprint(applied.Transaction)
+		tag, known := tags[transaction]
+		if known {
+			fleet.c.Check(applied.Key, qt.Equals, tag, qt.Commentf("transaction %s", transaction))
+		}
+		tags[transaction] = applied.Key
+		counts[applied.Key]++
+	}
+	for worker := range workers {
+		for round := range rounds {
+			expected := steps
+			if round%4 == 3 {
+				expected = 0
+			}
+			fleet.c.Check(counts[fmt.Sprintf("t%d-%d", worker, round)], qt.Equals, expected)
+		}
+	}
+}
+
+func (fleet *fleet) transact(conn *pgx.Conn, tag string, steps int, commit bool) {
+	ctx := context.Background()
+	transaction, err := conn.Begin(ctx)
+	fleet.c.Check(err, qt.IsNil)
+	if err != nil {
+		return
+	}
+	for step := range steps {
+		_, err := transaction.Exec(ctx, "APPEND $1 $2", tag, fmt.Sprint(step))
+		fleet.c.Check(err, qt.IsNil)
+	}
+	if commit {
+		fleet.c.Check(transaction.Commit(ctx), qt.IsNil)
+		return
+	}
+	fleet.c.Check(transaction.Rollback(ctx), qt.IsNil)
+}
+
+// TestCallerVanishesInMidTransaction expects nothing of an unfinished transaction, and its connection to serve on.
+func TestCallerVanishesInMidTransaction(t *testing.T) {
+	fleet := newFleet(t, nil)
+	ctx := context.Background()
+	for i := range 12 {
+		conn := fleet.mustConnect(i % 3)
+		_, err := conn.Exec(ctx, "BEGIN")
+		fleet.c.Assert(err, qt.IsNil)
+		_, err = conn.Exec(ctx, "PUT $1 half", fmt.Sprintf("v%d", i))
+		fleet.c.Assert(err, qt.IsNil)
+		fleet.c.Assert(conn.PgConn().Conn().Close(), qt.IsNil)
+	}
+	conn := fleet.mustConnect(0)
+	for i := range 12 {
+		_, err := conn.Exec(ctx, "PUT $1 whole", fmt.Sprintf("v%d", i))
+		fleet.c.Assert(err, qt.IsNil)
+		value, err := get(conn, fmt.Sprintf("v%d", i))
+		fleet.c.Assert(err, qt.IsNil)
+		fleet.c.Assert(value, qt.Equals, "whole")
+	}
+}
+
+// TestServersNeverSeeACallersKey searches what the servers recorded for the callers' name and secret.
+func TestServersNeverSeeACallersKey(t *testing.T) {
+	fleet := newFleet(t, nil)
+	for i := range fleet.proxies {
+		conn := fleet.mustConnect(i)
+		_, err := conn.Exec(context.Background(), "PUT $1 value", fmt.Sprintf("k%d", i))
+		fleet.c.Assert(err, qt.IsNil)
+	}
+	for _, server := range fleet.servers {
+		seen := server.Seen()
+		fleet.c.Assert(len(seen.Logins) > 0, qt.IsTrue)
+		for _, login := range seen.Logins {
+			fleet.c.Check(login.User, qt.Equals, "spool")
+		}
+		text := fmt.Sprintf("%+v", seen)
+		for _, hidden := range []string{keyName, secret} {
+			fleet.c.Check(strings.Contains(text, hidden), qt.IsFalse, qt.Commentf("%s", hidden))
+		}
+	}
+}
+
+// TestOnlyTheTeamsKeyOpensARoute tries keys of other teams, wrong secrets and no key.
+func TestOnlyTheTeamsKeyOpensARoute(t *testing.T) {
+	fleet := newFleet(t, func(manifest *spool.Manifest) {
+		other := manifest.Keys[0]
+		other.Name, other.Team = "kyushu.other", "kyushu.dispatch"
+		manifest.Teams = append(manifest.Teams, spool.TeamSpec{Name: other.Team, RatePerSecond: 10, Burst: 10})
+		manifest.Keys = append(manifest.Keys, other)
+		open := manifest.Routes[0]
+		open.Name, open.Open, open.Teams = "kyushu.open", true, []spool.Team{other.Team}
+		manifest.Routes = append(manifest.Routes, open)
+	})
+	try := func(user, password, route string) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		address := fleet.proxies[1].settings.Caller.Address
+		conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", user, password, address, route))
+		if err != nil {
+			return err
+		}
+		defer func() { _ = conn.Close(ctx) }()
+		_, err = conn.Exec(ctx, "GET nothing")
+		return err
+	}
+	fleet.c.Check(try(keyName, secret, routeName), qt.IsNil)
+	fleet.c.Check(try("anybody", "none", "kyushu.open"), qt.IsNil)
+	fleet.c.Check(try("kyushu.other", secret, routeName), qt.ErrorMatches, `(?s).*28000.*`)
+	fleet.c.Check(try(keyName, "wrong", routeName), qt.ErrorMatches, `(?s).*28P01.*`)
+	fleet.c.Check(try("kyushu.nobody", secret, routeName), qt.ErrorMatches, `(?s).*28P01.*`)
+	fleet.c.Check(try(keyName, secret, "kyushu.nowhere"), qt.ErrorMatches, `(?s).*3D000.*`)
+}
+
+// TestAnswersBelongToTheirRequests gives up requests whose answers come late and expects later ones to get their own.
+func TestAnswersBelongToTheirRequests(t *testing.T) {
+	fleet := newFleet(t, nil)
+	setup := fleet.mustConnect(0)
+	for i := range 50 {
+		_, err := setup.Exec(context.Background(), "PUT $1 $2", fmt.Sprintf("a%d", i), fmt.Sprintf("value%d", i))
+		fleet.c.Assert(err, qt.IsNil)
+	}
+	work := spool.Duration(2 * time.Millisecond)
+	for _, server := range fleet.servers {
+		server.Control(regsrv.Control{WorkTime: &work})
+	}
+	var running sync.WaitGroup
+	for worker := range 12 {
+		running.Go(func() { fleet.askAndGiveUp(worker) })
+	}
+	running.Wait()
+}
+
+func (fleet *fleet) askAndGiveUp(worker int) {
+	for round := range 10 {
+		conn, err := fleet.connect(worker % 3)
+		fleet.c.Check(err, qt.IsNil)
+		if err != nil {
+			return
+		}
+		for i := range 4 {
+			key := (worker*31 + round*7 + i) % 50
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+key%5)*time.Millisecond)
+			if i < 3 {
+				cancel()
+				ctx, cancel = context.WithTimeout(context.Background(), 5*time.Second)
+			}
+			var value string
+			err := conn.QueryRow(ctx, "GET $1", fmt.Sprintf("a%d", key)).Scan(&value)
+			cancel()
+			if err == nil {
+				fleet.c.Check(value, qt.Equals, fmt.Sprintf("value%d", key))
+			} else {
+				fleet.c.Check(i, qt.Equals, 3, qt.Commentf("%v", err))
+			}
+		}
+		_ = conn.Close(context.Background())
+	}
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -25,7 +25,7 @@
 	shortestBackoff  = 50 * time.Millisecond
 	longestBackoff   = 1 * time.Second
 	queueLength      = 512 // envelopes
-	maxEnvelope      = 16 << 20
+	maxEnvelope      = 20 << 20
 	streamWindow     = 1 << 20
 )
 
