--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -119,7 +119,7 @@
 			object.Kind, object.Name = effect.Kind, effect.Name
 			return core.ObjectRead{Object: object}
 		}
-		vm.call(read, core.ObjectFailed{Kind: effect.Kind, Name: effect.Name})
+		vm.call(read, core.ObjectFailed(effect))
 	case core.WriteObject:
 		vm.call(func() core.Event { return vm.write(effect) }, core.ObjectWritten{
 			Object: effect.Object, Nonce: effect.Nonce, Result: core.Uncertain,
--- a/internal/node/session_test.go
+++ b/internal/node/session_test.go
@@ -55,7 +55,6 @@
 	random  *rand.Rand
 	token   string
 	history []porcupine.Operation
-	lost    int
 }
 
 func (roamer *roamer) run(stop <-chan struct{}) {
