Show slow requests in the demo

The demo's summary hid that a few requests waited for their whole 5 s timeout; it now counts those over a second and shows the slowest.

--- a/internal/fake/demo/ledger.go
+++ b/internal/fake/demo/ledger.go
@@ -13,6 +13,7 @@
 const (
 	notRunDetail     = "The statement was not run."
 	codeDuplicateKey = "23505"
+	slowRequest      = time.Second
 )
 
 // Outcome is what a caller learned of its request.
@@ -69,6 +70,8 @@
 	repeated int // reads that showed a value more than once
 	mixed    int // reads that showed what another request wrote
 	lost     int // sessions that were told of a lost write
+	slow     int // requests slower than slowRequest
+	slowest  time.Duration
 	problems map[string]int
 }
 
@@ -76,10 +79,16 @@
 	return &ledger{counts: map[Outcome]int{}, problems: map[string]int{}}
 }
 
-func (ledger *ledger) request(err error) Outcome {
+// request counts a request that began at an instant and returns its outcome.
+func (ledger *ledger) request(begun time.Time, err error) Outcome {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	outcome := classify(err)
+	took := time.Since(begun)
+	ledger.slowest = max(ledger.slowest, took)
+	if took > slowRequest {
+		ledger.slow++
+	}
 	ledger.counts[outcome]++
 	if err != nil {
 		ledger.problems[describe(err)]++
--- a/internal/fake/demo/run.go
+++ b/internal/fake/demo/run.go
@@ -298,6 +298,8 @@
 
 func (run *run) summarize(applied int) {
 	run.say("Compared %d writes with the %d values in the primary's log.", len(run.ledger.writes), applied)
+	run.say("%d requests took longer than %s, the slowest %d ms.",
+		run.ledger.slow, slowRequest, run.ledger.slowest.Milliseconds())
 	if run.ledger.lost > 0 {
 		run.say("%d sessions were told that what they had seen was lost.", run.ledger.lost)
 	}
--- a/internal/fake/demo/worker.go
+++ b/internal/fake/demo/worker.go
@@ -135,6 +135,7 @@
 		Key:    fmt.Sprintf("family-%d-%d", worker.id, number),
 		Values: []string{fmt.Sprintf("renewal-%d-%d", worker.id, number)},
 	}
+	begun := time.Now()
 	var err error
 	switch worker.random.IntN(3) {
 	case 0:
@@ -145,7 +146,7 @@
 		write.Values = append(write.Values, write.Values[0]+"-second")
 		err = worker.transaction(ctx, write)
 	}
-	write.Outcome = worker.ledger.request(err)
+	write.Outcome = worker.ledger.request(begun, err)
 	worker.ledger.write(write)
 	if write.Outcome == Answered {
 		worker.own = append(worker.own, write)
@@ -171,6 +172,7 @@
 	if worker.random.IntN(2) == 0 {
 		write = worker.own[worker.random.IntN(len(worker.own))]
 	}
+	begun := time.Now()
 	rows, err := worker.connection.Query(ctx, "LIST $1", write.Key)
 	if err == nil {
 		var values []string
@@ -179,7 +181,7 @@
 			worker.ledger.read(write, values)
 		}
 	}
-	worker.ledger.request(err)
+	worker.ledger.request(begun, err)
 	return err
 }
 
