Push the demo's manifest by the product's own command

The script runs corianderspool push in place of the driver, so that the demo covers the command. The sessions that hold the withdrawn key now use it before, during and after the push: starting them afterwards had reported 0 ms.

--- a/internal/fake/demo/plan.go
+++ b/internal/fake/demo/plan.go
@@ -47,7 +47,7 @@
 	Secret string
 }
 
-// Prepare writes certificates, settings, the list of VMs and addresses into a directory.
+// Prepare writes certificates, settings, the manifest, the list of VMs and addresses into a directory.
 func Prepare(dir string) error {
 	plan, operators, err := newPlan()
 	if err != nil {
@@ -56,9 +56,14 @@
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return eris.Wrap(err, "making the directory")
 	}
+	manifest, err := plan.Manifest()
+	if err != nil {
+		return err
+	}
 	files := map[string]any{
-		planFile:       plan,
-		"members.json": plan.members(),
+		planFile:        plan,
+		"manifest.json": manifest,
+		"members.json":  plan.members(),
 	}
 	issuer, err := certs.NewIssuer(certificateAge)
 	if err != nil {
--- a/internal/fake/demo/run.go
+++ b/internal/fake/demo/run.go
@@ -1,10 +1,8 @@
 package demo
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -32,12 +30,11 @@
 
 // run is one run of the demo.
 type run struct {
-	plan    Plan
-	fleet   *fleet
-	ledger  *ledger
-	client  *objapi.Client
-	version spool.Version
-	out     io.Writer
+	plan   Plan
+	fleet  *fleet
+	ledger *ledger
+	client *objapi.Client
+	out    io.Writer
 
 	verdict          verdict
 	report           Report
@@ -80,12 +77,8 @@
 	_, _ = fmt.Fprintf(run.out, format+"\n", arguments...)
 }
 
-// start pushes the manifest and waits until every proxy serves.
+// start waits until every proxy serves.
 func (run *run) start() error {
-	run.say("Pushing the manifest of partner %s.", partner)
-	if err := run.push(); err != nil {
-		return err
-	}
 	for _, proxy := range run.plan.Proxies {
 		if err := run.awaitProxy(proxy); err != nil {
 			return err
@@ -95,41 +88,6 @@
 	return nil
 }
 
-// push writes the manifest with the keys withdrawn, trying again while the platform starts.
-func (run *run) push(withdrawn ...string) error {
-	manifest, err := run.plan.Manifest(withdrawn...)
-	if err != nil {
-		return err
-	}
-	body, err := json.Marshal(manifest)
-	if err != nil {
-		return eris.Wrap(err, "encoding the manifest")
-	}
-	object := spool.Object{Kind: spool.KindManifest, Name: partner, Version: run.version, Body: body}
-	for deadline := time.Now().Add(readyTimeout); ; time.Sleep(pollInterval) {
-		stored, err := run.client.Put(context.Background(), object)
-		if errors.Is(err, spool.ErrConflict) {
-			stored, err = run.reread(object)
-		}
-		if err == nil {
-			run.version = stored.Version
-			return nil
-		}
-		if time.Now().After(deadline) {
-			return eris.Wrap(err, "pushing the manifest")
-		}
-	}
-}
-
-// reread returns the stored object if it is what an earlier try wrote, else ErrConflict.
-func (run *run) reread(object spool.Object) (spool.Object, error) {
-	stored, err := run.client.Get(context.Background(), object.Kind, object.Name)
-	if err == nil && !bytes.Equal(stored.Body, object.Body) {
-		return stored, spool.ErrConflict
-	}
-	return stored, err
-}
-
 func (run *run) awaitProxy(proxy Process) error {
 	for deadline := time.Now().Add(readyTimeout); ; time.Sleep(pollInterval) {
 		err := probe(proxy, run.plan.Keys[0])
--- a/internal/fake/demo/withdraw.go
+++ b/internal/fake/demo/withdraw.go
@@ -1,11 +1,16 @@
 package demo
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/rotisserie/eris"
+
+	"corianderspool.example/spool/pkg/spool"
 )
 
 const holderInterval = 5 * time.Millisecond
@@ -22,16 +27,22 @@
 		}
 		holders = append(holders, holder)
 	}
-	run.say("Withdrawing key %s while %d sessions use it.", key.Name, len(holders))
-	begin := time.Now()
-	if err := run.push(key.Name); err != nil {
-		return err
-	}
+	ctx, stop := context.WithCancel(context.Background())
 	group := sync.WaitGroup{}
 	for _, holder := range holders {
-		group.Go(func() { holder.persist(begin.Add(withdrawalTime)) })
+		group.Go(func() { holder.persist(ctx) })
+	}
+	run.say("Withdrawing key %s while %d sessions use it.", key.Name, len(holders))
+	begin := time.Now()
+	err := run.push(key.Name)
+	if err == nil {
+		time.Sleep(withdrawalTime)
 	}
+	stop()
 	group.Wait()
+	if err != nil {
+		return err
+	}
 	for _, holder := range holders {
 		run.withdrawal = max(run.withdrawal, holder.last.Sub(begin))
 	}
@@ -39,6 +50,36 @@
 	return nil
 }
 
+// push replaces the manifest by one with the key withdrawn, trying again until the platform answers.
+func (run *run) push(withdrawn string) error {
+	manifest, err := run.plan.Manifest(withdrawn)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(manifest)
+	if err != nil {
+		return eris.Wrap(err, "encoding the manifest")
+	}
+	for deadline := time.Now().Add(readyTimeout); ; time.Sleep(pollInterval) {
+		err := run.replace(body)
+		if err == nil || time.Now().After(deadline) {
+			return eris.Wrap(err, "pushing the manifest")
+		}
+	}
+}
+
+// replace writes the manifest's body unless it is stored already.
+func (run *run) replace(body []byte) error {
+	ctx := context.Background()
+	stored, err := run.client.Get(ctx, spool.KindManifest, partner)
+	if err != nil || bytes.Equal(stored.Body, body) {
+		return err
+	}
+	stored.Body = body
+	_, err = run.client.Put(ctx, stored)
+	return err
+}
+
 // holder is a session that goes on trying to use a key.
 type holder struct {
 	key        Key
@@ -47,11 +88,11 @@
 	last       time.Time // of the last answer
 }
 
-// persist uses the key until an instant, connecting anew when the session is ended.
-func (holder *holder) persist(till time.Time) {
-	for time.Now().Before(till) {
+// persist uses the key until the context ends, connecting anew when the session is ended.
+func (holder *holder) persist(ctx context.Context) {
+	for ctx.Err() == nil {
 		_ = holder.use()
-		time.Sleep(holderInterval)
+		pause(ctx, holderInterval)
 	}
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -49,7 +49,23 @@
 	--password-file "$dir/password" --connect-delay 10ms --lag 20ms --primary "$S1_ADDRESS"
 start s3 bin/regsrv --address "$S3_ADDRESS" --control "$S3_CONTROL" --user "$BACKEND_USER" \
 	--password-file "$dir/password" --connect-delay 10ms --lag 20ms --primary "$S1_ADDRESS"
+# push sends the manifest, trying again while the platform starts.
+push() {
+	tries=0
+	until bin/corianderspool push "$dir/manifest.json" --platform "http://$PLATFORM" --actor demo >"$dir/push.log" 2>&1; do
+		tries=$((tries + 1))
+		if [ "$tries" -ge 50 ]; then
+			echo "the manifest was not accepted" >&2
+			return 1
+		fi
+		sleep 0.1
+	done
+	cat "$dir/push.log"
+}
+
 for vm in vm1 vm2 vm3; do
 	start "$vm" bin/corianderspool serve --settings "$dir/$vm.json"
 done
+echo "Pushing the manifest."
+push
 bin/demo run --dir "$dir"
