Tell a lost write from a stale read in the demo

A session that was told of a lost write went on reading it, and each such read counted as stale. Those reads are now judged by the final log: stale if the log holds the write, else part of the loss. Reads that lack a write before the session was told still count, as a loss must not be hidden.

--- a/internal/fake/demo/demo_test.go
+++ b/internal/fake/demo/demo_test.go
@@ -127,6 +127,21 @@
 	c.Assert([]int{ledger.stale, ledger.mixed, ledger.repeated}, qt.DeepEquals, []int{1, 1, 1})
 }
 
+func TestReadsAfterTheNewsOfALossAreJudgedByTheLog(t *testing.T) {
+	c := qt.New(t)
+	ledger := newLedger()
+	ledger.read(Write{Key: "lost", Values: []string{"a"}, Told: true}, nil)
+	ledger.read(Write{Key: "kept", Values: []string{"a"}, Told: true}, nil)
+	ledger.read(Write{Key: "kept", Values: []string{"a"}, Told: true}, nil)
+	c.Assert(ledger.stale, qt.Equals, 0)
+	ledger.settle([]regsrv.Applied{applied(1, "kept", "a")})
+	c.Assert(ledger.stale, qt.Equals, 2)
+	hidden := newLedger()
+	hidden.read(Write{Key: "lost", Values: []string{"a"}}, nil)
+	hidden.settle(nil)
+	c.Assert(hidden.stale, qt.Equals, 1)
+}
+
 func TestGapIsTheLongestTimeWithoutAnAcknowledgement(t *testing.T) {
 	c := qt.New(t)
 	ledger := newLedger()
--- a/internal/fake/demo/ledger.go
+++ b/internal/fake/demo/ledger.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"corianderspool.example/spool/internal/fake/regsrv"
 	"corianderspool.example/spool/pkg/spool"
 	"github.com/jackc/pgx/v5/pgconn"
 )
@@ -58,6 +59,7 @@
 	Key     string
 	Values  []string // more than one when they were written in a transaction
 	Outcome Outcome
+	Told    bool // the session was told that something it has seen is lost
 }
 
 // ledger keeps what the callers were told.
@@ -67,16 +69,17 @@
 	writes   []Write
 	acks     []time.Time // of acknowledged writes
 	stale    int
-	repeated int // reads that showed a value more than once
-	mixed    int // reads that showed what another request wrote
-	lost     int // sessions that were told of a lost write
-	slow     int // requests slower than slowRequest
+	missing  map[string]int // reads that lacked a write after the session was told of a loss, by key
+	repeated int            // reads that showed a value more than once
+	mixed    int            // reads that showed what another request wrote
+	lost     int            // sessions that were told of a lost write
+	slow     int            // requests slower than slowRequest
 	slowest  time.Duration
 	problems map[string]int
 }
 
 func newLedger() *ledger {
-	return &ledger{counts: map[Outcome]int{}, problems: map[string]int{}}
+	return &ledger{counts: map[Outcome]int{}, missing: map[string]int{}, problems: map[string]int{}}
 }
 
 // request counts a request that began at an instant and returns its outcome.
@@ -120,6 +123,8 @@
 	}
 	switch {
 	case slices.Equal(values, write.Values):
+	case len(values) < len(write.Values) && write.Told:
+		ledger.missing[write.Key]++
 	case len(values) < len(write.Values):
 		ledger.stale++
 	default:
@@ -127,6 +132,16 @@
 	}
 }
 
+// settle counts reads that lacked a write as stale if the write is in the log, so that it was not lost.
+func (ledger *ledger) settle(log []regsrv.Applied) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	for _, applied := range log {
+		ledger.stale += ledger.missing[applied.Key]
+		delete(ledger.missing, applied.Key)
+	}
+}
+
 // gap returns the longest time without an acknowledged write that overlaps the span.
 func (ledger *ledger) gap(from, till time.Time) time.Duration {
 	ledger.mutex.Lock()
--- a/internal/fake/demo/run.go
+++ b/internal/fake/demo/run.go
@@ -237,6 +237,7 @@
 		run.checkLogins(server)
 	}
 	run.verdict = judge(run.ledger.writes, log)
+	run.ledger.settle(log)
 	run.fill()
 	run.summarize(len(log))
 	broken := run.broken()
--- a/internal/fake/demo/worker.go
+++ b/internal/fake/demo/worker.go
@@ -117,8 +117,7 @@
 		worker.token = token
 	}
 	if lostWrite(err) {
-		worker.token = ""
-		worker.hangUp()
+		worker.forget()
 		return false
 	}
 	if worker.connection.IsClosed() {
@@ -185,6 +184,15 @@
 	return err
 }
 
+// forget drops the token of a session that was told of a lost write.
+func (worker *worker) forget() {
+	worker.token = ""
+	worker.hangUp()
+	for i := range worker.own {
+		worker.own[i].Told = true
+	}
+}
+
 func (worker *worker) hangUp() {
 	if worker.connection == nil {
 		return
