--- a/internal/fake/demo/worker.go
+++ b/internal/fake/demo/worker.go
@@ -117,8 +117,7 @@
 		worker.token = token
 	}
 	if lostWrite(err) {
-		worker.token = ""
-		worker.hangUp()
+		worker.forget()
 		return false
 	}
 	if worker.connection.IsClosed() {
@@ -135,6 +134,7 @@
 		Key:    fmt.Sprintf("family-%d-%d", worker.id, number),
 		Values: []string{fmt.Sprintf("renewal-%d-%d", worker.id, number)},
 	}
+	begun := time.Now()
 	var err error
 	switch worker.random.IntN(3) {
 	case 0:
@@ -145,7 +145,7 @@
 		write.Values = append(write.Values, write.Values[0]+"-second")
 		err = worker.transaction(ctx, write)
 	}
-	write.Outcome = worker.ledger.request(err)
+	write.Outcome = worker.ledger.request(begun, err)
 	worker.ledger.write(write)
 	if write.Outcome == Answered {
 		worker.own = append(worker.own, write)
@@ -171,6 +171,7 @@
 	if worker.random.IntN(2) == 0 {
 		write = worker.own[worker.random.IntN(len(worker.own))]
 	}
+	begun := time.Now()
 	rows, err := worker.connection.Query(ctx, "LIST $1", write.Key)
 	if err == nil {
 		var values []string
@@ -179,10 +180,19 @@
 			worker.ledger.read(write, values)
 		}
 	}
-	worker.ledger.request(err)
+	worker.ledger.request(begun, err)
 	return err
 }
 
+// forget drops the token of a session that was told of a lost write.
+func (worker *worker) forget() {
+	worker.token = ""
+	worker.hangUp()
+	for i := range worker.own {
+		worker.own[i].Told = true
+	}
+}
+
 func (worker *worker) hangUp() {
 	if worker.connection == nil {
 		return
