--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -35,6 +35,12 @@
 	return err
 }
 
+// cancel asks the keeper to cancel the running cycle and bounds the wait for its answer.
+func (stream *stream) cancel() {
+	_ = stream.SetReadDeadline(time.Now().Add(cancelWait))
+	_ = stream.send(&wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{}}})
+}
+
 // streams are the idle streams to other proxies.
 type streams struct {
 	mutex sync.Mutex
@@ -92,7 +98,7 @@
 	}
 	forward.node.waits.add(lease.GroupRole(forward.group), forward.stream)
 	defer forward.node.waits.remove(lease.GroupRole(forward.group), forward.stream)
-	stop := context.AfterFunc(ctx, forward.cancel)
+	stop := context.AfterFunc(ctx, forward.stream.cancel)
 	result, err := forward.receive(sentAt, sink)
 	forward.clean = stop() && forward.clean
 	return result, err
@@ -196,11 +202,6 @@
 	return result, nil
 }
 
-func (forward *forward) cancel() {
-	_ = forward.stream.SetReadDeadline(time.Now().Add(cancelWait))
-	_ = forward.stream.send(&wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{}}})
-}
-
 // lost says that the keeper's answer did not come.
 func (forward *forward) lost(err error) (spool.Result, error) {
 	return spool.Result{TxStatus: 'I', Sent: true}, &spool.Refusal{
