Wait for no status of the primary that a majority does not reach

The terms tests run the roster's changes too, and only the holder of the lease polls the servers, as connections are scarce.

--- a/internal/core/terms/choose.go
+++ b/internal/core/terms/choose.go
@@ -38,7 +38,7 @@
 
 // choose promotes the most advanced server once all that answer have answered.
 func (keeper *Keeper) choose(now spool.Instant) {
-	if !keeper.servers.heard(keeper.sealedAt) && now.Sub(keeper.sealedAt) < keeper.config.Fresh {
+	if !keeper.servers.heard(keeper.sealedAt, keeper.doubted) && now.Sub(keeper.sealedAt) < keeper.config.Fresh {
 		return
 	}
 	status, ok := keeper.candidate(now)
--- a/internal/core/terms/fakes_test.go
+++ b/internal/core/terms/fakes_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 	"google.golang.org/protobuf/proto"
@@ -59,6 +60,7 @@
 // fakePlatform holds the group's record.
 type fakePlatform struct {
 	record *wire.TermRecord
+	roster lease.Roster
 	down   bool
 	loses  bool // every third answer of a conditional update, after it took effect
 	writes int
@@ -87,6 +89,13 @@
 	return WriteDone, spool.Version(record.Version)
 }
 
+func (platform *fakePlatform) writeRoster(write lease.WriteRoster) {
+	if write.Expected == platform.roster.Version {
+		platform.roster = write.Roster
+		platform.roster.Version = write.Expected + 1
+	}
+}
+
 // acknowledged is a write that a caller knows to be done.
 type acknowledged struct {
 	number int
--- a/internal/core/terms/gap_test.go
+++ b/internal/core/terms/gap_test.go
@@ -33,13 +33,18 @@
 	{name: "keeper frozen, platform down", strike: freezeInOutage, platform: 4 * time.Millisecond},
 }
 
-func killPrimary(world *world)  { world.servers[0].dead = true }
-func freezeKeeper(world *world) { world.proxies[0].paused = true }
-func cutDomain(world *world)    { world.isolated["d0"] = true }
+func killPrimary(world *world) { world.servers[0].dead = true }
+func cutDomain(world *world)   { world.isolated["d0"] = true }
+
+func freezeKeeper(world *world) {
+	for _, proxy := range world.proxies {
+		proxy.paused = proxy.keeper.OpenTerm() != 0
+	}
+}
 
 func killBoth(world *world) {
-	killPrimary(world)
 	freezeKeeper(world)
+	killPrimary(world)
 }
 
 func freezeInOutage(world *world) {
@@ -70,12 +75,13 @@
 	world.platform.delay = test.platform
 	test.strike(world)
 	struck := world.clock.Now()
-	world.clock.Advance(4 * time.Second)
+	world.clock.Advance(5 * time.Second / 2)
 	qt.Assert(t, world.violations, qt.HasLen, 0)
 	qt.Assert(t, world.highest > 1, qt.Equals, test.newTerm)
 	var last, first spool.Instant
+	longest := world.longestGap(struck.Add(-50 * time.Millisecond))
 	for i, ack := range world.acks {
-		if i > 0 && ack.at.Sub(world.acks[i-1].at) == world.longestGap(struck.Add(-50*time.Millisecond)) {
+		if i > 0 && ack.at.Sub(world.acks[i-1].at) == longest {
 			last, first = world.acks[i-1].at, ack.at
 		}
 	}
--- a/internal/core/terms/keeper.go
+++ b/internal/core/terms/keeper.go
@@ -34,6 +34,7 @@
 	checkedAt spool.Instant // statuses asked for since then must show the recorded primary
 	lastAt    spool.Instant
 	wokenAt   spool.Instant // end of the last pause of this proxy
+	doubted   spool.Server  // the primary that a majority did not reach, whose status is not waited for
 	noted     bool          // NoCandidate was noted since sealedAt
 
 	servers   servers
@@ -153,6 +154,8 @@
 	keeper.record = lease.NewestRecord(keeper.record, record)
 	keeper.gainedAt = now
 	keeper.sealedAt = now
+	keeper.doubted = ""
+	keeper.servers.forgetRefusals()
 	keeper.store.restart()
 	keeper.note(ReasonLeaseGained)
 	keeper.emit(Poll{})
@@ -185,6 +188,10 @@
 	keeper.sealedAt = now
 	keeper.checkedAt = now
 	keeper.noted = false
+	keeper.doubted = ""
+	if reason == ReasonConfirmed {
+		keeper.doubted = spool.Server(keeper.record.Primary)
+	}
 	keeper.emit(Poll{})
 }
 
@@ -211,7 +218,7 @@
 	if !keeper.store.absent || keeper.store.pending != nil {
 		return
 	}
-	if !keeper.servers.heard(keeper.gainedAt) && now.Sub(keeper.gainedAt) < keeper.config.SuspectAfter {
+	if !keeper.servers.heard(keeper.gainedAt, "") && now.Sub(keeper.gainedAt) < keeper.config.SuspectAfter {
 		return
 	}
 	primary, ok := keeper.servers.highestPrimary(now, keeper.config.Fresh)
--- a/internal/core/terms/server.go
+++ b/internal/core/terms/server.go
@@ -66,6 +66,12 @@
 	}
 }
 
+func (servers servers) forgetRefusals() {
+	for _, view := range servers {
+		view.refusals = 0
+	}
+}
+
 // names returns the servers' names in a stable order.
 func (servers servers) names() []spool.Server {
 	names := make([]spool.Server, 0, len(servers))
@@ -76,10 +82,10 @@
 	return names
 }
 
-// heard tells whether every server answered or failed a poll that was sent since the instant.
-func (servers servers) heard(since spool.Instant) bool {
-	for _, view := range servers {
-		if !view.heardSince(since) {
+// heard tells whether every server but one answered or failed a poll that was sent since the instant.
+func (servers servers) heard(since spool.Instant, except spool.Server) bool {
+	for name, view := range servers {
+		if name != except && !view.heardSince(since) {
 			return false
 		}
 	}
--- a/internal/core/terms/shell_test.go
+++ b/internal/core/terms/shell_test.go
@@ -54,24 +54,56 @@
 	}
 }
 
-// readPlatform tells the witness of the roster and the term as the platform has them.
-func (world *world) readPlatform(proxy *proxy) {
-	world.read(proxy, func(record *wire.TermRecord) {
+// gossip tells the proxy of the roster and the term as the platform has them, and others of the roster it has seen.
+func (world *world) gossip(proxy *proxy) {
+	world.read(proxy, func(record *wire.TermRecord, roster lease.Roster) {
+		now := world.clock.Now()
 		proxy.witness.Learn(record)
-		proxy.witness.Confirm(world.roster, true)
-		proxy.holder.SetRoster(world.roster, world.clock.Now())
+		proxy.witness.Confirm(roster, true)
+		proxy.holder.SetRoster(roster, now)
+		world.handle(proxy, RosterChanged{Members: roster.Members, Domains: world.domains()})
+		world.act(proxy, proxy.changer.Observe(roster, now))
 	}, func() {})
+	var alive []spool.Member
+	for _, other := range world.proxies {
+		delay, ok := world.travel(proxy.domain, other.domain, proxy.vm, other.vm)
+		if other.paused || (!ok && other != proxy) {
+			continue
+		}
+		alive = append(alive, spool.Member{VM: other.vm, Domain: other.domain})
+		seen := proxy.witness.Seen()
+		world.arrive(other, delay, func() {
+			world.act(other, other.changer.Seen(proxy.vm, seen, world.clock.Now()))
+		})
+	}
+	proxy.changer.SetMembers(alive, world.clock.Now())
+}
+
+// act carries out a changer's actions; it is never told that a write was done.
+func (world *world) act(proxy *proxy, actions []lease.Action) {
+	for _, action := range actions {
+		if write, ok := action.(lease.WriteRoster); ok && world.reachesPlatform(proxy) {
+			world.platform.writeRoster(write)
+		}
+		world.arrive(proxy, world.platform.delay, func() {
+			world.act(proxy, proxy.changer.Failed(world.clock.Now()))
+		})
+	}
+}
+
+func (world *world) reachesPlatform(proxy *proxy) bool {
+	return !world.platform.down && !world.isolated[string(proxy.vm)] && !world.isolated[string(proxy.domain)]
 }
 
-func (world *world) read(proxy *proxy, do func(*wire.TermRecord), failed func()) {
+func (world *world) read(proxy *proxy, do func(*wire.TermRecord, lease.Roster), failed func()) {
 	delay := world.platform.delay / 2
 	world.clock.After(delay, spool.TimerFunc(func(spool.Instant) {
-		if world.platform.down || world.isolated[string(proxy.vm)] || world.isolated[string(proxy.domain)] {
+		if !world.reachesPlatform(proxy) {
 			world.arrive(proxy, delay, failed)
 			return
 		}
-		record := world.platform.record
-		world.arrive(proxy, delay, func() { do(record) })
+		record, roster := world.platform.record, world.platform.roster
+		world.arrive(proxy, delay, func() { do(record, roster) })
 	}))
 }
 
@@ -79,7 +111,7 @@
 	delay := world.platform.delay / 2
 	world.clock.After(delay, spool.TimerFunc(func(spool.Instant) {
 		written := TermWritten{Nonce: effect.Record.Nonce, Result: WriteUnknown}
-		if !world.platform.down && !world.isolated[string(proxy.vm)] && !world.isolated[string(proxy.domain)] {
+		if world.reachesPlatform(proxy) {
 			written.Result, written.Version = world.platform.write(effect, &world.oracle)
 		}
 		world.arrive(proxy, delay, func() { world.handle(proxy, written) })
@@ -99,7 +131,7 @@
 		world.pollAll(proxy)
 	case ReadTerm:
 		world.read(proxy,
-			func(record *wire.TermRecord) { world.handle(proxy, TermRead{Record: record}) },
+			func(record *wire.TermRecord, _ lease.Roster) { world.handle(proxy, TermRead{Record: record}) },
 			func() { world.handle(proxy, TermReadFailed{}) })
 	case WriteTerm:
 		world.writeTerm(proxy, effect)
@@ -145,7 +177,7 @@
 }
 
 func (world *world) promote(proxy *proxy, effect Promote) {
-	failed := func(bool) { world.handle(proxy, PromoteFailed{Server: effect.Server, Term: effect.Term}) }
+	failed := func(bool) { world.handle(proxy, PromoteFailed(effect)) }
 	server := world.server(effect.Server)
 	world.ask(proxy, server, promoteTakes, func() func() {
 		if !server.promote(effect.Term) {
--- a/internal/core/terms/world_test.go
+++ b/internal/core/terms/world_test.go
@@ -28,6 +28,7 @@
 	incarnation uint64
 	witness     *lease.Witness
 	holder      *lease.Holder
+	changer     *lease.Changer
 	keeper      *Keeper
 	awaited     *wire.TermRecord // waits for a majority's pledges
 	paused      bool
@@ -54,7 +55,6 @@
 	proxies  []*proxy
 	servers  []*fakeServer
 	platform fakePlatform
-	roster   lease.Roster
 	writes   int
 }
 
@@ -67,7 +67,6 @@
 		isolated: map[string]bool{},
 		cut:      map[string]bool{},
 		platform: fakePlatform{owners: map[uint64]string{}, delay: 2 * time.Millisecond},
-		roster:   lease.Roster{Version: 1, Members: []spool.VM{"vm0", "vm1", "vm2"}},
 	}
 	for i := range 3 {
 		spec := spool.ServerSpec{Name: spool.Server(fmt.Sprintf("s%d", i)), Domain: spool.Domain(fmt.Sprintf("d%d", i))}
@@ -82,9 +81,9 @@
 		world.proxies = append(world.proxies, proxy)
 		world.restart(proxy)
 		world.every(proxy, worldTick, world.tick)
-		world.every(proxy, worldPoll, world.pollAll)
+		world.every(proxy, worldPoll, world.poll)
 		world.every(proxy, worldWrite, world.write)
-		world.every(proxy, 4*worldPoll, world.readPlatform)
+		world.every(proxy, 2*worldPoll, world.gossip)
 	}
 	return world
 }
@@ -107,15 +106,19 @@
 	proxy.incarnation = world.random.Uint64()
 	proxy.witness = lease.NewWitness(proxy.vm, now)
 	proxy.holder = lease.NewHolder(lease.GroupRole(worldGroup), proxy.incarnation)
+	proxy.changer = lease.NewChanger(func(config *lease.Config) { config.Gone = 2 * time.Second })
 	proxy.keeper = NewKeeper(worldGroup, proxy.vm, world.random.Uint64(), world.options...)
 	proxy.paused, proxy.inbox, proxy.awaited = false, nil, nil
 	proxy.holder.Seek(slices.Index(world.proxies, proxy), now)
+	world.setServers(proxy)
+}
+
+func (world *world) domains() map[spool.VM]spool.Domain {
 	domains := map[spool.VM]spool.Domain{}
-	for i := range 5 {
-		domains[spool.VM(fmt.Sprintf("vm%d", i))] = spool.Domain(fmt.Sprintf("d%d", i%3))
+	for _, proxy := range world.proxies {
+		domains[proxy.vm] = proxy.domain
 	}
-	world.handle(proxy, RosterChanged{Members: world.roster.Members, Domains: domains})
-	world.setServers(proxy)
+	return domains
 }
 
 func (world *world) setServers(proxy *proxy) {
@@ -193,6 +196,13 @@
 	}
 }
 
+// poll asks the servers for their status; only the holder of the lease uses connections for it.
+func (world *world) poll(proxy *proxy) {
+	if proxy.holder.Held(world.clock.Now()) {
+		world.pollAll(proxy)
+	}
+}
+
 func (world *world) pollAll(proxy *proxy) {
 	for _, server := range world.servers {
 		sentAt := world.clock.Now()
