--- a/internal/core/terms/shell_test.go
+++ b/internal/core/terms/shell_test.go
@@ -47,6 +47,11 @@
 
 func (world *world) receive(proxy *proxy, from spool.VM, answer *wire.PledgeAnswer) {
 	proxy.holder.Receive(from, answer, world.clock.Now())
+	world.report(proxy)
+}
+
+// report tells the keeper once a majority has pledged with the record that it asked for.
+func (world *world) report(proxy *proxy) {
 	if proxy.awaited != nil && proxy.holder.Backed(proxy.awaited) {
 		record := proxy.awaited
 		proxy.awaited = nil
@@ -147,6 +152,7 @@
 		for _, out := range proxy.holder.Due(world.clock.Now()) {
 			world.request(proxy, out)
 		}
+		world.report(proxy)
 	case Open:
 		world.open(effect, world.server(effect.Primary).log)
 	case Yield:
