Measure routing and failover with the shares, and let spare servers help

A slot item may name spare servers, which take it when the wait is longer than a quarter of the time left and a slot stays free for writes.

The client judged a queued request by the wait for as many tokens as stand before it and itself, which refused small teams after an owner's death on a noisy estimate. It now counts the tokens before it.

--- a/internal/bench/policy/variant.go
+++ b/internal/bench/policy/variant.go
@@ -17,11 +17,11 @@
 		}},
 		{Name: "split", build: func(trial *trial) {
 			trial.admission = newBuckets(trial, trial.size.VMs)
-			trial.backend = newFairSlots(trial)
+			trial.backend = newGroup(trial)
 		}},
 		{Name: "ours", build: func(trial *trial) {
 			trial.admission = newFleet(trial)
-			trial.backend = newFairSlots(trial)
+			trial.backend = newGroup(trial)
 		}},
 	}
 }
--- a/internal/core/share/forecast.go
+++ b/internal/core/share/forecast.go
@@ -67,7 +67,8 @@
 
 // wait returns how long the request at that place of the queue is expected to wait.
 func (forecast *forecast) wait(place int, timing *Timing, now spool.Instant) time.Duration {
-	wait := forecast.roundTrip + time.Duration(place)*forecast.perToken
+	halfTokens := max(2*time.Duration(place-1), 1)
+	wait := forecast.roundTrip + halfTokens*forecast.perToken/2
 	if forecast.lost {
 		overdue := forecast.lostSince.Add(timing.OwnerGap).Sub(now)
 		wait += max(overdue, lostWait)
--- a/internal/core/slots/queue.go
+++ b/internal/core/slots/queue.go
@@ -72,11 +72,17 @@
 // Ask grants the item a slot, queues it or refuses it.
 func (queue *Queue) Ask(item Item, now spool.Instant) Answer {
 	team := queue.team(item.Team, now)
-	if index, found := queue.freest(item.Servers); found {
+	if index, found := queue.freest(item.Servers, 0); found {
 		queue.start(index, team, now)
 		return Answer{Verdict: Granted, Server: index}
 	}
 	wait := queue.wait(team, item.Servers, queue.ahead(team, item.Servers), now)
+	if wait > item.Deadline.Sub(now)/longWait {
+		if index, found := queue.freest(item.Spare, spareReserve); found {
+			queue.start(index, team, now)
+			return Answer{Verdict: Granted, Server: index}
+		}
+	}
 	if now.Add(wait) >= item.Deadline {
 		return Answer{Verdict: Refused, RetryAfter: queue.retryAfter(wait, item.Deadline, now)}
 	}
--- a/internal/core/slots/types.go
+++ b/internal/core/slots/types.go
@@ -24,6 +24,7 @@
 	ID       uint64
 	Team     spool.Team
 	Servers  Servers
+	Spare    Servers // may run the item too, but only when the wait for Servers is long and they have slots to spare
 	Deadline spool.Instant
 }
 
--- a/internal/core/slots/wait.go
+++ b/internal/core/slots/wait.go
@@ -11,6 +11,8 @@
 	slotTimeMemory = 0.98    // part of the measurements that one more release keeps
 	leastFairShare = 1.0 / 8 // slots that a team is expected to have at least
 	doubt          = 2       // a queued item is refused when even this part of its expected wait is too long
+	longWait       = 4       // part of the time left that a wait takes before spare servers help out
+	spareReserve   = 1       // slots that spare servers keep free for the work that needs them
 	allServers     = ^Servers(0)
 )
 
@@ -137,9 +139,9 @@
 	})
 }
 
-// freest returns the server with the most free slots among those that are eligible.
-func (queue *Queue) freest(eligible Servers) (index int, found bool) {
-	most := 0
+// freest returns the server with the most free slots among those that are eligible and have more than reserve free.
+func (queue *Queue) freest(eligible Servers, reserve int) (index int, found bool) {
+	most := reserve
 	for set := eligible; set != 0; set &= set - 1 {
 		candidate := bits.TrailingZeros64(uint64(set))
 		if candidate >= len(queue.servers) {
@@ -150,5 +152,5 @@
 			index = candidate
 		}
 	}
-	return index, most > 0
+	return index, most > reserve
 }
