--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEEDS ?= 20
 SECONDS ?= 60
 
-.PHONY: build test lint demo
+.PHONY: build test lint demo bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -22,3 +22,7 @@
 
 demo: build
 	scripts/demo.sh
+
+bench:
+	$(GO) run ./cmd/bench Path
+	$(GO) run ./cmd/bench Policy
