--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,4 @@
 
 bench:
 	$(GO) run ./cmd/bench Path
+	$(GO) run ./cmd/bench Policy
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -30,17 +30,29 @@
 	part.Int(&options.Pairs, "p", "pairs", "Pairs of runs")
 	part.Duration(&options.Duration, "d", "duration", "Time of one run")
 	part.Bool(&asJSON, "", "json", "Print JSON in place of a table")
+	seed := uint64(1)
+	decisions := flaggy.NewSubcommand("Policy")
+	decisions.Description = "The decisions on seeded virtual time at both partners' sizes"
+	decisions.UInt64(&seed, "s", "seed", "Seed of the requests")
+	decisions.Bool(&asJSON, "", "json", "Print JSON in place of a table")
 	flaggy.SetName("bench")
 	flaggy.SetDescription("Measures the proxy.")
 	flaggy.AttachSubcommand(part, 1)
+	flaggy.AttachSubcommand(decisions, 1)
 	flaggy.Parse()
-	if !part.Used {
-		flaggy.ShowHelpAndExit("")
-	}
 	if len(options.Connections) == 0 {
 		options.Connections = []int{1, 16, 128}
 	}
-	if err := run(options, asJSON); err != nil {
+	var err error
+	switch {
+	case part.Used:
+		err = run(options, asJSON)
+	case decisions.Used:
+		err = runPolicy(seed, asJSON)
+	default:
+		flaggy.ShowHelpAndExit("")
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
