Count and measure a proxy's work

Operators have no numbers of a running proxy. The collectors live in one registry a proxy, so that several proxies in one process do not share counts; globals of client_golang were ruled out for that reason. Values that the proxy knows anyway (sessions, leases, versions) are read at the scrape instead of being kept twice.

--- /dev/null
+++ b/internal/metric/metrics.go
@@ -0,0 +1,158 @@
+package metric
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	namespace    = "corianderspool"
+	firstBucket  = 100 * time.Microsecond
+	bucketFactor = 2.5
+	bucketCount  = 13
+)
+
+// Metrics holds the collectors of one proxy in a registry of its own; it is safe for concurrent use.
+type Metrics struct {
+	registry  *prometheus.Registry
+	nameLimit int
+	sample    func() Sample
+	runtime   bool
+	teams     *names
+	groups    *names
+	codes     *names
+
+	requests      *prometheus.CounterVec
+	requestTime   prometheus.Histogram
+	slotWait      prometheus.Histogram
+	reads         *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	failovers     *prometheus.CounterVec
+	platformCalls *prometheus.CounterVec
+	peerBytes     prometheus.Counter
+	events        *prometheus.CounterVec
+}
+
+// Option changes Metrics under construction.
+type Option func(*Metrics)
+
+// WithNameLimit sets how many teams, groups and codes have series of their own; further ones share the name "other".
+func WithNameLimit(limit int) Option {
+	return func(metrics *Metrics) { metrics.nameLimit = limit }
+}
+
+// WithSample sets what is asked for the current values at each scrape.
+func WithSample(sample func() Sample) Option {
+	return func(metrics *Metrics) { metrics.sample = sample }
+}
+
+// WithRuntime adds the collectors of the Go runtime and of the process.
+func WithRuntime() Option {
+	return func(metrics *Metrics) { metrics.runtime = true }
+}
+
+// New returns metrics at zero.
+func New(options ...Option) *Metrics {
+	metrics := &Metrics{registry: prometheus.NewRegistry(), nameLimit: defaultNameLimit}
+	for _, option := range options {
+		option(metrics)
+	}
+	metrics.teams = newNames(metrics.nameLimit)
+	metrics.groups = newNames(metrics.nameLimit)
+	metrics.codes = newNames(metrics.nameLimit)
+	metrics.create()
+	metrics.register()
+	return metrics
+}
+
+func (metrics *Metrics) create() {
+	metrics.requests = counters("requests_total", "Requests that ended.", "team", "verdict")
+	metrics.requestTime = histogram("request_seconds", "Time from the admission of a request to its end.")
+	metrics.slotWait = histogram("slot_wait_seconds", "Time that a request waited for a slot on a backend server.")
+	metrics.reads = counters("reads_total", "Reads answered by backend servers of the groups kept here.", "server")
+	metrics.refusals = counters("refusals_total", "Refusals of requests, logins and sessions.", "code")
+	metrics.failovers = counters("failovers_total", "Terms opened after a promotion by this proxy.", "group")
+	metrics.platformCalls = counters("platform_calls_total", "Calls of the object API.", "call", "kind", "result")
+	metrics.peerBytes = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "peer_control_bytes_total", Help: "Bytes of control messages sent to other proxies.",
+	})
+	metrics.events = counters("events_total", "Log events, also those that were not written.", "event")
+}
+
+func (metrics *Metrics) register() {
+	metrics.registry.MustRegister(
+		metrics.requests, metrics.requestTime, metrics.slotWait, metrics.reads, metrics.refusals,
+		metrics.failovers, metrics.platformCalls, metrics.peerBytes, metrics.events,
+	)
+	if metrics.sample != nil {
+		metrics.registry.MustRegister(sampler(metrics.sample))
+	}
+	if metrics.runtime {
+		metrics.registry.MustRegister(
+			collectors.NewGoCollector(),
+			collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		)
+	}
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help,
+		Buckets: prometheus.ExponentialBuckets(firstBucket.Seconds(), bucketFactor, bucketCount),
+	})
+}
+
+// Handler answers scrapes.
+func (metrics *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(metrics.registry, promhttp.HandlerOpts{Registry: metrics.registry})
+}
+
+// Gatherer returns the registry for reading.
+func (metrics *Metrics) Gatherer() prometheus.Gatherer { return metrics.registry }
+
+// Request counts a request that ended after a duration.
+func (metrics *Metrics) Request(team spool.Team, verdict spool.Verdict, duration time.Duration) {
+	metrics.requests.WithLabelValues(metrics.teams.label(string(team)), verdictName(verdict)).Inc()
+	metrics.requestTime.Observe(duration.Seconds())
+}
+
+// Refused counts a refusal by its SQLSTATE.
+func (metrics *Metrics) Refused(code string) {
+	metrics.refusals.WithLabelValues(metrics.codes.label(code)).Inc()
+}
+
+// SlotWaited records how long a request waited for a slot.
+func (metrics *Metrics) SlotWaited(wait time.Duration) { metrics.slotWait.Observe(wait.Seconds()) }
+
+// Read counts an answered read.
+func (metrics *Metrics) Read(replica bool) {
+	server := "primary"
+	if replica {
+		server = "replica"
+	}
+	metrics.reads.WithLabelValues(server).Inc()
+}
+
+// Failover counts a term that was opened after a promotion.
+func (metrics *Metrics) Failover(group spool.Group) {
+	metrics.failovers.WithLabelValues(metrics.groups.label(string(group))).Inc()
+}
+
+// PeerBytes counts the bytes of a control message.
+func (metrics *Metrics) PeerBytes(size int) { metrics.peerBytes.Add(float64(size)) }
+
+// Event counts a log event by its number.
+func (metrics *Metrics) Event(number int) {
+	metrics.events.WithLabelValues(strconv.Itoa(number)).Inc()
+}
--- /dev/null
+++ b/internal/metric/sample.go
@@ -0,0 +1,53 @@
+package metric
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// Sample is the proxy's state at the moment of a scrape.
+type Sample struct {
+	Sessions    int // connected callers
+	GroupLeases int // groups whose keeper this proxy is
+	TeamLeases  int // teams whose tokens this proxy hands out
+	AuditLost   uint64
+	Versions    map[spool.Partner]spool.Version // manifests in force
+}
+
+// sampler turns samples into metrics.
+type sampler func() Sample
+
+var (
+	sessionsDesc  = describe("sessions", "Connected callers.")
+	leasesDesc    = describe("leases_held", "Leases that this proxy holds.", "role")
+	auditLostDesc = describe("audit_entries_lost_total", "Audit entries that were never written.")
+	versionDesc   = describe("config_version", "Version of the manifest in force.", "partner")
+)
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+}
+
+// Describe sends the descriptions of all metrics.
+func (sampler sampler) Describe(descs chan<- *prometheus.Desc) {
+	descs <- sessionsDesc
+	descs <- leasesDesc
+	descs <- auditLostDesc
+	descs <- versionDesc
+}
+
+// Collect takes a sample and sends its metrics.
+func (sampler sampler) Collect(metrics chan<- prometheus.Metric) {
+	sample := sampler()
+	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
+	}
+	gauge(sessionsDesc, float64(sample.Sessions))
+	gauge(leasesDesc, float64(sample.GroupLeases), "group")
+	gauge(leasesDesc, float64(sample.TeamLeases), "team")
+	metrics <- prometheus.MustNewConstMetric(auditLostDesc, prometheus.CounterValue, float64(sample.AuditLost))
+	for partner, version := range sample.Versions {
+		gauge(versionDesc, float64(version), string(partner))
+	}
+}
