Limit and count the log's events

A caller that breaks the protocol in a loop would fill the log. Events that callers can bring about at will are limited a second, and the next one written says how many were left out; every event is counted, also below the log's level. zap's own sampling was ruled out: it drops by message alone, tells nobody, and cannot tell one event's limit from another's.

The reasons of a keeper's steps get events 409 to 412, so that a suspicion that ended is not logged as a promotion; 303 is worded for every server that follows a new primary. go test ./internal/event passes, with the clock of the limits moved by the test.

--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -4,10 +4,18 @@
 
 // Kind is an entry of the catalogue of events.
 type Kind struct {
-	Level zapcore.Level
-	Text  string
+	Level     zapcore.Level
+	Text      string
+	PerSecond int // events a second that are written at most; zero sets no limit
 }
 
+// Limits of events that callers can bring about at will.
+const (
+	callerLimit = 10
+	keyLimit    = 100
+	auditLimit  = 1
+)
+
 // Numbers of the events: 1xx life of a proxy, 2xx callers, 3xx backend servers, 4xx leases and terms, 5xx
 // configuration and keys, 6xx rates and slots, 7xx the platform and other proxies.
 const (
@@ -29,6 +37,10 @@
 	OwnerTaken     Number = 406
 	OwnerLost      Number = 407
 	RosterChanged  Number = 408
+	TermCleared    Number = 409
+	TermStuck      Number = 410
+	TermOrdered    Number = 411
+	TermUncertain  Number = 412
 	ConfigAccepted Number = 501
 	ConfigRejected Number = 502
 	KeyWithdrawn   Number = 503
@@ -40,29 +52,33 @@
 )
 
 var kinds = map[Number]Kind{
-	ProxyStarted:   {zapcore.InfoLevel, "proxy started"},
-	ProxyDraining:  {zapcore.InfoLevel, "proxy draining"},
-	ProxyStopped:   {zapcore.InfoLevel, "proxy stopped"},
-	CallerRefused:  {zapcore.InfoLevel, "caller refused"},
-	CallerFault:    {zapcore.WarnLevel, "caller broke the protocol"},
-	SessionEnded:   {zapcore.InfoLevel, "session ended by the proxy"},
-	ServerLost:     {zapcore.WarnLevel, "backend server out of reach"},
-	ServerBack:     {zapcore.InfoLevel, "backend server in reach again"},
-	ServerDemoted:  {zapcore.InfoLevel, "replaced primary follows the new one"},
-	KeeperTaken:    {zapcore.InfoLevel, "group lease taken"},
-	KeeperLost:     {zapcore.WarnLevel, "group lease lost"},
-	TermSuspected:  {zapcore.WarnLevel, "primary suspected"},
-	TermPromoting:  {zapcore.WarnLevel, "promotion begun"},
-	TermOpened:     {zapcore.InfoLevel, "term opened"},
-	OwnerTaken:     {zapcore.InfoLevel, "team lease taken"},
-	OwnerLost:      {zapcore.WarnLevel, "team lease lost"},
-	RosterChanged:  {zapcore.InfoLevel, "roster of witnesses changed"},
-	ConfigAccepted: {zapcore.InfoLevel, "manifest accepted"},
-	ConfigRejected: {zapcore.ErrorLevel, "manifest rejected"},
-	KeyWithdrawn:   {zapcore.InfoLevel, "key withdrawn"},
-	PlatformLost:   {zapcore.WarnLevel, "platform out of reach"},
-	PlatformBack:   {zapcore.InfoLevel, "platform in reach again"},
-	PeerLost:       {zapcore.WarnLevel, "proxy out of reach"},
-	PeerBack:       {zapcore.InfoLevel, "proxy in reach again"},
-	AuditFailed:    {zapcore.ErrorLevel, "audit entry not written"},
+	ProxyStarted:   {Level: zapcore.InfoLevel, Text: "proxy started"},
+	ProxyDraining:  {Level: zapcore.InfoLevel, Text: "proxy draining"},
+	ProxyStopped:   {Level: zapcore.InfoLevel, Text: "proxy stopped"},
+	CallerRefused:  {Level: zapcore.InfoLevel, Text: "caller refused", PerSecond: callerLimit},
+	CallerFault:    {Level: zapcore.WarnLevel, Text: "caller broke the protocol", PerSecond: callerLimit},
+	SessionEnded:   {Level: zapcore.InfoLevel, Text: "session ended by the proxy", PerSecond: keyLimit},
+	ServerLost:     {Level: zapcore.WarnLevel, Text: "backend server out of reach"},
+	ServerBack:     {Level: zapcore.InfoLevel, Text: "backend server in reach again"},
+	ServerDemoted:  {Level: zapcore.InfoLevel, Text: "backend server follows the new primary"},
+	KeeperTaken:    {Level: zapcore.InfoLevel, Text: "group lease taken"},
+	KeeperLost:     {Level: zapcore.WarnLevel, Text: "group lease lost"},
+	TermSuspected:  {Level: zapcore.WarnLevel, Text: "primary suspected"},
+	TermPromoting:  {Level: zapcore.WarnLevel, Text: "promotion begun"},
+	TermOpened:     {Level: zapcore.InfoLevel, Text: "term opened"},
+	OwnerTaken:     {Level: zapcore.InfoLevel, Text: "team lease taken"},
+	OwnerLost:      {Level: zapcore.WarnLevel, Text: "team lease lost"},
+	RosterChanged:  {Level: zapcore.InfoLevel, Text: "roster of witnesses changed"},
+	TermCleared:    {Level: zapcore.InfoLevel, Text: "primary not replaced"},
+	TermStuck:      {Level: zapcore.WarnLevel, Text: "no server can be promoted"},
+	TermOrdered:    {Level: zapcore.InfoLevel, Text: "promotion ordered"},
+	TermUncertain:  {Level: zapcore.WarnLevel, Text: "outcome of a term's update unknown"},
+	ConfigAccepted: {Level: zapcore.InfoLevel, Text: "manifest accepted"},
+	ConfigRejected: {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
+	KeyWithdrawn:   {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
+	PlatformLost:   {Level: zapcore.WarnLevel, Text: "platform out of reach"},
+	PlatformBack:   {Level: zapcore.InfoLevel, Text: "platform in reach again"},
+	PeerLost:       {Level: zapcore.WarnLevel, Text: "proxy out of reach"},
+	PeerBack:       {Level: zapcore.InfoLevel, Text: "proxy in reach again"},
+	AuditFailed:    {Level: zapcore.ErrorLevel, Text: "audit entry not written", PerSecond: auditLimit},
 }
--- /dev/null
+++ b/internal/event/limit_test.go
@@ -0,0 +1,51 @@
+package event
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// manual is a clock that a test moves.
+type manual struct {
+	zapcore.Clock
+	now time.Time
+}
+
+func (manual *manual) Now() time.Time { return manual.now }
+
+func TestRepeatedEventsAreLimitedAndCounted(t *testing.T) {
+	c := qt.New(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	clock := &manual{Clock: zapcore.DefaultClock, now: time.Unix(1000, 0)}
+	counted := map[Number]int{}
+	logger := Limit(zap.New(core, zap.WithClock(clock)), func(number Number) { counted[number]++ })
+	limit := kinds[CallerFault].PerSecond
+	for range limit + 7 {
+		Log(logger, CallerFault)
+		Log(logger.With(zap.String("VM", "a")), TermOpened)
+	}
+	c.Assert(logs.FilterMessage(kinds[CallerFault].Text).Len(), qt.Equals, limit)
+	c.Assert(logs.FilterMessage(kinds[TermOpened].Text).Len(), qt.Equals, limit+7)
+	c.Assert(counted, qt.DeepEquals, map[Number]int{CallerFault: limit + 7, TermOpened: limit + 7})
+	clock.now = clock.now.Add(limitWindow)
+	Log(logger, CallerFault)
+	Log(logger, CallerFault)
+	c.Assert(logs.FilterField(zap.Int(suppressedField, 7)).Len(), qt.Equals, 1)
+	c.Assert(logs.FilterMessage(kinds[CallerFault].Text).Len(), qt.Equals, limit+2)
+}
+
+func TestEventsBelowTheLevelAreOnlyCounted(t *testing.T) {
+	c := qt.New(t)
+	core, logs := observer.New(zapcore.ErrorLevel)
+	counted := 0
+	logger := Limit(zap.New(core), func(Number) { counted++ })
+	Log(logger, TermOpened)
+	logger.Debug("not numbered")
+	c.Assert(logs.Len(), qt.Equals, 0)
+	c.Assert(counted, qt.Equals, 1)
+}
