Write an audit entry that several proxies know of once

Every proxy sees an accepted manifest, so a trail written by all would show it nine times, and one written by a chosen proxy would miss what happened while that proxy died. Entries can now have a name derived from what happened: the conditional create lets the first through, and a conflict counts as written. The trail is listed by time, since such names do not sort by it. Writers tell of each lost entry.

--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -33,21 +33,27 @@
 const (
 	ActionPush     = "Push"     // a manifest was written
 	ActionWithdraw = "Withdraw" // a key was withdrawn
-	ActionReject   = "Reject"   // a proxy refused a manifest
+	ActionAccept   = "Accept"   // proxies put a manifest in force
+	ActionReject   = "Reject"   // proxies refused a manifest
+	ActionEndKeys  = "EndKeys"  // proxies ended keys that were withdrawn, removed or replaced
 	ActionPromote  = "Promote"  // a term was opened
 	ActionRoster   = "Roster"   // the witnesses of leases changed
 )
 
-// object returns the entry as an object that does not exist yet; number tells entries of one actor and instant apart.
-func (entry Entry) object(number uint64) (spool.Object, error) {
+// object returns the entry as an object of that name that does not exist yet.
+func (entry Entry) object(name string) (spool.Object, error) {
 	body, err := json.Marshal(entry)
 	if err != nil {
 		return spool.Object{}, eris.Wrap(err, "encoding audit entry")
 	}
-	name := fmt.Sprintf("%s-%s-%d", entry.At.UTC().Format(idTimeLayout), nameSafe(entry.Actor), number)
 	return spool.Object{Kind: spool.KindAudit, Name: name, Body: body}, nil
 }
 
+// uniqueName returns a name for the entry; number tells entries of one actor and instant apart.
+func (entry Entry) uniqueName(number uint64) string {
+	return fmt.Sprintf("%s-%s-%d", entry.At.UTC().Format(idTimeLayout), nameSafe(entry.Actor), number)
+}
+
 // nameSafe replaces what does not belong into an object's name.
 func nameSafe(text string) string {
 	return strings.Map(func(letter rune) rune {
@@ -58,7 +64,7 @@
 	}, text)
 }
 
-// List returns the trail in the order of time.
+// List returns the trail in the order of time, as the clocks of the actors show it.
 func List(ctx context.Context, platform spool.Platform) ([]Entry, error) {
 	objects, _, err := platform.List(ctx, spool.KindAudit)
 	if err != nil {
@@ -73,5 +79,6 @@
 		}
 		entries = append(entries, entry)
 	}
+	slices.SortStableFunc(entries, func(left, right Entry) int { return left.At.Compare(right.At) })
 	return entries, nil
 }
--- a/internal/audit/writer.go
+++ b/internal/audit/writer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,14 +27,21 @@
 	now      func() time.Time
 	capacity int
 	patience time.Duration
+	onLost   func(name string)
 
 	number  atomic.Uint64
 	lost    atomic.Uint64
 	mutex   sync.Mutex
-	pending []spool.Object
+	pending []pending
 	wake    chan struct{}
 }
 
+// pending is an entry that waits to be written.
+type pending struct {
+	object spool.Object
+	shared bool // others may write an entry of the same name, which is as good
+}
+
 // Option configures a Writer.
 type Option func(writer *Writer)
 
@@ -51,6 +60,11 @@
 	return func(writer *Writer) { writer.timers = timers }
 }
 
+// WithLost sets what is told the name of each entry that is lost; it must not call the writer.
+func WithLost(onLost func(name string)) Option {
+	return func(writer *Writer) { writer.onLost = onLost }
+}
+
 // New returns a writer whose entries name the actor, an operator or VM.
 func New(platform spool.Platform, actor string, options ...Option) *Writer {
 	writer := &Writer{
@@ -60,6 +74,7 @@
 		now:      time.Now,
 		capacity: defaultCapacity,
 		patience: defaultPatience,
+		onLost:   func(string) {},
 		wake:     make(chan struct{}, 1),
 	}
 	for _, option := range options {
@@ -70,18 +85,27 @@
 
 // Record queues an entry, stamps it with time and actor, and never waits; it tells whether there was room.
 func (writer *Writer) Record(entry Entry) bool {
-	object, err := writer.stamp(entry)
-	if err != nil {
-		writer.lost.Add(1)
-		return false
+	entry = writer.stamp(entry)
+	return writer.queue(entry.uniqueName(writer.number.Add(1)), entry, false)
+}
+
+// RecordOnce is Record for an entry that others record too: of those of one name only the first is written, and an
+// entry that has a time keeps it.
+func (writer *Writer) RecordOnce(name string, entry Entry) bool {
+	at := entry.At
+	entry = writer.stamp(entry)
+	if !at.IsZero() {
+		entry.At = at.UTC()
 	}
-	writer.mutex.Lock()
-	defer writer.mutex.Unlock()
-	if len(writer.pending) >= writer.capacity {
-		writer.lost.Add(1)
+	return writer.queue(nameSafe(name), entry, true)
+}
+
+func (writer *Writer) queue(name string, entry Entry, shared bool) bool {
+	object, err := entry.object(name)
+	if err != nil || !writer.push(pending{object: object, shared: shared}) {
+		writer.lose(name)
 		return false
 	}
-	writer.pending = append(writer.pending, object)
 	select {
 	case writer.wake <- struct{}{}:
 	default:
@@ -89,9 +113,25 @@
 	return true
 }
 
+func (writer *Writer) push(added pending) bool {
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	if len(writer.pending) >= writer.capacity {
+		return false
+	}
+	writer.pending = append(writer.pending, added)
+	return true
+}
+
+func (writer *Writer) lose(name string) {
+	writer.lost.Add(1)
+	writer.onLost(name)
+}
+
 // Write stamps an entry and writes it before it returns.
 func (writer *Writer) Write(ctx context.Context, entry Entry) error {
-	object, err := writer.stamp(entry)
+	entry = writer.stamp(entry)
+	object, err := entry.object(entry.uniqueName(writer.number.Add(1)))
 	if err != nil {
 		return err
 	}
@@ -114,12 +154,12 @@
 // Flush writes what is queued and returns the context's error if it ends first; not to be called while Run runs.
 func (writer *Writer) Flush(ctx context.Context) error {
 	for {
-		object, found := writer.first()
+		first, found := writer.first()
 		if !found {
 			return nil
 		}
 		attempt, cancel := context.WithTimeout(ctx, writer.patience)
-		_, err := change.Put(attempt, writer.platform, writer.timers, object)
+		_, err := change.Put(attempt, writer.platform, writer.timers, first.object)
 		expired := attempt.Err() != nil
 		cancel()
 		if ctx.Err() != nil {
@@ -128,8 +168,8 @@
 		if err != nil && expired {
 			continue
 		}
-		if err != nil {
-			writer.lost.Add(1)
+		if err != nil && !(first.shared && errors.Is(err, spool.ErrConflict)) {
+			writer.lose(first.object.Name)
 		}
 		writer.drop()
 	}
@@ -145,20 +185,21 @@
 	return len(writer.pending)
 }
 
-func (writer *Writer) stamp(entry Entry) (spool.Object, error) {
+// stamp gives the entry the time and the actor.
+func (writer *Writer) stamp(entry Entry) Entry {
 	entry.At = writer.now().UTC()
 	entry.Actor = writer.actor
 	if len(entry.Detail) > maxDetailBytes {
-		entry.Detail = entry.Detail[:maxDetailBytes]
+		entry.Detail = strings.ToValidUTF8(entry.Detail[:maxDetailBytes], "")
 	}
-	return entry.object(writer.number.Add(1))
+	return entry
 }
 
-func (writer *Writer) first() (spool.Object, bool) {
+func (writer *Writer) first() (pending, bool) {
 	writer.mutex.Lock()
 	defer writer.mutex.Unlock()
 	if len(writer.pending) == 0 {
-		return spool.Object{}, false
+		return pending{}, false
 	}
 	return writer.pending[0], true
 }
