Note the keys that a manifest ends

Event 503 is in the catalogue, yet the core never emitted it, so the log did not show a withdrawal. The core now notes each key that a newly accepted manifest withdraws, removes or gives another verifier or team, and offers what the operators' side needs to read: rank, term records, leases held, and whether the platform confirmed the configuration lately.

--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -116,13 +116,14 @@
 	TopicWithdrawn
 )
 
-// Note tells of a decision for the log and the audit trail.
+// Note tells of a decision for the log and the audit trail; Text of TopicTerm is a terms.Reason.
 type Note struct {
 	Topic   Topic
 	Group   spool.Group
 	Team    spool.Team
 	Server  spool.Server
 	Partner spool.Partner
+	Key     string
 	Term    spool.Term
 	Version spool.Version
 	Text    string
--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"corianderspool.example/spool/internal/core/lease"
+	"corianderspool.example/spool/internal/core/policy"
 	"corianderspool.example/spool/internal/core/terms"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
@@ -116,6 +117,8 @@
 	snapshot := core.store.Snapshot()
 	core.emit(ApplyPolicy{Snapshot: snapshot, Change: change})
 	core.emit(Note{Topic: TopicAccepted, Partner: change.Partner, Version: change.Version})
+	core.noteWithdrawn(change, change.Withdrawn, "withdrawn or removed")
+	core.noteWithdrawn(change, change.Replaced, "verifier or team replaced")
 	for _, name := range change.Teams {
 		spec, known := snapshot.Team(name)
 		if owner := core.owners[name]; owner != nil && known {
@@ -132,6 +135,14 @@
 	core.nextBeat = now
 }
 
+func (core *Core) noteWithdrawn(change policy.Change, keys []string, text string) {
+	for _, key := range keys {
+		core.emit(Note{
+			Topic: TopicWithdrawn, Partner: change.Partner, Version: change.Version, Key: key, Text: text,
+		})
+	}
+}
+
 func (core *Core) learnRoster(object spool.Object, now spool.Instant) {
 	if object.Version <= core.copies[spool.KindRoster].Version {
 		return
--- a/internal/core/share/client.go
+++ b/internal/core/share/client.go
@@ -124,6 +124,9 @@
 	client.forecast.lost = false
 }
 
+// Tokens returns the number of tokens that are left of the grants.
+func (client *Client) Tokens() int { return client.purse.total }
+
 func (client *Client) admit(now spool.Instant) {
 	client.admitted = client.admitted[:0]
 	for client.queue.Len() > 0 {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -3,6 +3,7 @@
 import (
 	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/core/policy"
+	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -24,6 +25,36 @@
 	return entry.Address, true
 }
 
+// Rank returns the own place among the serving VMs for a duty of that name; a leaving VM has none.
+func (core *Core) Rank(duty string, now spool.Instant) (int, bool) { return core.view.Rank(duty, now) }
+
+// Term returns the newest term record known of a group, or nil.
+func (core *Core) Term(group spool.Group) *wire.TermRecord { return core.witness.Record(group) }
+
+// Keeps tells whether this proxy is the group's keeper, and returns the open term or zero.
+func (core *Core) Keeps(name spool.Group) (open spool.Term, keeps bool) {
+	role, group := core.roles[lease.GroupRole(name)], core.groups[name]
+	if role == nil || !role.held || group == nil {
+		return 0, false
+	}
+	return group.keeper.OpenTerm(), true
+}
+
+// Held counts the leases of groups and of teams that this proxy holds.
+func (core *Core) Held() (groups, teams int) {
+	for name, role := range core.roles {
+		if !role.held {
+			continue
+		}
+		if _, isGroup := name.Group(); isGroup {
+			groups++
+		} else {
+			teams++
+		}
+	}
+	return groups, teams
+}
+
 // Roster returns the witnesses of all leases.
 func (core *Core) Roster() lease.Roster { return core.roster }
 
--- a/internal/core/trust.go
+++ b/internal/core/trust.go
@@ -31,14 +31,18 @@
 // majority of the witnesses takes that for an outage, in which nobody can withdraw a key; any other proxy may be cut
 // off and must not let keys work on.
 func (core *Core) judgeTrust(now spool.Instant) {
-	confirmed := core.confirmed.known && now.Sub(core.confirmed.at) <= trustLimit
-	trusted := core.configured && (confirmed || core.reachesMajority(now))
+	trusted := core.configured && (core.Confirmed(now) || core.reachesMajority(now))
 	if trusted != core.trusted {
 		core.trusted = trusted
 		core.emit(Trust{Trusted: trusted})
 	}
 }
 
+// Confirmed tells whether the platform confirmed the own versions lately, on any path.
+func (core *Core) Confirmed(now spool.Instant) bool {
+	return core.confirmed.known && now.Sub(core.confirmed.at) <= trustLimit
+}
+
 func (core *Core) reachesMajority(now spool.Instant) bool {
 	reached := 0
 	for _, witness := range core.roster.Members {
