Tell an observer of refused and ended callers

Events 201 to 203 are in the catalogue, yet nobody logged them: wrong secrets, broken messages and endings are seen only by the caller-facing side, which has no logger. It now tells an observer. A connection that closes before its first byte, as a balancer's health check does, is no refusal any more and gets no answer.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -86,7 +86,9 @@
 	select {
 	case front.startups <- struct{}{}:
 	default:
-		refuse(socket, &spool.Refusal{Code: spool.CodeNoSlot, Message: "too many connections are logging in"})
+		refusal := &spool.Refusal{Code: spool.CodeNoSlot, Message: "too many connections are logging in"}
+		front.observer.LoginRefused(socket.RemoteAddr(), refusal)
+		refuse(socket, refusal)
 		return
 	}
 	front.running.Add(1)
--- a/internal/front/option.go
+++ b/internal/front/option.go
@@ -30,6 +30,7 @@
 	messageSize        int
 	cycleSize          int
 	statements         int
+	observer           Observer
 }
 
 func defaultSettings() settings {
@@ -44,12 +45,18 @@
 		messageSize:        defaultMessageSize,
 		cycleSize:          defaultCycleSize,
 		statements:         defaultStatements,
+		observer:           silent{},
 	}
 }
 
 // Option changes a setting of a Front.
 type Option func(*settings)
 
+// WithObserver sets who is told of refused callers and ended sessions.
+func WithObserver(observer Observer) Option {
+	return func(settings *settings) { settings.observer = observer }
+}
+
 // WithTLS offers TLS to callers.
 func WithTLS(config *tls.Config) Option {
 	return func(settings *settings) { settings.tls = config }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -67,6 +67,7 @@
 	for {
 		more, refusal := session.serveCycle()
 		if refusal != nil {
+			session.reportEnd(refusal)
 			session.output.farewell(errorResponse(refusal, severityFatal))
 			session.closeLane()
 			session.linger()
@@ -234,11 +235,10 @@
 
 // leave ends a session whose caller left or was told to end.
 func (session *session) leave() {
-	session.mutex.Lock()
-	told := session.ending != nil
-	session.mutex.Unlock()
+	refusal := session.toldToEnd()
 	session.closeLane()
-	if told {
+	if refusal != nil {
+		session.reportEnd(refusal)
 		session.linger()
 	}
 }
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/tls"
 	"encoding/binary"
+	"errors"
+	"io"
 	"net"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -30,6 +32,7 @@
 		refusal = front.register(session)
 	}
 	if refusal != nil {
+		front.observer.LoginRefused(socket.RemoteAddr(), refusal)
 		session.output.farewell(errorResponse(refusal, severityFatal))
 		session.linger()
 		return
@@ -56,6 +59,9 @@
 	session := front.newSession(socket)
 	for range maxStartupPart {
 		body, err := session.input.startup()
+		if errors.Is(err, io.EOF) {
+			return nil, nil, nil
+		}
 		if err != nil {
 			return session, nil, startupRefusal(err)
 		}
