Wait for the end of a session in the observer's test

The test now reads until the proxy has closed the connection, and also checks that a silent connection gets no answer.

--- a/internal/front/observer_test.go
+++ b/internal/front/observer_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"io"
 	"net"
 	"testing"
 
@@ -27,7 +28,10 @@
 	bed := newBed(t, front.WithObserver(witness))
 	probe, err := net.Dial("tcp", bed.address)
 	bed.Assert(err, qt.IsNil)
-	bed.Assert(probe.Close(), qt.IsNil)
+	bed.Assert(probe.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	answer, err := io.ReadAll(probe)
+	bed.Assert(err, qt.IsNil)
+	bed.Assert(answer, qt.HasLen, 0)
 	_, err = pgx.Connect(bed.context(), bed.url("counter", "x"))
 	bed.Assert(err, qt.IsNotNil)
 	bed.Assert(<-witness.refused, qt.Equals, spool.CodeBadKey)
@@ -35,9 +39,11 @@
 	_, err = broken.PgConn().Conn().Write([]byte("?\x00\x00\x00\x01"))
 	bed.Assert(err, qt.IsNil)
 	bed.Assert(<-witness.ended, qt.Equals, "renewals "+spool.CodeProtocol)
-	left := bed.connect()
-	bed.Assert(left.Close(bed.context()), qt.IsNil)
-	bed.Assert(bed.front.Drain(bed.context()), qt.IsNil)
+	left := bed.connect().PgConn().Conn()
+	_, err = left.Write([]byte("X\x00\x00\x00\x04"))
+	bed.Assert(err, qt.IsNil)
+	_, err = io.ReadAll(left)
+	bed.Assert(err, qt.IsNil)
 	bed.Assert(witness.refused, qt.HasLen, 0)
 	bed.Assert(witness.ended, qt.HasLen, 0)
 }
