Open the operator port and record what proxies do

Operator.Address was checked and not used, the keepers' observer was empty, nothing was recorded in the audit trail by a proxy, and all steps of a keeper were logged as 404.

- The port answers /metrics, /healthz, /readyz and /status; it stays open during a drain, in which /readyz says 503.
- Requests are measured from admission to the end of their transaction, and calls of the platform where the node makes them.
- What every proxy sees (manifests, ended keys, rosters) is held by each for 30 s and written by the one that ranks first; the holder writes promotions.
Names derived from what happened keep the trail free of doubles when proxies disagree on ranks.
Writing by the holder of some role was ruled out, since a change of the holder would lose entries unseen.
- A term is counted as a failover only if this proxy ordered its promotion; a new keeper that goes on with a term is none.
- Platform and servers are reported lost after two failures in a row and a second or half a second without an answer, once for each outage.

In-process fleet: status and audit run against three proxies; the trail has each change once; the sum of failovers equals the promotions recorded.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -16,6 +16,7 @@
 // drain gives up every role and ends the sessions without cutting a request.
 func (node *Node) drain() {
 	node.leaving.Store(true)
+	node.trail.tend(node.timers.Now())
 	event.Log(node.logger, event.ProxyDraining)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(node.settings.DrainTimeout))
 	defer cancel()
@@ -32,6 +33,7 @@
 	}
 	<-handedOver
 	time.Sleep(farewell)
+	node.trail.finish()
 	event.Log(node.logger, event.ProxyStopped)
 }
 
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -43,6 +43,7 @@
 		node.trusted.Store(effect.Trusted)
 	case core.ApplyPolicy:
 		node.applyPolicy(effect)
+		node.trail.accepted(effect.Change)
 	case core.Note:
 		node.note(effect)
 	default:
@@ -146,6 +147,8 @@
 	var result terms.Event = terms.Followed{Server: effect.Server.Name, Term: effect.Term}
 	if err != nil {
 		result = terms.FollowFailed{Server: effect.Server.Name, Term: effect.Term}
+	} else {
+		node.followed(effect.Group, effect.Server.Name, effect.Term)
 	}
 	node.handle(core.GroupEvent{Group: effect.Group, Event: result})
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -149,6 +149,7 @@
 				Address: freeAddress(fleet.c), Certificate: files.Certificate,
 				PrivateKey: files.PrivateKey, Authority: files.Authority,
 			},
+			Operator:     config.Operator{Address: freeAddress(fleet.c)},
 			Backend:      config.Backend{User: "spool", PasswordFile: passwordFile},
 			DrainTimeout: spool.Duration(5 * time.Second),
 		}
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// Begin admits work against its team's rate.
-func (node *Node) Begin(ctx context.Context, work spool.Work) (spool.Lane, error) {
+// admit admits work against its team's rate.
+func (node *Node) admit(ctx context.Context, work spool.Work) (spool.Lane, error) {
 	snapshot := node.snapshot.Load()
 	if refusal := snapshot.Check(work.Session.Login); refusal != nil {
 		return nil, refusal
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -88,20 +88,24 @@
 	if err != nil {
 		return
 	}
+	reach := newReach(serverPatience, kept.node.timers.Now())
 	for ctx.Err() == nil {
 		sentAt := kept.node.timers.Now()
-		kept.ask(ctx, admin, server, sentAt)
+		kept.ask(ctx, admin, server, sentAt, reach)
 		pause(ctx, pollInterval-kept.node.timers.Now().Sub(sentAt))
 	}
 }
 
-func (kept *kept) ask(ctx context.Context, admin spool.Admin, server spool.ServerSpec, sentAt spool.Instant) {
+func (kept *kept) ask(
+	ctx context.Context, admin spool.Admin, server spool.ServerSpec, sentAt spool.Instant, reach *reach,
+) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	status, err := admin.Status(ctx, server)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
+	kept.serverCalled(reach, server.Name, err)
 	if err != nil {
 		kept.Miss(server.Name)
 		kept.tell(terms.StatusFailed{Server: server.Name, SentAt: sentAt, Refused: refused(err)})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"corianderspool.example/spool/internal/core/policy"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/front"
+	"corianderspool.example/spool/internal/metric"
 	"corianderspool.example/spool/internal/peer"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
@@ -59,6 +60,12 @@
 	watcher  watcher
 	leaving  atomic.Bool
 	trusted  atomic.Bool
+
+	metrics       *metric.Metrics
+	trail         *trail
+	platformReach *reach
+	follows       registry[spool.Server, spool.Term] // the term in which a server was logged as following
+	promotions    map[spool.Group]spool.Term         // ordered and not opened yet; guarded by mutex
 }
 
 // Option changes a node under construction.
@@ -71,12 +78,16 @@
 
 // New returns a node that serves nobody yet; it fails when files that the settings name cannot be read.
 func New(settings config.Settings, platform spool.Platform, logger *zap.Logger, options ...Option) (*Node, error) {
-	node := &Node{settings: settings, platform: platform, logger: logger, timers: clock.Real{}}
+	node := &Node{
+		settings: settings, platform: platform, logger: logger, timers: clock.Real{},
+		promotions: map[spool.Group]spool.Term{},
+	}
 	for _, option := range options {
 		option(node)
 	}
 	node.ctx, node.cancel = context.WithCancel(context.Background())
 	node.snapshot.Store(policy.NewStore().Snapshot())
+	node.observe()
 	if err := node.loadFiles(); err != nil {
 		return nil, err
 	}
@@ -85,7 +96,8 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
 	node.core = core.New(self, node.timers.Now())
-	node.transport = peer.New(settings.VM, node.peerBundle, node.address, peer.WithLogger(logger))
+	node.transport = peer.New(settings.VM, node.peerBundle, node.address,
+		peer.WithLogger(node.logger), peer.WithObserver(node.metrics.PeerBytes))
 	return node, nil
 }
 
@@ -119,14 +131,14 @@
 func (node *Node) newFront() (*front.Front, error) {
 	caller := node.settings.Caller
 	if caller.Certificate == "" {
-		return front.New(node), nil
+		return front.New(node, front.WithObserver(node)), nil
 	}
 	bundle, err := certs.Load(certs.Files{Certificate: caller.Certificate, PrivateKey: caller.PrivateKey})
 	if err != nil {
 		return nil, err
 	}
 	node.reload(bundle)
-	return front.New(node, front.WithTLS(bundle.Server())), nil
+	return front.New(node, front.WithObserver(node), front.WithTLS(bundle.Server())), nil
 }
 
 func (node *Node) reload(bundle *certs.Bundle) {
@@ -138,6 +150,10 @@
 // Run serves until ctx ends, then drains; it fails when an address cannot be listened on.
 func (node *Node) Run(ctx context.Context) error {
 	defer node.cancel()
+	operators, err := node.serveOperators()
+	if err != nil {
+		return err
+	}
 	peers, err := net.Listen("tcp", node.settings.Peer.Address)
 	if err != nil {
 		return eris.Wrap(err, "listen for other proxies")
@@ -151,7 +167,8 @@
 	node.transport.Listen(peers, node)
 	defer node.transport.Close()
 	node.start()
-	event.Log(node.logger, event.ProxyStarted, zap.String("Address", callers.Addr().String()))
+	event.Log(node.logger, event.ProxyStarted,
+		zap.String("Address", callers.Addr().String()), zap.String("Operator", operators))
 	failed := make(chan error, 1)
 	go func() { failed <- node.front.Serve(callers) }()
 	select {
@@ -164,6 +181,7 @@
 }
 
 func (node *Node) start() {
+	node.trail.start(node.ctx)
 	node.handle(core.Started{})
 	stop := node.timers.Every(tickInterval, spool.TimerFunc(func(spool.Instant) { node.handle(core.Tick{}) }))
 	context.AfterFunc(node.ctx, stop)
--- a/internal/node/note.go
+++ b/internal/node/note.go
@@ -1,12 +1,12 @@
 package node
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/core"
+	"corianderspool.example/spool/internal/core/terms"
 	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/pkg/spool"
 )
 
 var noteEvents = map[core.Topic]event.Number{
@@ -14,7 +14,6 @@
 	core.TopicKeeperLost:  event.KeeperLost,
 	core.TopicOwnerTaken:  event.OwnerTaken,
 	core.TopicOwnerLost:   event.OwnerLost,
-	core.TopicTerm:        event.TermPromoting,
 	core.TopicTermOpened:  event.TermOpened,
 	core.TopicRoster:      event.RosterChanged,
 	core.TopicAccepted:    event.ConfigAccepted,
@@ -22,8 +21,55 @@
 	core.TopicWithdrawn:   event.KeyWithdrawn,
 }
 
-// note writes a decision to the log.
+// termEvents are the events of a keeper's steps; the gain of the lease and an opened term have notes of their own.
+var termEvents = map[terms.Reason]event.Number{
+	terms.ReasonSuspected:     event.TermSuspected,
+	terms.ReasonReturned:      event.TermCleared,
+	terms.ReasonContradicted:  event.TermCleared,
+	terms.ReasonConfirmed:     event.TermPromoting,
+	terms.ReasonReplaced:      event.TermPromoting,
+	terms.ReasonMisplaced:     event.TermPromoting,
+	terms.ReasonLeaving:       event.TermPromoting,
+	terms.ReasonCandidateGone: event.TermPromoting,
+	terms.ReasonPromoting:     event.TermOrdered,
+	terms.ReasonNoCandidate:   event.TermStuck,
+	terms.ReasonWriteUnknown:  event.TermUncertain,
+}
+
+// note writes a decision to the log and the audit trail; calls come one at a time.
 func (node *Node) note(note core.Note) {
+	number := noteEvents[note.Topic]
+	if note.Topic == core.TopicTerm {
+		number = termEvents[terms.Reason(note.Text)]
+	}
+	if number > 0 {
+		event.Log(node.logger, number, noteFields(note)...)
+	}
+	switch note.Topic {
+	case core.TopicTerm:
+		if terms.Reason(note.Text) == terms.ReasonPromoting {
+			node.promotions[note.Group] = note.Term
+		}
+	case core.TopicTermOpened:
+		node.termOpened(note)
+	case core.TopicRoster:
+		node.trail.rosterChanged(note.Version, node.core.Roster())
+	case core.TopicRejected:
+		node.trail.rejected(note)
+	}
+}
+
+// termOpened counts and records a term that a promotion brought about, unlike one that a new keeper goes on with.
+func (node *Node) termOpened(note core.Note) {
+	if node.promotions[note.Group] != note.Term {
+		return
+	}
+	delete(node.promotions, note.Group)
+	node.metrics.Failover(note.Group)
+	node.trail.promoted(note)
+}
+
+func noteFields(note core.Note) []zap.Field {
 	fields := []zap.Field{}
 	add := func(name, value string) {
 		if value != "" {
@@ -34,6 +80,7 @@
 	add("Team", string(note.Team))
 	add("Server", string(note.Server))
 	add("Partner", string(note.Partner))
+	add("Key", note.Key)
 	add("Text", note.Text)
 	if note.Term > 0 {
 		fields = append(fields, zap.Uint64("Term", uint64(note.Term)))
@@ -41,11 +88,14 @@
 	if note.Version > 0 {
 		fields = append(fields, zap.Uint64("Version", uint64(note.Version)))
 	}
-	event.Log(node.logger, noteEvents[note.Topic], fields...)
+	return fields
 }
 
-// SlotWaited tells how long a request waited for a slot.
-func (node *Node) SlotWaited(time.Duration) {}
-
-// Read tells of an answered read.
-func (node *Node) Read(bool) {}
+// followed logs once for each term that a server follows its primary.
+func (node *Node) followed(group spool.Group, server spool.Server, term spool.Term) {
+	if logged, _ := node.follows.get(server); logged == term {
+		return
+	}
+	node.follows.set(server, term)
+	event.Log(node.logger, event.ServerDemoted, noteFields(core.Note{Group: group, Server: server, Term: term})...)
+}
--- a/internal/node/objects.go
+++ b/internal/node/objects.go
@@ -9,10 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
-	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/core"
-	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -124,17 +122,12 @@
 var watchedKinds = []string{spool.KindManifest, spool.KindRoster, spool.KindTerm, spool.KindMember}
 
 func (node *Node) watch(ctx context.Context, after spool.Version) {
-	lost := false
 	for ctx.Err() == nil {
 		sentAt := node.timers.Now()
 		objects, version, err := node.platform.Watch(ctx, watchedKinds, after)
 		if ctx.Err() != nil {
 			return
 		}
-		if lost != (err != nil) {
-			lost = err != nil
-			node.logPlatform(lost, err)
-		}
 		if err != nil {
 			pause(ctx, watchRetry)
 			continue
@@ -144,14 +137,6 @@
 	}
 }
 
-func (node *Node) logPlatform(lost bool, err error) {
-	if lost {
-		event.Log(node.logger, event.PlatformLost, zap.Error(err))
-		return
-	}
-	event.Log(node.logger, event.PlatformBack)
-}
-
 func pause(ctx context.Context, duration time.Duration) {
 	select {
 	case <-time.After(duration):
--- /dev/null
+++ b/internal/node/operator_test.go
@@ -0,0 +1,169 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/internal/audit"
+	"corianderspool.example/spool/internal/cmds"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const eventualWait = 15 * time.Second
+
+func (fleet *fleet) eventually(what string, condition func() bool) {
+	deadline := time.Now().Add(eventualWait)
+	for !condition() {
+		fleet.c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%s", what))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// ask sends a request to a proxy's operator port and returns the status code and the body.
+func (fleet *fleet) ask(proxy int, path string) (int, string) {
+	answer, err := http.Get("http://" + fleet.proxies[proxy].settings.Operator.Address + path)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	fleet.c.Assert(err, qt.IsNil)
+	return answer.StatusCode, string(body)
+}
+
+// command runs a subcommand that prints JSON.
+func command[Value any](fleet *fleet, arguments ...string) Value {
+	var output, failure bytes.Buffer
+	program := cmds.New(
+		cmds.WithStreams(strings.NewReader(""), &output, &failure),
+		cmds.WithConnect(func(string, string) spool.Platform { return fleet.client }),
+	)
+	code := program.Run(context.Background(), append(arguments, "--json"))
+	fleet.c.Assert(code, qt.Equals, cmds.Success, qt.Commentf("%s", failure.String()))
+	var value Value
+	fleet.c.Assert(json.Unmarshal(output.Bytes(), &value), qt.IsNil)
+	return value
+}
+
+func (fleet *fleet) status(proxy int) spool.Status {
+	return command[spool.Status](fleet, "status", "--operator", fleet.proxies[proxy].settings.Operator.Address)
+}
+
+func TestOperatorsSeeTheFleet(t *testing.T) {
+	fleet := newFleet(t, nil)
+	c := fleet.c
+	conn := fleet.mustConnect(0)
+	for range 3 {
+		_, err := conn.Exec(context.Background(), "GET nothing")
+		c.Assert(err, qt.IsNil)
+	}
+	fleet.eventually("all proxies show the whole fleet and one of them is the keeper", func() bool {
+		keepers := 0
+		for i := range fleet.proxies {
+			status := fleet.status(i)
+			if !whole(status) {
+				return false
+			}
+			if status.Groups[0].Keeper == status.VM && status.Groups[0].Open && len(status.Groups[0].Servers) == 3 {
+				keepers++
+			}
+		}
+		return keepers == 1
+	})
+	for i := range fleet.proxies {
+		code, body := fleet.ask(i, "/readyz")
+		c.Assert(code, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		_, metrics := fleet.ask(i, "/metrics")
+		version := fleet.status(i).Manifests[0].Version
+		c.Check(metrics, qt.Contains, fmt.Sprintf(`config_version{partner="kyushu"} %d`, version))
+	}
+	_, metrics := fleet.ask(0, "/metrics")
+	for _, series := range []string{
+		`requests_total{team="kyushu.office",verdict="answered"}`, "corianderspool_sessions 1\n",
+		`events_total{event="101"} 1`, `platform_calls_total{call="list",kind="Manifest",result="done"}`,
+		"request_seconds_count", "peer_control_bytes_total",
+	} {
+		c.Check(metrics, qt.Contains, series)
+	}
+}
+
+func whole(status spool.Status) bool {
+	reached := 0
+	for _, vm := range status.VMs {
+		if vm.InReach && !vm.Leaving {
+			reached++
+		}
+	}
+	return reached == 3 && status.PlatformInReach && len(status.Roster.Members) == 3 &&
+		status.Manifests[0].Version > 0 && status.Teams[0].Owner != "" && status.Groups[0].Primary == "kyushu.s1"
+}
+
+func TestDrainingProxyIsNotReady(t *testing.T) {
+	fleet := newFleet(t, nil)
+	tx, err := fleet.mustConnect(0).Begin(context.Background())
+	fleet.c.Assert(err, qt.IsNil)
+	_, err = tx.Exec(context.Background(), "PUT a b")
+	fleet.c.Assert(err, qt.IsNil)
+	fleet.proxies[0].stop()
+	fleet.eventually("the draining proxy is not ready", func() bool {
+		code, body := fleet.ask(0, "/readyz")
+		return code == http.StatusServiceUnavailable && strings.Contains(body, "shutting down")
+	})
+	fleet.c.Assert(fleet.status(0).Draining, qt.IsTrue)
+	code, _ := fleet.ask(1, "/readyz")
+	fleet.c.Assert(code, qt.Equals, http.StatusOK)
+	fleet.c.Assert(tx.Commit(context.Background()), qt.IsNil)
+	fleet.c.Assert(<-fleet.proxies[0].done, qt.IsNil)
+}
+
+func TestTrailShowsEachChangeOnce(t *testing.T) {
+	fleet := newFleet(t, nil)
+	valid := fleet.manifest
+	fleet.manifest.Partner = "other"
+	fleet.push()
+	fleet.eventually("the manifest is refused", func() bool { return fleet.status(1).Manifests[0].Refused > 0 })
+	fleet.manifest = valid
+	fleet.manifest.Keys[0].Withdrawn = true
+	fleet.push()
+	fleet.servers[0].Close()
+	fleet.eventually("all changes are in the trail", func() bool {
+		counts := fleet.trail()
+		return counts[audit.ActionAccept] >= 2 && counts[audit.ActionReject] > 0 && counts[audit.ActionEndKeys] > 0 &&
+			counts[audit.ActionPromote] > 0 && counts[audit.ActionRoster] > 0
+	})
+	time.Sleep(time.Second)
+	counts := fleet.trail()
+	fleet.c.Check(counts[audit.ActionAccept], qt.Equals, 2)
+	fleet.c.Check(counts[audit.ActionReject], qt.Equals, 1)
+	fleet.c.Check(counts[audit.ActionEndKeys], qt.Equals, 1)
+	failovers := 0
+	for i := range fleet.proxies {
+		_, metrics := fleet.ask(i, "/metrics")
+		for line := range strings.Lines(metrics) {
+			count := 0
+			_, _ = fmt.Sscanf(line, `corianderspool_failovers_total{group="kyushu.db"} %d`, &count)
+			failovers += count
+		}
+		fleet.c.Check(metrics, qt.Contains, `events_total{event="503"} 1`)
+		fleet.c.Check(metrics, qt.Contains, "corianderspool_audit_entries_lost_total 0")
+	}
+	fleet.c.Check(failovers, qt.Equals, counts[audit.ActionPromote])
+}
+
+// trail counts the entries of the audit trail by their action.
+func (fleet *fleet) trail() map[string]int {
+	counts := map[string]int{}
+	for _, entry := range command[[]audit.Entry](fleet, "audit", "--platform", fleet.platform.URL()) {
+		counts[entry.Action]++
+	}
+	return counts
+}
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -32,7 +32,7 @@
 	backoff := shortestBackoff
 	for outbox.transport.ctx.Err() == nil {
 		err := outbox.connect()
-		if !outbox.lost {
+		if !outbox.lost && outbox.transport.ctx.Err() == nil {
 			outbox.lost = true
 			outbox.transport.log(event.PeerLost, outbox.to, err)
 		}
