--- a/internal/core/note_test.go
+++ b/internal/core/note_test.go
@@ -11,7 +11,7 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-func manifest(c *qt.C, version spool.Version, keys ...spool.KeySpec) spool.Object {
+func manifestObject(c *qt.C, version spool.Version, keys ...spool.KeySpec) spool.Object {
 	body, err := json.Marshal(spool.Manifest{
 		Partner: "kyushu",
 		Teams:   []spool.TeamSpec{{Name: "kyushu.office", RatePerSecond: 1, Burst: 1}},
@@ -32,11 +32,11 @@
 func TestEndedKeysAreNoted(t *testing.T) {
 	c := qt.New(t)
 	proxy := core.New(spool.Member{VM: "vm1", Domain: "d1"}, 0)
-	first := manifest(c, 3, key("kyushu.gone", 1), key("kyushu.kept", 1), key("kyushu.new-secret", 1), key("kyushu.off", 1))
+	first := manifestObject(c, 3, key("kyushu.gone", 1), key("kyushu.kept", 1), key("kyushu.new-secret", 1), key("kyushu.off", 1))
 	proxy.Handle(core.ObjectsRead{Objects: []spool.Object{first}, Version: 3}, 0)
 	off := key("kyushu.off", 1)
 	off.Withdrawn = true
-	second := manifest(c, 4, key("kyushu.kept", 1), key("kyushu.new-secret", 2), off)
+	second := manifestObject(c, 4, key("kyushu.kept", 1), key("kyushu.new-secret", 2), off)
 	noted := map[string]spool.Version{}
 	for _, effect := range proxy.Handle(core.ObjectsSeen{Objects: []spool.Object{second}}, spool.Instant(time.Second)) {
 		if note, isNote := effect.(core.Note); isNote && note.Topic == core.TopicWithdrawn {
