--- a/internal/front/analyst.go
+++ b/internal/front/analyst.go
@@ -75,8 +75,10 @@
 		}
 	}
 	declared := hasPrefix(statement.text, analyst.reads)
-	found.read = found.read && (declared || readWords[statement.word(0)]) && !locks(statement)
-	found.idempotent = found.idempotent && hasPrefix(statement.text, analyst.idempotent)
+	locking := locks(statement)
+	found.read = found.read && (declared || readWords[statement.word(0)]) && !locking
+	repeatable := hasPrefix(statement.text, analyst.idempotent) || declared && !locking
+	found.idempotent = found.idempotent && repeatable
 }
 
 func firstRefusal(first, second *spool.Refusal) *spool.Refusal {
--- a/internal/node/lane.go
+++ b/internal/node/lane.go
@@ -14,6 +14,7 @@
 const (
 	movedPause      = 10 * time.Millisecond
 	movedRetryAfter = 1 * time.Second
+	seekInterval    = 5 * time.Millisecond
 )
 
 // lane carries a caller's transaction to the group's keeper, on this proxy or another.
@@ -58,7 +59,7 @@
 	role := lease.GroupRole(lane.group)
 	vm, known := lane.node.holder(role)
 	if !known {
-		lane.node.handle(core.Missing{Role: role})
+		lane.node.seek(role)
 		return nil, false
 	}
 	if vm == lane.node.settings.VM {
@@ -88,6 +89,16 @@
 	return tally.Sink.Write(messages)
 }
 
+// seek has the core look for a role's holder; many requests may wait for the same one.
+func (node *Node) seek(role lease.Role) {
+	now := node.timers.Now()
+	last := node.soughtAt.Load()
+	if now.Sub(spool.Instant(last)) < seekInterval || !node.soughtAt.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	node.handle(core.Missing{Role: role})
+}
+
 func (lane *lane) waitForKeeper(ctx context.Context) error {
 	if lane.node.timers.Now().Add(movedPause) >= lane.request.Deadline || ctx.Err() != nil {
 		return &spool.Refusal{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	watcher  watcher
 	leaving  atomic.Bool
 	trusted  atomic.Bool
+	soughtAt atomic.Int64 // spool.Instant of the latest search for a role's holder
 
 	metrics       *metric.Metrics
 	trail         *trail
--- a/pkg/spool/manifest.go
+++ b/pkg/spool/manifest.go
@@ -55,7 +55,7 @@
 	Group      Group
 	Teams      []Team
 	Open       bool     // callers need no key; requests count against the first team
-	Reads      []string // statement prefixes that may run on a replica
+	Reads      []string // statement prefixes that may run on a replica, and more than once
 	Idempotent []string // statement prefixes that may run more than once
 	MaxAge     Duration // age of data that reads accept; zero asks for the session's own writes
 	Timeout    Duration // longest time a request may wait and run
