Hand tokens on that would be lost, and measure small bursts

Kyushu, a team of 300/s with a burst of 20: 42% of the requests inside the rate were refused. Ruled out: floats that idle on other VMs (dropping them while tokens are scarce changed it to 42%). Cause: whole tokens were kept back for the VM with the least served part until it asked again, 40 ms later, and meanwhile the bucket overflowed.

--- a/internal/bench/policy/fleet.go
+++ b/internal/bench/policy/fleet.go
@@ -22,14 +22,14 @@
 
 func newFleet(trial *trial) *fleet {
 	fleet := &fleet{trial: trial, waiting: map[uint64]*request{}}
-	for vm := range trial.size.VMs {
+	for range trial.size.VMs {
 		var clients []*share.Client
-		for team, spec := range trial.size.Teams {
+		for _, spec := range trial.size.Teams {
 			clients = append(clients, share.NewClient(spec.Name, 1, 0))
-			trial.clock.Every(stepPeriod, spool.TimerFunc(func(spool.Instant) { fleet.step(vm, team) }))
 		}
 		fleet.clients = append(fleet.clients, clients)
 	}
+	trial.clock.Every(stepPeriod, spool.TimerFunc(fleet.stepDue))
 	fleet.takeOver(ownerVM)
 	trial.at(trial.scenario.OwnerDown.From, func() { fleet.owners = nil })
 	trial.at(trial.scenario.OwnerDown.To, func() { fleet.takeOver(successor) })
@@ -65,6 +65,16 @@
 	}
 }
 
+func (fleet *fleet) stepDue(now spool.Instant) {
+	for vm, clients := range fleet.clients {
+		for team, client := range clients {
+			if now >= client.Due() {
+				fleet.step(vm, team)
+			}
+		}
+	}
+}
+
 func (fleet *fleet) step(vm, team int) {
 	outcome := fleet.clients[vm][team].Step(fleet.trial.clock.Now())
 	for _, id := range outcome.Admitted {
--- a/internal/bench/policy/policy_test.go
+++ b/internal/bench/policy/policy_test.go
@@ -3,19 +3,24 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
-	seedCount         = 2
 	worstShareTarget  = 0.95
 	replicaReadTarget = 0.9
 	gapTargetMillis   = 2000
 )
 
+var seedCount = flag.Uint64("seeds", 2, "seeds for each scenario")
+
 // refusalTargets are the largest parts of the requests inside a team's rate that may be refused.
 var refusalTargets = map[string]float64{"Calm": 0.001, "Overload": 0.001, "Outage": 0.001, "OwnerLoss": 0.01}
 
@@ -24,7 +29,7 @@
 		for _, scenario := range Scenarios() {
 			t.Run(fmt.Sprint(size.Partner, scenario.Name), func(t *testing.T) {
 				t.Parallel()
-				for seed := range uint64(seedCount) {
+				for seed := range *seedCount {
 					checkTargets(t, size, scenario, seed)
 				}
 			})
@@ -54,8 +59,12 @@
 
 // TestOthersMissTheTargets shows that the targets tell the versions apart.
 func TestOthersMissTheTargets(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	scenarios := Scenarios()
+	for i := range scenarios {
+		scenarios[i].Measured = Span{From: 2 * time.Second, To: 6 * time.Second}
+	}
 	for _, size := range Sizes() {
 		calm := measure(c, size, scenarios[0], "naive", 0)
 		c.Assert(calm.StaleReads > 0, qt.IsTrue)
@@ -67,7 +76,34 @@
 	}
 }
 
+// TestSmallBurstsServeTheRate measures a team inside its rate next to a greedy one for bursts that are small against the
+// rate; from a tenth of a second's rate and five tokens on, nothing may be refused.
+func TestSmallBurstsServeTheRate(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	overload := Scenarios()[1]
+	overload.Measured.To = 10 * time.Second
+	for _, size := range Sizes() {
+		for _, rate := range []float64{20, 100, 300} {
+			for _, burst := range []float64{1, 2, 5, 10, 20, 30} {
+				size.Teams = []spool.TeamSpec{
+					{Name: "greedy", RatePerSecond: rate, Burst: burst},
+					{Name: "inside", RatePerSecond: rate, Burst: burst},
+				}
+				result := measure(c, size, overload, "ours", 1)
+				comment := qt.Commentf("%s, rate %v, burst %v: worst share %.4f", size.Partner, rate, burst, *result.WorstTeamShare)
+				t.Log(comment)
+				c.Check(result.AboveBound, qt.Equals, 0, comment)
+				if burst >= max(5, rate/10) {
+					c.Check(*result.WorstTeamShare >= worstShareTarget, qt.IsTrue, comment)
+				}
+			}
+		}
+	}
+}
+
 func TestSameSeedGivesTheSameResult(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	ours, err := Get("ours")
 	c.Assert(err, qt.IsNil)
--- a/internal/core/share/bucket.go
+++ b/internal/core/share/bucket.go
@@ -7,6 +7,8 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
+const brimPart = 0.75 // part of the burst at which a bucket counts as about to overflow
+
 // bucket holds the tokens of one team; level + outstanding never exceeds the burst.
 type bucket struct {
 	timing      *Timing
@@ -80,6 +82,11 @@
 	return math.Floor(max(0, min(bucket.level, bucket.cap()-bucket.outstanding)))
 }
 
+// brimming reports whether the bucket is about to overflow, so that a token kept back for another VM would be lost.
+func (bucket *bucket) brimming() bool {
+	return bucket.level+bucket.outstanding >= bucket.burst*brimPart
+}
+
 func (bucket *bucket) mint(tokens float64) {
 	bucket.level -= tokens
 	bucket.outstanding += tokens
--- a/internal/core/share/fair.go
+++ b/internal/core/share/fair.go
@@ -28,7 +28,7 @@
 		return math.Floor(holder.want)
 	}
 	part := holder.claim(owner.waterline(ready, now))
-	if least == holder {
+	if least == holder || owner.bucket.brimming() {
 		part = max(part, 1)
 	}
 	return math.Floor(min(part, ready, holder.want))
