Measure slopes of the proxy's parts

cmd/bench gets a part Slopes (make slopes): 60 measures at three to five sizes each, with a least-squares line, its slope, intercept and r². A core whose fleet is played by a script gives the costs of ticks, heartbeats and pledges; raw sockets without memory of the Go runtime give the memory of callers; proxies before the stand-in of the platform give its calls.

Ruled out: wall time, because the machine is shared (load 20 to 27); processor time of the process is read round each batch instead, with two threads of the scheduler, and medians of three rounds count. Calls of the platform are counted and take one round.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEEDS ?= 20
 SECONDS ?= 60
 
-.PHONY: build test lint demo bench
+.PHONY: build test lint demo bench slopes report
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -25,3 +25,6 @@
 
 bench:
 	$(GO) run ./cmd/bench Path
+
+slopes:
+	$(GO) run ./cmd/bench Slopes
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -34,11 +34,18 @@
 	flaggy.SetName("bench")
 	flaggy.SetDescription("Measures the proxy.")
 	flaggy.AttachSubcommand(part, 1)
+	slopes := newSlopes()
 	flaggy.Parse()
-	if !part.Used {
+	var err error
+	switch {
+	case part.Used:
+		err = run(options, asJSON)
+	case slopes.Used:
+		err = slopes.run()
+	default:
 		flaggy.ShowHelpAndExit("")
 	}
-	if err := run(options, asJSON); err != nil {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/bench/slope/leases.go
@@ -0,0 +1,98 @@
+package slope
+
+import (
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"corianderspool.example/spool/internal/core/lease"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+func leaseMeasures() []measure {
+	return []measure{
+		line("PledgeCPU", "roles pledged to", "CPU µs a request", []int{100, 1000, 10000}, pledgeMicros),
+		line("PledgeGroupBytes", "terms in a group's record", "bytes of request and answer", []int{1, 2, 4, 8}, groupBytes),
+		line("PledgeGroupCode", "terms in a group's record", "CPU µs to encode and decode", []int{1, 2, 4, 8}, groupCode),
+		line("PledgeTeamBytes", "letters of a team's name", "bytes of request and answer", []int{10, 20, 40}, teamBytes),
+		line("PledgeTeamCode", "letters of a team's name", "CPU µs to encode and decode", []int{10, 20, 40}, teamCode),
+	}
+}
+
+func termRecord(terms int) *wire.TermRecord {
+	record := &wire.TermRecord{
+		Group: string(groupName(7)), Term: uint64(terms + 1), Primary: string(groupName(7)) + "-1", Start: 123456,
+		Opened: true, Holder: "vm-0007", Nonce: 1_700_000_000_000_000_000, Version: 123456,
+	}
+	for term := range terms {
+		record.History = append(record.History, &wire.TermStart{Term: uint64(term + 1), Start: 1000 * uint64(term)})
+	}
+	return record
+}
+
+func pledgeEnvelopes(role lease.Role, record *wire.TermRecord) (request, answer *wire.Envelope) {
+	request = &wire.Envelope{
+		From: "vm-0007", Incarnation: memberAt(7).Incarnation,
+		Body: &wire.Envelope_PledgeRequest{PledgeRequest: &wire.PledgeRequest{
+			Role: string(role), Roster: bootVersion, Sequence: 123456, Record: record,
+			Incarnation: memberAt(7).Incarnation,
+		}},
+	}
+	answer = &wire.Envelope{
+		From: "vm-0001", Incarnation: memberAt(1).Incarnation,
+		Body: &wire.Envelope_PledgeAnswer{PledgeAnswer: &wire.PledgeAnswer{
+			Role: string(role), Sequence: 123456, Granted: true, Roster: bootVersion, Record: record,
+			Incarnation: memberAt(7).Incarnation,
+		}},
+	}
+	return request, answer
+}
+
+func groupPledge(terms int) (request, answer *wire.Envelope) {
+	return pledgeEnvelopes(lease.GroupRole(groupName(7)), termRecord(terms))
+}
+
+func teamPledge(letters int) (request, answer *wire.Envelope) {
+	return pledgeEnvelopes(lease.TeamRole(spool.Team(strings.Repeat("a", letters))), nil)
+}
+
+func groupBytes(terms int) (float64, error) {
+	request, answer := groupPledge(terms)
+	return float64(proto.Size(request) + proto.Size(answer)), nil
+}
+
+func groupCode(terms int) (float64, error) {
+	request, answer := groupPledge(terms)
+	return codeMicros(request) + codeMicros(answer), nil
+}
+
+func teamBytes(letters int) (float64, error) {
+	request, answer := teamPledge(letters)
+	return float64(proto.Size(request) + proto.Size(answer)), nil
+}
+
+func teamCode(letters int) (float64, error) {
+	request, answer := teamPledge(letters)
+	return codeMicros(request) + codeMicros(answer), nil
+}
+
+// pledgeMicros measures one request to a witness that has pledged to that many roles.
+func pledgeMicros(roles int) (float64, error) {
+	witness := lease.NewWitness(self().VM, 0)
+	roster := lease.Roster{Version: bootVersion, Members: []spool.VM{self().VM}}
+	witness.Confirm(roster, true)
+	now := spool.Instant(10 * time.Second)
+	requests := make([]*wire.PledgeRequest, 0, roles)
+	for i := range roles {
+		requests = append(requests, &wire.PledgeRequest{
+			Role: string(lease.TeamRole(teamName(i))), Roster: bootVersion, Sequence: 1, Incarnation: 7,
+		})
+	}
+	next := 0
+	return microsPerCall(func() {
+		witness.Pledge("vm-0007", requests[next], now)
+		next = (next + 1) % roles
+	}), nil
+}
--- /dev/null
+++ b/internal/bench/slope/report.go
@@ -0,0 +1,47 @@
+package slope
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Series is what one measure found at each of its sizes.
+type Series struct {
+	Name   string
+	Size   string // what the sizes count
+	Unit   string // of the values
+	Points []Point
+	Fit    Fit
+}
+
+// Report is the outcome of Run.
+type Report struct {
+	Threads    int // of the Go scheduler
+	Cores      int
+	Rounds     int // runs at each size, of which the median counts
+	LoadBefore float64
+	LoadAfter  float64
+	Series     []Series
+}
+
+// WriteTable writes the report as text.
+func (report Report) WriteTable(output io.Writer) error {
+	_, _ = fmt.Fprintf(output, "%d threads on %d cores, median of %d rounds, load %.1f before and %.1f after\n\n",
+		report.Threads, report.Cores, report.Rounds, report.LoadBefore, report.LoadAfter)
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "measure\tvalue\tsize\tslope\tintercept\tr²\tvalue at size")
+	for _, series := range report.Series {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%.4g\t%.4g\t%.4f\t%s\n", series.Name, series.Unit, series.Size,
+			series.Fit.Slope, series.Fit.Intercept, series.Fit.R2, list(series.Points))
+	}
+	return table.Flush()
+}
+
+func list(points []Point) string {
+	text := ""
+	for _, point := range points {
+		text += fmt.Sprintf("%.4g at %.0f; ", point.Value, point.Size)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/bench/slope/sessions.go
@@ -0,0 +1,189 @@
+package slope
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+
+	"corianderspool.example/spool/internal/front"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	protocolVersion = 3 << 16
+	answerSize      = 4096
+)
+
+func sessionMeasures() []measure {
+	return []measure{
+		line("SessionLoggedIn", "callers without TLS, logged in", "bytes", []int{100, 400, 1600}, idleSessions(0)),
+		line("SessionUsed", "callers without TLS, after 3 statements", "bytes", []int{100, 400, 1600}, idleSessions(3)),
+		line("SessionCycle", "statements", "CPU µs, front and kernel", []int{100, 1000, 4000}, cycles),
+	}
+}
+
+// stubGate lets everybody in and answers every cycle itself.
+type stubGate struct{}
+
+func (stubGate) Login(string, string) (spool.Login, *spool.Refusal) {
+	return spool.Login{Team: teamName(1), Route: spool.RouteSpec{Name: "open", Group: groupName(1), Open: true}}, nil
+}
+
+func (stubGate) Attach(spool.Login) (endings <-chan spool.Ending, detach func()) {
+	return make(chan spool.Ending, 1), func() {}
+}
+
+func (stubGate) Begin(context.Context, spool.Work) (spool.Lane, error) { return stubLane{}, nil }
+
+type stubLane struct{}
+
+func (stubLane) Exchange(_ context.Context, _ *spool.Cycle, sink spool.Sink) (spool.Result, error) {
+	answer, err := (&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")}).Encode(nil)
+	if err != nil {
+		return spool.Result{TxStatus: 'I'}, err
+	}
+	_, err = sink.Write(answer)
+	return spool.Result{TxStatus: 'I', Token: spool.Token{Group: groupName(1), Term: 1, Position: 1}, Sent: true}, err
+}
+
+func (stubLane) Close() {}
+
+// caller is a connection without any memory of the Go runtime.
+type caller int
+
+func dial(address *net.TCPAddr) (caller, error) {
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		return 0, eris.Wrap(err, "open a socket")
+	}
+	target := &unix.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}
+	if err := unix.Connect(socket, target); err != nil {
+		return 0, eris.Wrap(err, "connect")
+	}
+	startup := &pgproto3.StartupMessage{
+		ProtocolVersion: protocolVersion, Parameters: map[string]string{"user": "counter", "database": "open"},
+	}
+	return caller(socket), caller(socket).exchange(startup)
+}
+
+// exchange sends a message and reads up to the next ReadyForQuery.
+func (caller caller) exchange(message pgproto3.FrontendMessage) error {
+	encoded, err := message.Encode(nil)
+	if err != nil {
+		return eris.Wrap(err, "encode")
+	}
+	if _, err := unix.Write(int(caller), encoded); err != nil {
+		return eris.Wrap(err, "write")
+	}
+	buffer := make([]byte, answerSize)
+	size := 0
+	for {
+		read, err := unix.Read(int(caller), buffer[size:])
+		if err != nil || read == 0 {
+			return eris.Errorf("the front closed the connection: %v", err)
+		}
+		size += read
+		if ready(buffer[:size]) {
+			return nil
+		}
+	}
+}
+
+// ready tells whether messages end in ReadyForQuery.
+func ready(messages []byte) bool {
+	for len(messages) >= 5 {
+		length := int(binary.BigEndian.Uint32(messages[1:5])) + 1
+		if length > len(messages) {
+			return false
+		}
+		if messages[0] == 'Z' {
+			return true
+		}
+		messages = messages[length:]
+	}
+	return false
+}
+
+// stage is a front with callers.
+type stage struct {
+	front   *front.Front
+	address *net.TCPAddr
+	callers []caller
+}
+
+func newStage() (*stage, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for callers")
+	}
+	stage := &stage{front: front.New(stubGate{}), address: listener.Addr().(*net.TCPAddr)}
+	go func() { _ = stage.front.Serve(listener) }()
+	return stage, nil
+}
+
+func (stage *stage) close() {
+	for _, caller := range stage.callers {
+		_ = unix.Close(int(caller))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = stage.front.Drain(ctx)
+}
+
+// join connects a caller that runs statements and stays.
+func (stage *stage) join(statements int) error {
+	caller, err := dial(stage.address)
+	if err != nil {
+		return err
+	}
+	stage.callers = append(stage.callers, caller)
+	for range statements {
+		if err := caller.exchange(&pgproto3.Query{String: "GET family"}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func idleSessions(statements int) func(callers int) (float64, error) {
+	return func(callers int) (float64, error) {
+		stage, err := newStage()
+		if err != nil {
+			return 0, err
+		}
+		defer stage.close()
+		return bytesOf(func() (any, error) {
+			for range callers {
+				if err := stage.join(statements); err != nil {
+					return stage, err
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+			return stage, nil
+		})
+	}
+}
+
+// cycles measures statements of one caller, with the caller's own calls of the kernel.
+func cycles(statements int) (float64, error) {
+	stage, err := newStage()
+	if err != nil {
+		return 0, err
+	}
+	defer stage.close()
+	if err := stage.join(window); err != nil {
+		return 0, err
+	}
+	begin := cpu()
+	for range statements {
+		if err := stage.callers[0].exchange(&pgproto3.Query{String: "GET family"}); err != nil {
+			return 0, err
+		}
+	}
+	return micros(cpu() - begin), nil
+}
--- /dev/null
+++ b/internal/bench/slope/slope_test.go
@@ -0,0 +1,67 @@
+package slope
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
+
+func TestLineFindsSlopeAndIntercept(t *testing.T) {
+	c := qt.New(t)
+	fit := Line([]Point{{Size: 1, Value: 5}, {Size: 2, Value: 8}, {Size: 4, Value: 14}})
+	c.Assert(near(fit.Slope, 3), qt.IsTrue, qt.Commentf("%v", fit))
+	c.Assert(near(fit.Intercept, 2), qt.IsTrue, qt.Commentf("%v", fit))
+	c.Assert(near(fit.R2, 1), qt.IsTrue, qt.Commentf("%v", fit))
+}
+
+func TestLineOfEqualValuesIsFlat(t *testing.T) {
+	c := qt.New(t)
+	fit := Line([]Point{{Size: 1, Value: 5}, {Size: 2, Value: 5}})
+	c.Assert(fit, qt.Equals, Fit{Slope: 0, Intercept: 5, R2: 1})
+}
+
+func TestReportKeepsItsShapeInJSON(t *testing.T) {
+	c := qt.New(t)
+	report := Report{Threads: 2, Cores: 10, Rounds: 1, LoadBefore: 1, LoadAfter: 2, Series: []Series{{
+		Name: "BeatHeld", Size: "roles", Unit: "bytes",
+		Points: []Point{{Size: 1, Value: 124}, {Size: 4, Value: 197}},
+		Fit:    Fit{Slope: 24, Intercept: 100, R2: 1},
+	}}}
+	encoded, err := json.Marshal(report)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(encoded), qt.JSONEquals, map[string]any{
+		"Threads": 2, "Cores": 10, "Rounds": 1, "LoadBefore": 1, "LoadAfter": 2,
+		"Series": []any{map[string]any{
+			"Name": "BeatHeld", "Size": "roles", "Unit": "bytes",
+			"Points": []any{
+				map[string]any{"Size": 1, "Value": 124},
+				map[string]any{"Size": 4, "Value": 197},
+			},
+			"Fit": map[string]any{"Slope": 24, "Intercept": 100, "R2": 1},
+		}},
+	})
+}
+
+func TestRunFitsALineThroughTheChosenMeasure(t *testing.T) {
+	c := qt.New(t)
+	report, err := Run(Options{Only: "^PledgeTeamBytes$", Rounds: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(report.Series, qt.HasLen, 1)
+	series := report.Series[0]
+	c.Assert(series.Points, qt.DeepEquals, []Point{{Size: 10, Value: 110}, {Size: 20, Value: 130}, {Size: 40, Value: 170}})
+	c.Assert(near(series.Fit.Slope, 2), qt.IsTrue, qt.Commentf("%v", series.Fit))
+}
+
+func TestMeasuresTakeThreeSizesAndHaveNamesOfTheirOwn(t *testing.T) {
+	c := qt.New(t)
+	seen := map[string]bool{}
+	for _, measure := range measures() {
+		c.Assert(seen[measure.name], qt.IsFalse, qt.Commentf("%s", measure.name))
+		seen[measure.name] = true
+		c.Assert(len(measure.sizes) >= 3, qt.IsTrue, qt.Commentf("%s", measure.name))
+	}
+}
