Keep only the roles that a proxy may hold, in order

Cause: every event sorted all roles of the manifests (settle, fence), every tick once more, and assign compared the roles it knew with those wanted pair by pair. A proxy kept a lease holder for each role of the fleet.

A role now begins when the proxy is among its first candidates, and roles and groups stand in an ordered map, so that nothing is sorted by events. What assign does and the order of effects stay as they were, but that roles that left the manifests are given up in their order, not in that of a map.

Ruled out: dropping a holder when its role is given up; a new holder would number its requests from the start, and a late release of the old one could then take back a pledge of the new one.

--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -25,7 +25,7 @@
 		beat.Confirmed = true
 		beat.ConfirmedAgeNanos = int64(now.Sub(core.confirmed.at))
 	}
-	for _, role := range core.sortedRoles() {
+	for _, role := range core.roles.sorted {
 		if role.held {
 			beat.Held = append(beat.Held, string(role.name))
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,8 +36,8 @@
 	roster  lease.Roster
 	copies  map[string]spool.Object // newest roster object, to pass on to peers
 
-	roles   map[lease.Role]*role
-	groups  map[spool.Group]*group
+	roles   ordered[lease.Role, *role]
+	groups  ordered[spool.Group, *group]
 	owners  map[spool.Team]*share.Owner
 	located map[lease.Role]location
 
@@ -83,8 +83,8 @@
 		view:    member.New(self),
 		store:   policy.NewStore(),
 		copies:  map[string]spool.Object{},
-		roles:   map[lease.Role]*role{},
-		groups:  map[spool.Group]*group{},
+		roles:   newOrdered[lease.Role, *role](),
+		groups:  newOrdered[spool.Group, *group](),
 		owners:  map[spool.Team]*share.Owner{},
 		located: map[lease.Role]location{},
 		started: now,
@@ -202,8 +202,8 @@
 
 func (core *Core) leave(now spool.Instant) {
 	core.view.Leave()
-	for name, role := range core.roles {
-		if _, isGroup := name.Group(); isGroup && role.held {
+	for _, role := range core.roles.sorted {
+		if _, isGroup := role.name.Group(); isGroup && role.held {
 			continue
 		}
 		core.giveUp(role, now)
@@ -212,7 +212,7 @@
 }
 
 func (core *Core) drained(group spool.Group, now spool.Instant) {
-	if role := core.roles[lease.GroupRole(group)]; role != nil {
+	if role := core.roles.get(lease.GroupRole(group)); role != nil {
 		core.giveUp(role, now)
 	}
 }
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -1,9 +1,7 @@
 package core
 
 import (
-	"cmp"
 	"encoding/json"
-	"slices"
 
 	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/core/terms"
@@ -20,7 +18,7 @@
 }
 
 func (core *Core) group(name spool.Group) *group {
-	known := core.groups[name]
+	known := core.groups.get(name)
 	if known != nil {
 		return known
 	}
@@ -29,7 +27,7 @@
 		keeper: terms.NewKeeper(name, core.self.VM, core.self.Incarnation, core.termsOptions...),
 		writes: map[uint64]*wire.TermRecord{},
 	}
-	core.groups[name] = created
+	core.groups.add(name, created)
 	return created
 }
 
@@ -64,7 +62,7 @@
 }
 
 func (core *Core) groupEvent(name spool.Group, event terms.Event, now spool.Instant) {
-	if core.roles[lease.GroupRole(name)] == nil {
+	if core.roles.get(lease.GroupRole(name)) == nil {
 		return
 	}
 	group := core.group(name)
@@ -74,22 +72,13 @@
 }
 
 func (core *Core) tickGroups(now spool.Instant) {
-	for _, group := range core.sortedGroups() {
+	for _, group := range core.groups.sorted {
 		core.groupEvent(group.name, terms.Tick{}, now)
 	}
 }
 
-func (core *Core) sortedGroups() []*group {
-	groups := make([]*group, 0, len(core.groups))
-	for _, group := range core.groups {
-		groups = append(groups, group)
-	}
-	slices.SortFunc(groups, func(a, b *group) int { return cmp.Compare(a.name, b.name) })
-	return groups
-}
-
 func (core *Core) groupEffect(group *group, effect terms.Effect, now spool.Instant) {
-	role := core.roles[lease.GroupRole(group.name)]
+	role := core.roles.get(lease.GroupRole(group.name))
 	switch effect := effect.(type) {
 	case terms.ReadTerm:
 		core.emit(ReadObject{Kind: spool.KindTerm, Name: string(effect.Group)})
@@ -209,8 +198,8 @@
 
 // fence tells the shell of every acknowledgement rule that changed.
 func (core *Core) fence(now spool.Instant) {
-	for _, group := range core.sortedGroups() {
-		role := core.roles[lease.GroupRole(group.name)]
+	for _, group := range core.groups.sorted {
+		role := core.roles.get(lease.GroupRole(group.name))
 		fence := terms.Fence{}
 		if role.held && role.holder.Held(now) {
 			fence = terms.Fence{Until: role.holder.Until(), Term: group.keeper.OpenTerm()}
--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -124,7 +124,7 @@
 	}
 	for _, name := range change.Groups {
 		spec, known := snapshot.Group(name)
-		if known && core.groups[name] != nil {
+		if known && core.groups.get(name) != nil {
 			core.groupEvent(name, terms.ServersChanged{Servers: spec.Servers}, now)
 		}
 	}
@@ -139,10 +139,10 @@
 	core.copies[spool.KindRoster] = object
 	core.roster = core.parseRoster(object)
 	core.witness.Confirm(core.roster, false)
-	for _, role := range core.roles {
+	for _, role := range core.roles.sorted {
 		role.holder.SetRoster(core.roster, now)
 	}
-	for _, group := range core.sortedGroups() {
+	for _, group := range core.groups.sorted {
 		core.groupEvent(group.name, core.witnesses(), now)
 	}
 	core.changerActions(core.changer.Observe(core.roster, now))
--- a/internal/core/roles.go
+++ b/internal/core/roles.go
@@ -1,9 +1,6 @@
 package core
 
 import (
-	"cmp"
-	"slices"
-
 	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/core/share"
 	"corianderspool.example/spool/internal/core/terms"
@@ -23,57 +20,64 @@
 
 // assign seeks the roles for which this proxy is among the first candidates.
 func (core *Core) assign(now spool.Instant) {
-	wanted := core.wantedRoles()
-	for _, name := range wanted {
-		role := core.role(name)
-		rank, may := core.view.Rank(string(name), now)
-		switch {
-		case !may || !core.configured:
-			continue
-		case role.held:
-			rank = 0
-		case rank >= maxCandidates:
-			core.giveUp(role, now)
-			continue
-		}
-		if !role.seeking || role.rank != rank {
-			role.seeking, role.rank = true, rank
-			role.holder.Seek(rank, now)
-		}
+	snapshot := core.store.Snapshot()
+	for _, group := range snapshot.Groups() {
+		core.consider(lease.GroupRole(group.Name), now)
 	}
-	for name, role := range core.roles {
-		if !slices.Contains(wanted, name) {
+	for _, team := range snapshot.Teams() {
+		core.consider(lease.TeamRole(team.Name), now)
+	}
+	for _, role := range core.roles.sorted {
+		if !core.wanted(role.name) {
 			core.giveUp(role, now)
 		}
 	}
 }
 
-func (core *Core) wantedRoles() []lease.Role {
-	snapshot := core.store.Snapshot()
-	names := []lease.Role{}
-	for _, group := range snapshot.Groups() {
-		names = append(names, lease.GroupRole(group.Name))
+// consider seeks or gives up one role according to the own rank.
+func (core *Core) consider(name lease.Role, now spool.Instant) {
+	rank, may := core.view.Rank(string(name), now)
+	role := core.roles.get(name)
+	switch {
+	case !may || !core.configured:
+		return
+	case role != nil && role.held:
+		rank = 0
+	case rank >= maxCandidates:
+		core.giveUp(role, now)
+		return
 	}
-	for _, team := range snapshot.Teams() {
-		names = append(names, lease.TeamRole(team.Name))
+	if role == nil {
+		role = core.addRole(name)
+	}
+	if !role.seeking || role.rank != rank {
+		role.seeking, role.rank = true, rank
+		role.holder.Seek(rank, now)
 	}
-	return names
 }
 
-func (core *Core) role(name lease.Role) *role {
-	known := core.roles[name]
-	if known != nil {
+// wanted tells whether the manifests in force have the role.
+func (core *Core) wanted(name lease.Role) bool {
+	if group, isGroup := name.Group(); isGroup {
+		_, known := core.store.Snapshot().Group(group)
 		return known
 	}
+	team, _ := name.Team()
+	_, known := core.store.Snapshot().Team(team)
+	return known
+}
+
+// addRole begins to take part in a role; roles are never dropped, because a holder's requests are numbered.
+func (core *Core) addRole(name lease.Role) *role {
 	holder := lease.NewHolder(name, core.self.Incarnation, core.leaseOptions...)
 	holder.SetRoster(core.roster, core.started)
 	created := &role{name: name, holder: holder}
-	core.roles[name] = created
+	core.roles.add(name, created)
 	return created
 }
 
 func (core *Core) giveUp(role *role, now spool.Instant) {
-	if !role.seeking {
+	if role == nil || !role.seeking {
 		return
 	}
 	role.seeking = false
@@ -83,21 +87,11 @@
 }
 
 func (core *Core) tickRoles(now spool.Instant) {
-	for _, role := range core.sortedRoles() {
+	for _, role := range core.roles.sorted {
 		core.ask(role, now)
 	}
 }
 
-// sortedRoles gives the roles in a stable order, so that equal events have equal effects.
-func (core *Core) sortedRoles() []*role {
-	roles := make([]*role, 0, len(core.roles))
-	for _, role := range core.roles {
-		roles = append(roles, role)
-	}
-	slices.SortFunc(roles, func(a, b *role) int { return cmp.Compare(a.name, b.name) })
-	return roles
-}
-
 // ask sends the pledge requests that are due; the own witness answers at once.
 func (core *Core) ask(role *role, now spool.Instant) {
 	for _, out := range role.holder.Due(now) {
@@ -110,7 +104,7 @@
 }
 
 func (core *Core) pledged(from spool.VM, answer *wire.PledgeAnswer, now spool.Instant) {
-	role := core.roles[lease.Role(answer.Role)]
+	role := core.roles.get(lease.Role(answer.Role))
 	if role == nil {
 		return
 	}
@@ -120,7 +114,7 @@
 
 // settle carries on what the event changed in the leases.
 func (core *Core) settle(now spool.Instant) {
-	for _, role := range core.sortedRoles() {
+	for _, role := range core.roles.sorted {
 		core.turn(role, now)
 		if role.held && role.backing != nil && role.holder.Backed(role.backing) {
 			record := role.backing
--- a/internal/core/teams.go
+++ b/internal/core/teams.go
@@ -24,7 +24,7 @@
 
 func (core *Core) grant(from spool.VM, request *wire.GrantRequest, now spool.Instant) *wire.GrantAnswer {
 	team := spool.Team(request.Team)
-	role := core.roles[lease.TeamRole(team)]
+	role := core.roles.get(lease.TeamRole(team))
 	owner := core.owners[team]
 	if owner == nil || role == nil || !role.holder.Held(now) {
 		return &wire.GrantAnswer{Team: request.Team, Sequence: request.Sequence, NotOwner: true}
