Seek no role before the fleet is known

Cause: a proxy that starts has read the manifests but heard no heartbeat. It ranked itself alone, asked every witness for every role and kept a lease holder for each.

A proxy now waits settleTime, one second from its start, before it seeks roles, as it already does before it tends the roster. A fleet that starts together loses at most 100 ms by it: witnesses abstain for 900 ms from their own start.

Ruled out: waiting until any other proxy was heard; one heartbeat of a mesh names only its sender.

Tests of internal/core, internal/node and internal/cmds are green.

--- a/internal/bench/slope/ticks.go
+++ b/internal/bench/slope/ticks.go
@@ -30,6 +30,7 @@
 		line("EventForeign", "roles held elsewhere", "CPU µs an event", []int{50, 200, 800}, eventForeign),
 		line("TickTeams", "team roles held, one witness", "CPU ms/s", []int{4, 8, 16, 32, 64}, heldTeams),
 		line("TickGroups", "groups kept and open, one witness", "CPU ms/s", []int{2, 4, 8, 16, 32}, keptGroups),
+		line("PledgesStart", "roles held elsewhere", "requests in the first 2 s", []int{50, 100, 200, 400}, startPledges),
 		line("PledgesHolder", "roles held, five witnesses", "requests/s", []int{1, 4, 16}, pledgeRate(1, true)),
 		line("PledgesStandby", "roles sought in vain, five witnesses", "requests/s", []int{4, 16, 64}, pledgeRate(4, false)),
 		line("EventGroup", "groups kept and open", "CPU µs a server's status", []int{2, 4, 8, 16, 32}, statusSeen),
@@ -180,6 +181,13 @@
 	return world.millisPerSecond(), nil
 }
 
+// startPledges counts what a proxy asks for before and after it knows the fleet.
+func startPledges(roles int) (float64, error) {
+	world := newWorld(someFleet, foreignObjects(roles), pledging(false))
+	world.advance(warmUp)
+	return float64(world.pledges), nil
+}
+
 // pledgeRate counts the requests to five witnesses.
 func pledgeRate(members int, granted bool) func(roles int) (float64, error) {
 	return func(roles int) (float64, error) {
--- a/internal/core/roles.go
+++ b/internal/core/roles.go
@@ -39,7 +39,7 @@
 	rank, may := core.view.Rank(string(name), now)
 	role := core.roles.get(name)
 	switch {
-	case !may || !core.configured:
+	case !may || !core.configured || now.Sub(core.started) < settleTime:
 		return
 	case role != nil && role.held:
 		rank = 0
