Watch the platform only once the fleet is known

Cause: a proxy that starts knows nobody of its failure domain, took itself for its reader, read everything a second time and opened a watch, until it heard the real reader. Starts cost twice the calls.

watch waits for settled, the second that assign and tendRoster wait for; it is one function now.

Tests of internal/core, internal/node and internal/cmds are green.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -172,6 +172,9 @@
 	}
 }
 
+// settled tells whether the fleet had time to be heard since the start; a duty taken before would be taken by all.
+func (core *Core) settled(now spool.Instant) bool { return now.Sub(core.started) >= settleTime }
+
 func (core *Core) receive(from spool.VM, envelope *wire.Envelope, now spool.Instant) {
 	switch body := envelope.Body.(type) {
 	case *wire.Envelope_Beat:
--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -211,7 +211,7 @@
 
 // watch has one proxy of each failure domain watch the platform.
 func (core *Core) watch(now spool.Instant) {
-	reader := core.view.Reader(now) && core.complete
+	reader := core.view.Reader(now) && core.complete && core.settled(now)
 	if reader == core.watching {
 		return
 	}
@@ -226,7 +226,7 @@
 // tendRoster has one proxy of the fleet replace witnesses that are gone.
 func (core *Core) tendRoster(now spool.Instant) {
 	rank, may := core.ranks.Rank(rosterRole)
-	if !may || rank > 0 || !core.complete || now.Sub(core.started) < settleTime {
+	if !may || rank > 0 || !core.complete || !core.settled(now) {
 		return
 	}
 	core.changer.SetMembers(core.view.Serving(now), now)
--- a/internal/core/roles.go
+++ b/internal/core/roles.go
@@ -21,7 +21,7 @@
 // assign seeks the roles for which this proxy is among the first candidates, if any of that may have changed.
 func (core *Core) assign(now spool.Instant) {
 	core.reassign = core.ranks.Update(now) || core.reassign
-	if !core.reassign || !core.configured || now.Sub(core.started) < settleTime {
+	if !core.reassign || !core.configured || !core.settled(now) {
 		return
 	}
 	core.reassign = false
