--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -39,6 +39,7 @@
 	flaggy.SetDescription("Measures the proxy.")
 	flaggy.AttachSubcommand(part, 1)
 	flaggy.AttachSubcommand(decisions, 1)
+	slopes := newSlopes()
 	flaggy.Parse()
 	if len(options.Connections) == 0 {
 		options.Connections = []int{1, 16, 128}
@@ -49,6 +50,8 @@
 		err = run(options, asJSON)
 	case decisions.Used:
 		err = runPolicy(seed, asJSON)
+	case slopes.Used:
+		err = slopes.run()
 	default:
 		flaggy.ShowHelpAndExit("")
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,15 +30,17 @@
 	termsOptions []terms.Option
 	shareOptions []share.Option
 
-	view    *member.View
-	store   *policy.Store
-	witness *lease.Witness
-	changer *lease.Changer
-	roster  lease.Roster
-	copies  map[string]spool.Object // newest roster object, to pass on to peers
-
-	roles   map[lease.Role]*role
-	groups  map[spool.Group]*group
+	view        *member.View
+	ranks       *member.Ranks
+	store       *policy.Store
+	witness     *lease.Witness
+	changer     *lease.Changer
+	roster      lease.Roster
+	ownVersions *versions               // nil when an object changed since they were listed
+	copies      map[string]spool.Object // newest roster object, to pass on to peers
+
+	roles   ordered[lease.Role, *role]
+	groups  ordered[spool.Group, *group]
 	owners  map[spool.Team]*share.Owner
 	located map[lease.Role]location
 
@@ -47,6 +49,7 @@
 	trusted    bool
 	complete   bool // every kind of object was read from the platform itself
 	configured bool // manifests came from the platform or from a complete peer
+	reassign   bool // the roles to seek may have changed since they were last looked at
 	reading    bool
 	readAfter  spool.Instant
 	watching   bool
@@ -86,8 +89,8 @@
 		view:    member.New(self),
 		store:   policy.NewStore(),
 		copies:  map[string]spool.Object{},
-		roles:   map[lease.Role]*role{},
-		groups:  map[spool.Group]*group{},
+		roles:   newOrdered[lease.Role, *role](),
+		groups:  newOrdered[spool.Group, *group](),
 		owners:  map[spool.Team]*share.Owner{},
 		located: map[lease.Role]location{},
 		started: now,
@@ -98,6 +101,7 @@
 	for _, option := range options {
 		option(core)
 	}
+	core.ranks = member.NewRanks(core.view)
 	core.witness = lease.NewWitness(self.VM, now, core.leaseOptions...)
 	core.changer = lease.NewChanger(core.leaseOptions...)
 	return core
@@ -172,6 +176,9 @@
 	}
 }
 
+// settled tells whether the fleet had time to be heard since the start; a duty taken before would be taken by all.
+func (core *Core) settled(now spool.Instant) bool { return now.Sub(core.started) >= settleTime }
+
 func (core *Core) receive(from spool.VM, envelope *wire.Envelope, now spool.Instant) {
 	switch body := envelope.Body.(type) {
 	case *wire.Envelope_Beat:
@@ -206,8 +213,8 @@
 
 func (core *Core) leave(now spool.Instant) {
 	core.view.Leave()
-	for name, role := range core.roles {
-		if _, isGroup := name.Group(); isGroup && role.held {
+	for _, role := range core.roles.sorted {
+		if _, isGroup := role.name.Group(); isGroup && role.held {
 			continue
 		}
 		core.giveUp(role, now)
@@ -216,7 +223,7 @@
 }
 
 func (core *Core) drained(group spool.Group, now spool.Instant) {
-	if role := core.roles[lease.GroupRole(group)]; role != nil {
+	if role := core.roles.get(lease.GroupRole(group)); role != nil {
 		core.giveUp(role, now)
 	}
 }
