--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -41,6 +41,14 @@
 	return Set(0).With(table.Primary), Found
 }
 
+// Spare returns the primary if it may answer a read that Pick left to replicas.
+func (table *Table) Spare(need Need, set Set) Set {
+	if !need.Read || table.Primary < 0 || set.Has(table.Primary) {
+		return 0
+	}
+	return Set(0).With(table.Primary)
+}
+
 // Floor returns the position from which a session of this need may read.
 func (table *Table) Floor(need Need) spool.Position {
 	floor := need.Token.Position
--- a/internal/keeper/acquire.go
+++ b/internal/keeper/acquire.go
@@ -40,7 +40,7 @@
 		set, choice := group.pick(need)
 		switch choice {
 		case route.Found:
-			found, err := group.wait(ctx, team, set, deadline)
+			found, err := group.wait(ctx, team, need, set, deadline)
 			if errors.Is(err, errReset) {
 				continue
 			}
@@ -78,10 +78,15 @@
 }
 
 // wait takes a slot on one of the servers; it is called with the mutex held and returns without it.
-func (group *Group) wait(ctx context.Context, team spool.Team, set route.Set, deadline spool.Instant) (int, error) {
+func (group *Group) wait(
+	ctx context.Context, team spool.Team, need route.Need, set route.Set, deadline spool.Instant,
+) (int, error) {
 	group.sequence++
 	id := group.sequence
-	item := slots.Item{ID: id, Team: team, Servers: slots.Servers(set), Deadline: deadline}
+	item := slots.Item{
+		ID: id, Team: team, Deadline: deadline,
+		Servers: slots.Servers(set), Spare: slots.Servers(group.table.Spare(need, set)),
+	}
 	answer := group.queue.Ask(item, group.timers.Now())
 	if answer.Verdict == slots.Granted {
 		group.running++
@@ -135,7 +140,7 @@
 func (group *Group) confirm(server int, team spool.Team, need route.Need) (place, bool) {
 	group.mutex.Lock()
 	set, choice := group.pick(need)
-	if choice == route.Found && set.Has(server) {
+	if choice == route.Found && (set | group.table.Spare(need, set)).Has(server) {
 		defer group.mutex.Unlock()
 		return place{
 			server: server, primary: server == group.table.Primary,
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -9,7 +9,10 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-const defaultTimeout = 30 * time.Second
+const (
+	defaultTimeout = 30 * time.Second
+	runReserve     = 250 * time.Millisecond // left of a request's time once its team's rate admits it
+)
 
 // Login finds the key and route of a new caller or says why it may not enter.
 func (node *Node) Login(key, route string) (spool.Login, *spool.Refusal) {
@@ -63,7 +66,8 @@
 	}
 	timeout := node.timeout(route, work)
 	deadline := node.timers.Now().Add(timeout)
-	if refusal := node.purse(work.Session.Login.Team).admit(ctx, deadline); refusal != nil {
+	admitBy := deadline.Add(-min(runReserve, timeout/2))
+	if refusal := node.purse(work.Session.Login.Team).admit(ctx, admitBy); refusal != nil {
 		return nil, refusal
 	}
 	return &lane{node: node, group: route.Group, request: request(route, work, deadline), timeout: timeout}, nil
