--- a/internal/core/lease/witness.go
+++ b/internal/core/lease/witness.go
@@ -77,9 +77,6 @@
 // Seen returns the newest roster version that the witness obeys.
 func (witness *Witness) Seen() spool.Version { return witness.roster.Version }
 
-// NeedsRead tells whether the witness abstains until it is told directly of the roster and the terms.
-func (witness *Witness) NeedsRead() bool { return !witness.ready }
-
 // Ready tells whether the witness would pledge a free role.
 func (witness *Witness) Ready(now spool.Instant) bool {
 	if !witness.ready || witness.roster.Changing || !witness.roster.Contains(witness.self) {
--- a/internal/core/terms/shell_test.go
+++ b/internal/core/terms/shell_test.go
@@ -64,7 +64,7 @@
 	world.read(proxy, func(record *wire.TermRecord, roster lease.Roster) {
 		now := world.clock.Now()
 		proxy.witness.Confirm(roster, false)
-		if proxy.witness.NeedsRead() {
+		if proxy.witness.Uninformed() {
 			proxy.witness.Learn(record)
 			proxy.witness.Confirm(roster, true)
 		}
