--- /dev/null
+++ b/internal/node/note.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/core"
+	"corianderspool.example/spool/internal/core/terms"
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+var noteEvents = map[core.Topic]event.Number{
+	core.TopicKeeperTaken: event.KeeperTaken,
+	core.TopicKeeperLost:  event.KeeperLost,
+	core.TopicOwnerTaken:  event.OwnerTaken,
+	core.TopicOwnerLost:   event.OwnerLost,
+	core.TopicTermOpened:  event.TermOpened,
+	core.TopicRoster:      event.RosterChanged,
+	core.TopicAccepted:    event.ConfigAccepted,
+	core.TopicRejected:    event.ConfigRejected,
+	core.TopicWithdrawn:   event.KeyWithdrawn,
+}
+
+// termEvents are the events of a keeper's steps; the gain of the lease and an opened term have notes of their own.
+var termEvents = map[terms.Reason]event.Number{
+	terms.ReasonSuspected:     event.TermSuspected,
+	terms.ReasonReturned:      event.TermCleared,
+	terms.ReasonContradicted:  event.TermCleared,
+	terms.ReasonConfirmed:     event.TermPromoting,
+	terms.ReasonReplaced:      event.TermPromoting,
+	terms.ReasonMisplaced:     event.TermPromoting,
+	terms.ReasonLeaving:       event.TermPromoting,
+	terms.ReasonCandidateGone: event.TermPromoting,
+	terms.ReasonPromoting:     event.TermOrdered,
+	terms.ReasonNoCandidate:   event.TermStuck,
+	terms.ReasonWriteUnknown:  event.TermUncertain,
+}
+
+// note writes a decision to the log and the audit trail; calls come one at a time.
+func (node *Node) note(note core.Note) {
+	number := noteEvents[note.Topic]
+	if note.Topic == core.TopicTerm {
+		number = termEvents[terms.Reason(note.Text)]
+	}
+	if number > 0 {
+		event.Log(node.logger, number, noteFields(note)...)
+	}
+	switch note.Topic {
+	case core.TopicTerm:
+		if terms.Reason(note.Text) == terms.ReasonPromoting {
+			node.promotions[note.Group] = note.Term
+		}
+	case core.TopicTermOpened:
+		node.termOpened(note)
+	case core.TopicRoster:
+		node.trail.rosterChanged(note.Version, node.core.Roster())
+	case core.TopicRejected:
+		node.trail.rejected(note)
+	}
+}
+
+// termOpened counts and records a term that a promotion brought about, unlike one that a new keeper goes on with.
+func (node *Node) termOpened(note core.Note) {
+	if node.promotions[note.Group] != note.Term {
+		return
+	}
+	delete(node.promotions, note.Group)
+	node.metrics.Failover(note.Group)
+	node.trail.promoted(note)
+}
+
+func noteFields(note core.Note) []zap.Field {
+	fields := []zap.Field{}
+	add := func(name, value string) {
+		if value != "" {
+			fields = append(fields, zap.String(name, value))
+		}
+	}
+	add("Group", string(note.Group))
+	add("Team", string(note.Team))
+	add("Server", string(note.Server))
+	add("Partner", string(note.Partner))
+	add("Key", note.Key)
+	add("Text", note.Text)
+	if note.Term > 0 {
+		fields = append(fields, zap.Uint64("Term", uint64(note.Term)))
+	}
+	if note.Version > 0 {
+		fields = append(fields, zap.Uint64("Version", uint64(note.Version)))
+	}
+	return fields
+}
+
+// followed logs once for each term that a server follows its primary.
+func (node *Node) followed(group spool.Group, server spool.Server, term spool.Term) {
+	if logged, _ := node.follows.get(server); logged == term {
+		return
+	}
+	node.follows.set(server, term)
+	event.Log(node.logger, event.ServerDemoted, noteFields(core.Note{Group: group, Server: server, Term: term})...)
+}
--- /dev/null
+++ b/internal/node/objects.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"corianderspool.example/spool/internal/core"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	callTimeout = 2 * time.Second
+	watchRetry  = 200 * time.Millisecond
+	marks       = 64
+)
+
+func (node *Node) readObjects(kinds []string) {
+	ctx, cancel := context.WithTimeout(node.ctx, callTimeout)
+	defer cancel()
+	read, err := node.list(ctx, kinds)
+	if err != nil {
+		node.handle(core.ObjectsFailed{})
+		return
+	}
+	node.handle(read)
+}
+
+// list reads all objects of the kinds and fails if the platform answers from before the call.
+func (node *Node) list(ctx context.Context, kinds []string) (core.ObjectsRead, error) {
+	read := core.ObjectsRead{SentAt: node.timers.Now()}
+	mark, err := node.mark(ctx)
+	if err != nil {
+		return read, err
+	}
+	for i, kind := range kinds {
+		objects, version, err := node.platform.List(ctx, kind)
+		if err != nil {
+			return read, err
+		}
+		if version < mark {
+			return read, eris.Errorf("the list of %s shows version %d, before %d", kind, version, mark)
+		}
+		read.Objects = append(read.Objects, objects...)
+		if i == 0 {
+			read.Version = version
+		}
+	}
+	return read, nil
+}
+
+// mark writes an object and returns its version; what is read later and shows a lower version is stale.
+func (node *Node) mark(ctx context.Context) (spool.Version, error) {
+	name := fmt.Sprint(xxhash.Sum64String(string(node.settings.VM)) % marks)
+	object, err := node.platform.Get(ctx, spool.KindMark, name)
+	if err != nil && !errors.Is(err, spool.ErrNotFound) {
+		return 0, err
+	}
+	body, err := json.Marshal(node.settings.VM)
+	if err != nil {
+		return 0, err
+	}
+	written, err := node.platform.Put(ctx, spool.Object{
+		Kind: spool.KindMark, Name: name, Version: object.Version, Body: body,
+	})
+	return written.Version, err
+}
+
+func (node *Node) readObject(kind, name string) {
+	ctx, cancel := context.WithTimeout(node.ctx, callTimeout)
+	defer cancel()
+	object, err := node.platform.Get(ctx, kind, name)
+	switch {
+	case errors.Is(err, spool.ErrNotFound):
+		node.handle(core.ObjectRead{Object: spool.Object{Kind: kind, Name: name}})
+	case err != nil:
+		node.handle(core.ObjectFailed{Kind: kind, Name: name})
+	default:
+		node.handle(core.ObjectRead{Object: object})
+	}
+}
+
+func (node *Node) writeObject(effect core.WriteObject) {
+	ctx, cancel := context.WithTimeout(node.ctx, callTimeout)
+	defer cancel()
+	object, err := node.platform.Put(ctx, effect.Object)
+	written := core.ObjectWritten{Object: effect.Object, Nonce: effect.Nonce}
+	switch {
+	case err == nil:
+		written.Object, written.Result = object, core.Written
+	case errors.Is(err, spool.ErrConflict), errors.Is(err, spool.ErrNotFound):
+		written.Result = core.Conflict
+	default:
+		written.Result = core.Uncertain
+	}
+	node.handle(written)
+}
+
+// watcher runs at most one watch of the platform.
+type watcher struct {
+	cancel context.CancelFunc
+}
+
+// set begins, renews or ends the watch; calls come one at a time.
+func (watcher *watcher) set(node *Node, effect core.WatchObjects) {
+	if watcher.cancel != nil {
+		watcher.cancel()
+		watcher.cancel = nil
+	}
+	if effect.Watch {
+		ctx, cancel := context.WithCancel(node.ctx)
+		watcher.cancel = cancel
+		go node.watch(ctx, effect.After)
+	}
+}
+
+var watchedKinds = []string{spool.KindManifest, spool.KindRoster, spool.KindTerm, spool.KindMember}
+
+func (node *Node) watch(ctx context.Context, after spool.Version) {
+	for ctx.Err() == nil {
+		sentAt := node.timers.Now()
+		objects, version, err := node.platform.Watch(ctx, watchedKinds, after)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			pause(ctx, watchRetry)
+			continue
+		}
+		after = version
+		node.handle(core.ObjectsSeen{Objects: objects, SentAt: sentAt})
+	}
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
