--- a/internal/core/terms/fakes_test.go
+++ b/internal/core/terms/fakes_test.go
@@ -7,6 +7,7 @@
 	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
+	"google.golang.org/protobuf/proto"
 )
 
 // fakeServer is a backend server whose log is a list of write numbers.
@@ -73,12 +74,8 @@
 		platform.conflicts++
 		return WriteConflict, 0
 	}
-	object := effect.Object()
-	object.Version++
-	record, err := ParseRecord(object)
-	if err != nil {
-		panic(err)
-	}
+	record := proto.Clone(effect.Record).(*wire.TermRecord)
+	record.Version = platform.record.GetVersion() + 1
 	if record.Term < platform.record.GetTerm() {
 		oracle.violated("the platform's record went back from term %d to %d", platform.record.Term, record.Term)
 	}
