--- a/internal/back/dial.go
+++ b/internal/back/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"strconv"
 
@@ -52,7 +53,7 @@
 	config.User = credentials.User
 	config.Password = credentials.Password
 	config.Database = credentials.Database
-	config.TLSConfig = credentials.TLS
+	config.TLSConfig = serverTLS(credentials.TLS, host)
 	config.Fallbacks = nil
 	config.RequireAuth = acceptedAuthentication
 	config.RuntimeParams = map[string]string{
@@ -63,3 +64,13 @@
 	}
 	return config, nil
 }
+
+// serverTLS has the certificate of a server checked for its host.
+func serverTLS(config *tls.Config, host string) *tls.Config {
+	if config == nil || config.ServerName != "" {
+		return config
+	}
+	config = config.Clone()
+	config.ServerName = host
+	return config
+}
--- a/internal/certs/bundle.go
+++ b/internal/certs/bundle.go
@@ -56,9 +56,11 @@
 	if err != nil {
 		return eris.Wrapf(err, "load certificate %s", bundle.files.Certificate)
 	}
-	authority, err := loadAuthority(bundle.files.Authority)
-	if err != nil {
-		return err
+	authority := x509.NewCertPool()
+	if bundle.files.Authority != "" {
+		if authority, err = LoadAuthority(bundle.files.Authority); err != nil {
+			return err
+		}
 	}
 	bundle.mutex.Lock()
 	defer bundle.mutex.Unlock()
@@ -68,15 +70,13 @@
 	return nil
 }
 
-func loadAuthority(path string) (*x509.CertPool, error) {
-	pool := x509.NewCertPool()
-	if path == "" {
-		return pool, nil
-	}
+// LoadAuthority reads the certificates that others are checked against and fails if there are none.
+func LoadAuthority(path string) (*x509.CertPool, error) {
 	pem, err := os.ReadFile(path)
 	if err != nil {
 		return nil, eris.Wrap(err, "load authority")
 	}
+	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, eris.Errorf("authority %s holds no certificate", path)
 	}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -64,6 +64,7 @@
 		"Peer.Authority":       &settings.Peer.Authority,
 		"Platform.TokenFile":   &settings.Platform.TokenFile,
 		"Backend.PasswordFile": &settings.Backend.PasswordFile,
+		"Backend.Authority":    &settings.Backend.Authority,
 	}
 }
 
@@ -98,6 +99,11 @@
 }
 
 func (settings *Settings) checkCertificates(faults *spool.Faults) {
+	if settings.Backend.Authority != "" {
+		if _, err := certs.LoadAuthority(settings.Backend.Authority); err != nil {
+			faults.Add("Backend.Authority", err.Error())
+		}
+	}
 	if settings.Caller.Certificate != "" {
 		files := certs.Files{Certificate: settings.Caller.Certificate, PrivateKey: settings.Caller.PrivateKey}
 		if _, err := certs.Load(files); err != nil {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -56,6 +56,7 @@
 type Backend struct {
 	User         string
 	PasswordFile string
+	Authority    string // certificates that servers are checked against; empty connects without TLS
 }
 
 // Log sets what is logged.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"os"
 	"strings"
@@ -108,6 +109,13 @@
 		return err
 	}
 	node.credentials = back.Credentials{User: node.settings.Backend.User, Password: password}
+	if authority := node.settings.Backend.Authority; authority != "" {
+		pool, err := certs.LoadAuthority(authority)
+		if err != nil {
+			return err
+		}
+		node.credentials.TLS = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	}
 	node.peerBundle, err = certs.Load(certs.Files{
 		Certificate: node.settings.Peer.Certificate,
 		PrivateKey:  node.settings.Peer.PrivateKey,
