Let the proxies that watch the platform tend the roster

Two of three witnesses destroyed left every role without a holder for good: the one proxy that tended the roster need not watch the platform, so it never learned which VMs were removed. Every watching proxy tends it now, asks the old witnesses for the version that they obey, and takes a witness that is missing from the list as removed.

--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -112,7 +112,8 @@
 	core.emit(MoveRole{Role: name})
 }
 
-func (core *Core) locateAnswered(answer *wire.LocateAnswer, now spool.Instant) {
+func (core *Core) locateAnswered(from spool.VM, answer *wire.LocateAnswer, now spool.Instant) {
+	core.changerActions(core.changer.Seen(from, spool.Version(answer.Roster), now))
 	name := lease.Role(answer.Role)
 	if _, known := core.located[name]; !known && answer.Holder != "" {
 		core.locate(name, spool.VM(answer.Holder), now)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -205,9 +205,10 @@
 		core.configAnswered(body.ConfigAnswer, now)
 	case *wire.Envelope_LocateRequest:
 		answer := core.witness.Locate(lease.Role(body.LocateRequest.Role), now)
+		answer.Roster = uint64(core.witness.Seen())
 		core.send(from, &wire.Envelope{Body: &wire.Envelope_LocateAnswer{LocateAnswer: answer}})
 	case *wire.Envelope_LocateAnswer:
-		core.locateAnswered(body.LocateAnswer, now)
+		core.locateAnswered(from, body.LocateAnswer, now)
 	}
 }
 
--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -11,7 +11,7 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// rosterRole names the duty to tend the roster, which is no lease.
+// rosterRole stands in requests that ask a witness for its roster's version; it is no lease.
 const rosterRole = "Roster"
 
 // bootKinds are read from the platform at the start; terms follow the roster, as the witness requires.
@@ -38,7 +38,7 @@
 		}
 	}
 	core.witness.Confirm(roster, true)
-	core.learnMembers(event.Objects)
+	core.learnMembers(event.Objects, now)
 	core.learnAll(event.Objects, now)
 	if roster.Version == 0 {
 		core.changerActions(core.changer.Observe(roster, now))
@@ -56,15 +56,30 @@
 	return roster
 }
 
-func (core *Core) learnMembers(objects []spool.Object) {
+func (core *Core) learnMembers(objects []spool.Object, now spool.Instant) {
 	members := []spool.Member{}
+	listed := map[spool.VM]bool{}
 	for _, object := range objects {
-		if member, listed := parseMember(object); listed {
+		if member, isListed := parseMember(object); isListed {
 			members = append(members, member)
+			listed[member.VM] = true
 		}
 	}
-	if len(members) > 0 {
-		core.view.List(members)
+	if len(members) == 0 {
+		return
+	}
+	core.view.List(members)
+	for _, witness := range core.roster.Members {
+		if !listed[witness] {
+			core.remove(witness, now)
+		}
+	}
+}
+
+// remove notes since when a VM is missing from the platform's list.
+func (core *Core) remove(vm spool.VM, now spool.Instant) {
+	if _, known := core.removed[vm]; !known {
+		core.removed[vm] = now
 	}
 }
 
@@ -105,9 +120,7 @@
 		core.found(member)
 		return
 	}
-	if _, known := core.removed[spool.VM(object.Name)]; !known {
-		core.removed[spool.VM(object.Name)] = now
-	}
+	core.remove(spool.VM(object.Name), now)
 }
 
 func (core *Core) found(member spool.Member) {
@@ -245,15 +258,18 @@
 	core.readAll(now)
 }
 
-// tendRoster has one proxy of the fleet replace witnesses that are gone.
+// tendRoster has the proxies that watch the platform replace witnesses that are gone; only they learn which VMs the
+// platform removed, and the conditional update lets one of them succeed.
 func (core *Core) tendRoster(now spool.Instant) {
-	rank, may := core.ranks.Rank(rosterRole)
-	if !may || rank > 0 || !core.complete || !core.settled(now) {
+	if !core.watching || !core.settled(now) {
 		return
 	}
 	core.changer.SetMembers(core.view.Serving(now), now)
 	core.changer.SetRemoved(core.destroyed(now))
 	core.changerActions(core.changer.Tick(now))
+	if core.roster.Changing {
+		core.seek(rosterRole, now)
+	}
 }
 
 // destroyed returns the VMs that the platform removed from its list a while ago and that nobody has heard since.
