--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -9,11 +9,12 @@
 	PerSecond int // events a second that are written at most; zero sets no limit
 }
 
-// Limits of events that callers can bring about at will.
+// Limits of events that others can bring about at will.
 const (
 	callerLimit = 10
 	keyLimit    = 100
 	auditLimit  = 1
+	peerLimit   = 20
 )
 
 // Numbers of the events: 1xx life of a proxy, 2xx callers, 3xx backend servers, 4xx leases and terms, 5xx
@@ -78,7 +79,7 @@
 	KeyWithdrawn:   {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
 	PlatformLost:   {Level: zapcore.WarnLevel, Text: "platform out of reach"},
 	PlatformBack:   {Level: zapcore.InfoLevel, Text: "platform in reach again"},
-	PeerLost:       {Level: zapcore.WarnLevel, Text: "proxy out of reach"},
-	PeerBack:       {Level: zapcore.InfoLevel, Text: "proxy in reach again"},
+	PeerLost:       {Level: zapcore.WarnLevel, Text: "proxy out of reach", PerSecond: peerLimit},
+	PeerBack:       {Level: zapcore.InfoLevel, Text: "proxy in reach again", PerSecond: peerLimit},
 	AuditFailed:    {Level: zapcore.ErrorLevel, Text: "audit entry not written", PerSecond: auditLimit},
 }
--- a/internal/node/operator_test.go
+++ b/internal/node/operator_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 
 	"corianderspool.example/spool/internal/audit"
 	"corianderspool.example/spool/internal/cmds"
+	"corianderspool.example/spool/internal/fake/objsrv"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -125,6 +127,69 @@
 	fleet.c.Assert(<-fleet.proxies[0].done, qt.IsNil)
 }
 
+// value returns the value of a series of a proxy, zero if there is none.
+func (fleet *fleet) value(proxy int, series string) int {
+	_, metrics := fleet.ask(proxy, "/metrics")
+	for line := range strings.Lines(metrics) {
+		if text, found := strings.CutPrefix(line, series+" "); found {
+			value, err := strconv.Atoi(strings.TrimSpace(text))
+			fleet.c.Assert(err, qt.IsNil)
+			return value
+		}
+	}
+	return 0
+}
+
+func (fleet *fleet) events(proxy, number int) int {
+	return fleet.value(proxy, fmt.Sprintf(`corianderspool_events_total{event="%d"}`, number))
+}
+
+func (fleet *fleet) all(condition func(proxy int) bool) func() bool {
+	return func() bool {
+		for i := range fleet.proxies {
+			if !condition(i) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestProxiesStayReadyInAnOutageThatIsLoggedOnce(t *testing.T) {
+	fleet := newFleet(t, nil)
+	inReach := func(i int) bool { return fleet.status(i).PlatformInReach }
+	ready := func(i int) bool { code, _ := fleet.ask(i, "/readyz"); return code == http.StatusOK }
+	fleet.eventually("the platform is in reach", fleet.all(inReach))
+	fleet.platform.SetFaults(objsrv.Faults{DownFor: spool.Duration(time.Hour)})
+	fleet.eventually("the outage shows", fleet.all(func(i int) bool { return !inReach(i) }))
+	fleet.c.Assert(fleet.all(ready)(), qt.IsTrue)
+	fleet.eventually("each reader of the platform logged it", fleet.all(func(i int) bool { return fleet.events(i, 701) == 1 }))
+	fleet.platform.SetFaults(objsrv.Faults{})
+	fleet.eventually("its return is logged", fleet.all(func(i int) bool { return inReach(i) && fleet.events(i, 702) == 1 }))
+	fleet.c.Assert(fleet.all(func(i int) bool { return fleet.events(i, 701) == 1 && fleet.events(i, 702) == 1 })(), qt.IsTrue)
+}
+
+func TestFleetThatNeverReachedThePlatformIsNotReady(t *testing.T) {
+	fleet := newFleet(t, nil)
+	for _, proxy := range fleet.proxies {
+		proxy.stop()
+		fleet.c.Assert(<-proxy.done, qt.IsNil)
+	}
+	fleet.platform.SetFaults(objsrv.Faults{DownFor: spool.Duration(time.Hour)})
+	for i, proxy := range fleet.proxies {
+		fleet.start(proxy)
+		fleet.eventually("the operator port is open", func() bool { code, _ := fleet.ask(i, "/healthz"); return code > 0 })
+		code, body := fleet.ask(i, "/readyz")
+		fleet.c.Assert(code, qt.Equals, http.StatusServiceUnavailable)
+		fleet.c.Assert(body, qt.Equals, "the manifests are not known yet\n")
+	}
+	fleet.platform.SetFaults(objsrv.Faults{})
+	fleet.eventually("all are ready", fleet.all(func(i int) bool {
+		code, _ := fleet.ask(i, "/readyz")
+		return code == http.StatusOK
+	}))
+}
+
 func TestTrailShowsEachChangeOnce(t *testing.T) {
 	fleet := newFleet(t, nil)
 	valid := fleet.manifest
@@ -148,11 +213,7 @@
 	failovers := 0
 	for i := range fleet.proxies {
 		_, metrics := fleet.ask(i, "/metrics")
-		for line := range strings.Lines(metrics) {
-			count := 0
-			_, _ = fmt.Sscanf(line, `corianderspool_failovers_total{group="kyushu.db"} %d`, &count)
-			failovers += count
-		}
+		failovers += fleet.value(i, `corianderspool_failovers_total{group="kyushu.db"}`)
 		fleet.c.Check(metrics, qt.Contains, `events_total{event="503"} 1`)
 		fleet.c.Check(metrics, qt.Contains, "corianderspool_audit_entries_lost_total 0")
 	}
