--- a/internal/node/operator_test.go
+++ b/internal/node/operator_test.go
@@ -85,6 +85,7 @@
 		code, body := fleet.ask(i, "/readyz")
 		c.Assert(code, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
 		_, metrics := fleet.ask(i, "/metrics")
+		c.Check(fleet.value(i, `corianderspool_failovers_total{group="kyushu.db"}`), qt.Equals, 0)
 		version := fleet.status(i).Manifests[0].Version
 		c.Check(metrics, qt.Contains, fmt.Sprintf(`config_version{partner="kyushu"} %d`, version))
 	}
