--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -8,10 +8,12 @@
 	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/core/policy"
 	"corianderspool.example/spool/internal/core/terms"
-	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
 
+// rosterRole names the duty to tend the roster, which is no lease.
+const rosterRole = "Roster"
+
 // bootKinds are read from the platform at the start; terms follow the roster, as the witness requires.
 var bootKinds = []string{spool.KindRoster, spool.KindTerm, spool.KindManifest, spool.KindMember}
 
@@ -125,6 +127,7 @@
 	if !change.Accepted {
 		return
 	}
+	core.ownVersions = nil
 	snapshot := core.store.Snapshot()
 	core.emit(ApplyPolicy{Snapshot: snapshot, Change: change})
 	core.emit(Note{Topic: TopicAccepted, Partner: change.Partner, Version: change.Version})
@@ -138,10 +141,11 @@
 	}
 	for _, name := range change.Groups {
 		spec, known := snapshot.Group(name)
-		if known && core.groups[name] != nil {
+		if known && core.groups.get(name) != nil {
 			core.groupEvent(name, terms.ServersChanged{Servers: spec.Servers}, now)
 		}
 	}
+	core.reassign = true
 	core.nextAssign = now
 	core.nextBeat = now
 }
@@ -160,11 +164,12 @@
 	}
 	core.copies[spool.KindRoster] = object
 	core.roster = core.parseRoster(object)
+	core.ownVersions = nil
 	core.witness.Confirm(core.roster, false)
-	for _, role := range core.roles {
+	for _, role := range core.roles.sorted {
 		role.holder.SetRoster(core.roster, now)
 	}
-	for _, group := range core.sortedGroups() {
+	for _, group := range core.groups.sorted {
 		core.groupEvent(group.name, core.witnesses(), now)
 	}
 	core.changerActions(core.changer.Observe(core.roster, now))
@@ -228,7 +233,7 @@
 
 // watch has one proxy of each failure domain watch the platform.
 func (core *Core) watch(now spool.Instant) {
-	reader := core.view.Reader(now) && core.complete
+	reader := core.view.Reader(now) && core.complete && core.settled(now)
 	if reader == core.watching {
 		return
 	}
@@ -242,8 +247,8 @@
 
 // tendRoster has one proxy of the fleet replace witnesses that are gone.
 func (core *Core) tendRoster(now spool.Instant) {
-	rank, may := core.view.Rank("Roster", now)
-	if !may || rank > 0 || !core.complete || now.Sub(core.started) < settleTime {
+	rank, may := core.ranks.Rank(rosterRole)
+	if !may || rank > 0 || !core.complete || !core.settled(now) {
 		return
 	}
 	core.changer.SetMembers(core.view.Serving(now), now)
@@ -273,21 +278,3 @@
 		}
 	}
 }
-
-func (core *Core) versions() []*wire.ObjectVersion {
-	versions := []*wire.ObjectVersion{}
-	for partner, version := range core.store.Versions() {
-		versions = append(versions, &wire.ObjectVersion{
-			Kind: spool.KindManifest, Name: string(partner), Version: uint64(version),
-		})
-	}
-	if core.roster.Version > 0 {
-		versions = append(versions, &wire.ObjectVersion{
-			Kind: spool.KindRoster, Name: lease.RosterName, Version: uint64(core.roster.Version),
-		})
-	}
-	slices.SortFunc(versions, func(a, b *wire.ObjectVersion) int {
-		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
-	})
-	return versions
-}
--- a/internal/core/trust.go
+++ b/internal/core/trust.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -40,8 +39,7 @@
 // majority of the witnesses takes that for an outage, in which nobody can withdraw a key; any other proxy may be cut
 // off and must not let keys work on.
 func (core *Core) judgeTrust(now spool.Instant) {
-	reached := core.Confirmed(now) || core.reachesMajority(now)
-	trusted := core.configured && (reached || core.without == trustMechanism)
+	trusted := core.configured && (core.Confirmed(now) || core.reachesMajority(now) || core.without == trustMechanism)
 	if trusted != core.trusted {
 		core.trusted = trusted
 		core.emit(Trust{Trusted: trusted})
@@ -62,14 +60,3 @@
 	}
 	return len(core.roster.Members) > 0 && reached >= core.roster.Majority()
 }
-
-// behind tells whether a peer has seen a newer version of any object.
-func (core *Core) behind(versions []*wire.ObjectVersion) bool {
-	own := core.versions()
-	for _, version := range versions {
-		if newer(version, own) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -68,7 +68,7 @@
 		return
 	}
 	trail.node.mutex.Lock()
-	rank, may := trail.node.core.Rank(auditDuty, now)
+	rank, may := trail.node.core.Rank(auditDuty)
 	confirmed := trail.node.core.Confirmed(now)
 	trail.node.mutex.Unlock()
 	if may && rank == 0 {
