Check that the trail outlasts a replaced fleet without doubles

All proxies are replaced during an outage of the platform; afterwards the one that ranks first tries to record the manifest in force once more, is refused, and the trail still has one entry.

--- a/internal/node/operator_test.go
+++ b/internal/node/operator_test.go
@@ -170,8 +170,9 @@
 	fleet.c.Assert(fleet.all(func(i int) bool { return fleet.events(i, 701) == 1 && fleet.events(i, 702) == 1 })(), qt.IsTrue)
 }
 
-func TestFleetThatNeverReachedThePlatformIsNotReady(t *testing.T) {
+func TestReplacedFleetIsReadyOnceThePlatformAnswersAndKeepsTheTrail(t *testing.T) {
 	fleet := newFleet(t, nil)
+	fleet.eventually("the manifest is in the trail", func() bool { return fleet.trail()[audit.ActionAccept] == 1 })
 	for _, proxy := range fleet.proxies {
 		proxy.stop()
 		fleet.c.Assert(<-proxy.done, qt.IsNil)
@@ -189,6 +190,14 @@
 		code, _ := fleet.ask(i, "/readyz")
 		return code == http.StatusOK
 	}))
+	fleet.eventually("the one that ranks first has tried to record the manifest anew", func() bool {
+		refused := 0
+		for i := range fleet.proxies {
+			refused += fleet.value(i, `corianderspool_platform_calls_total{call="put",kind="Audit",result="conflict"}`)
+		}
+		return refused > 0
+	})
+	fleet.c.Assert(fleet.trail()[audit.ActionAccept], qt.Equals, 1)
 }
 
 func TestTrailShowsEachChangeOnce(t *testing.T) {
