Check that a proxy that is cut off from all is not ready

With the platform down and the two other proxies gone, the one that is left answers /readyz with 503 and says that it is cut off.

--- a/internal/node/operator_test.go
+++ b/internal/node/operator_test.go
@@ -200,6 +200,20 @@
 	fleet.c.Assert(fleet.trail()[audit.ActionAccept], qt.Equals, 1)
 }
 
+func TestCutOffProxyIsNotReady(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.eventually("all three are witnesses", func() bool { return len(fleet.status(0).Roster.Members) == 3 })
+	fleet.platform.SetFaults(objsrv.Faults{DownFor: spool.Duration(time.Hour)})
+	for _, proxy := range fleet.proxies[1:] {
+		proxy.stop()
+		fleet.c.Assert(<-proxy.done, qt.IsNil)
+	}
+	fleet.eventually("the proxy that is left is not ready", func() bool {
+		code, body := fleet.ask(0, "/readyz")
+		return code == http.StatusServiceUnavailable && strings.Contains(body, "cut off")
+	})
+}
+
 func TestTrailShowsEachChangeOnce(t *testing.T) {
 	fleet := newFleet(t, nil)
 	valid := fleet.manifest
