--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -26,14 +26,14 @@
 }
 
 // Rank returns the own place among the serving VMs for a duty of that name; a leaving VM has none.
-func (core *Core) Rank(duty string, now spool.Instant) (int, bool) { return core.view.Rank(duty, now) }
+func (core *Core) Rank(duty string) (int, bool) { return core.ranks.Rank(duty) }
 
 // Term returns the newest term record known of a group, or nil.
 func (core *Core) Term(group spool.Group) *wire.TermRecord { return core.witness.Record(group) }
 
 // Keeps tells whether this proxy is the group's keeper, and returns the open term or zero.
 func (core *Core) Keeps(name spool.Group) (open spool.Term, keeps bool) {
-	role, group := core.roles[lease.GroupRole(name)], core.groups[name]
+	role, group := core.roles.get(lease.GroupRole(name)), core.groups.get(name)
 	if role == nil || !role.held || group == nil {
 		return 0, false
 	}
@@ -42,11 +42,11 @@
 
 // Held counts the leases of groups and of teams that this proxy holds.
 func (core *Core) Held() (groups, teams int) {
-	for name, role := range core.roles {
+	for _, role := range core.roles.sorted {
 		if !role.held {
 			continue
 		}
-		if _, isGroup := name.Group(); isGroup {
+		if _, isGroup := role.name.Group(); isGroup {
 			groups++
 		} else {
 			teams++
