Find the relays of all failure domains in one pass

Cause: a relay's heartbeat collected, hashed and sorted all members once for each failure domain, and again for Links, Relay and Digest.

duties keeps the first two VMs of a failure domain by weight while it walks over the view once; allDuties does so for all failure domains together. Which VMs read and relay stays as it was.

--- a/internal/core/member/relay.go
+++ b/internal/core/member/relay.go
@@ -8,31 +8,63 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// ranked returns the serving VMs of a failure domain in order of their duty to read and relay for it.
-func (view *View) ranked(domain spool.Domain, now spool.Instant) []spool.Member {
-	members := view.collect(func(entry *Entry) bool {
-		return entry.Domain == domain && view.alive(entry, now) && !entry.Leaving
-	})
-	slices.SortStableFunc(members, func(a, b spool.Member) int {
-		return cmp.Compare(weight("Reader/"+string(domain), b.VM), weight("Reader/"+string(domain), a.VM))
-	})
-	return members
+// duty is a VM with its weight for reading and relaying for its failure domain.
+type duty struct {
+	spool.Member
+	weight uint64
 }
 
+// before tells whether the duty falls to this VM rather than to the other.
+func (own duty) before(other duty) bool {
+	return own.weight > other.weight || (own.weight == other.weight && own.VM < other.VM)
+}
+
+// insert puts a VM in its place among the first ones of a failure domain.
+func insert(first []duty, added duty) []duty {
+	place := len(first)
+	for place > 0 && added.before(first[place-1]) {
+		place--
+	}
+	if place == RelaysPerDomain {
+		return first
+	}
+	first = slices.Insert(first, place, added)
+	return first[:min(len(first), RelaysPerDomain)]
+}
+
+// duties returns the serving VMs to which the duty for a failure domain falls first.
+func (view *View) duties(domain spool.Domain, now spool.Instant) []duty {
+	var first []duty
+	for _, entry := range view.entries {
+		if entry.Domain == domain && !entry.Leaving && view.alive(entry, now) {
+			first = insert(first, duty{Member: entry.Member, weight: dutyWeight(entry)})
+		}
+	}
+	return first
+}
+
+// allDuties returns duties of every failure domain.
+func (view *View) allDuties(now spool.Instant) map[spool.Domain][]duty {
+	all := map[spool.Domain][]duty{}
+	for _, entry := range view.entries {
+		if !entry.Leaving && view.alive(entry, now) {
+			all[entry.Domain] = insert(all[entry.Domain], duty{Member: entry.Member, weight: dutyWeight(entry)})
+		}
+	}
+	return all
+}
+
+func dutyWeight(entry *Entry) uint64 { return weight("Reader/"+string(entry.Domain), entry.VM) }
+
 // Reader tells whether the own VM is the one that watches the platform for its failure domain.
 func (view *View) Reader(now spool.Instant) bool {
-	ranked := view.ranked(view.self.Domain, now)
-	return len(ranked) > 0 && ranked[0].VM == view.self.VM
+	first := view.duties(view.self.Domain, now)
+	return len(first) > 0 && first[0].VM == view.self.VM
 }
 
 // Relay tells whether the own VM passes heartbeats and configuration on for its failure domain.
 func (view *View) Relay(now spool.Instant) bool {
-	return contains(view.relays(view.self.Domain, now), view.self.VM)
-}
-
-func (view *View) relays(domain spool.Domain, now spool.Instant) []spool.Member {
-	ranked := view.ranked(domain, now)
-	return ranked[:min(len(ranked), RelaysPerDomain)]
+	return contains(view.duties(view.self.Domain, now), view.self.VM)
 }
 
 // Links returns the VMs that the own heartbeat goes to: all in a small fleet, else the relays of the own failure
@@ -42,13 +74,14 @@
 		return view.others(func(*Entry) bool { return true })
 	}
 	links := map[spool.VM]bool{}
-	add(links, view.relays(view.self.Domain, now))
-	if view.Relay(now) {
+	relays := view.duties(view.self.Domain, now)
+	add(links, relays)
+	if contains(relays, view.self.VM) {
 		for _, vm := range view.others(func(entry *Entry) bool { return entry.Domain == view.self.Domain }) {
 			links[vm] = true
 		}
-		for _, domain := range view.domains() {
-			add(links, view.relays(domain, now))
+		for _, others := range view.allDuties(now) {
+			add(links, others)
 		}
 	}
 	if len(links) <= 1 {
@@ -87,20 +120,9 @@
 	return sorted(names)
 }
 
-func (view *View) domains() []spool.Domain {
-	domains := []spool.Domain{}
-	for _, entry := range view.entries {
-		if !slices.Contains(domains, entry.Domain) {
-			domains = append(domains, entry.Domain)
-		}
-	}
-	slices.Sort(domains)
-	return domains
-}
-
-func add(links map[spool.VM]bool, members []spool.Member) {
-	for _, member := range members {
-		links[member.VM] = true
+func add(links map[spool.VM]bool, duties []duty) {
+	for _, duty := range duties {
+		links[duty.VM] = true
 	}
 }
 
@@ -113,6 +135,6 @@
 	return list
 }
 
-func contains(members []spool.Member, vm spool.VM) bool {
-	return slices.ContainsFunc(members, func(member spool.Member) bool { return member.VM == vm })
+func contains(duties []duty, vm spool.VM) bool {
+	return slices.ContainsFunc(duties, func(duty duty) bool { return duty.VM == vm })
 }
