--- a/internal/bench/slope/rates.go
+++ b/internal/bench/slope/rates.go
@@ -21,6 +21,8 @@
 		line("GrantOver", "VMs that ask above the rate", "CPU µs a request", []int{8, 32, 128, 512}, grantOver),
 		line("GrantBytes", "grants reported", "bytes of request and answer", []int{0, 1, 2, 4}, grantBytes),
 		line("GrantCode", "grants reported", "CPU µs to encode and decode", []int{0, 1, 2, 4}, grantCode),
+		line("TokenRequests", "statements a second of a team on a proxy", "requests/s", []int{25, 100, 400}, tokenRequests).against(aSecond),
+		line("TokenRequestsMany", "statements a second of a team on a proxy", "requests/s", []int{1000, 10000, 100000}, tokenRequests).against(aSecond),
 		line("ClientStep", "requests admitted a step", "CPU µs a step", []int{0, 1, 4, 16}, clientStep),
 	}
 }
