Plot the measures of the benches

Cause: the issue asks for plots with the commands that gave them.

'make report' writes the JSON of Slopes, Path and Policy into out/, which is not committed, and draws each as SVG and PNG by gonum/plot. The title of each plot ends in its command, and COMMANDS.txt lists all.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,10 @@
 
 slopes:
 	$(GO) run ./cmd/bench Slopes
+
+report:
+	mkdir -p out
+	$(GO) run ./cmd/bench Slopes --json > out/slopes.json
+	$(GO) run ./cmd/bench Path --json > out/path.json
+	$(GO) run ./cmd/bench Policy --json > out/policy.json
+	$(GO) run ./cmd/bench Report --dir out
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -40,6 +40,7 @@
 	flaggy.AttachSubcommand(part, 1)
 	flaggy.AttachSubcommand(decisions, 1)
 	slopes := newSlopes()
+	report := newReport()
 	flaggy.Parse()
 	if len(options.Connections) == 0 {
 		options.Connections = []int{1, 16, 128}
@@ -52,6 +53,8 @@
 		err = runPolicy(seed, asJSON)
 	case slopes.Used:
 		err = slopes.run()
+	case report.Used:
+		err = report.run()
 	default:
 		flaggy.ShowHelpAndExit("")
 	}
--- /dev/null
+++ b/cmd/bench/report.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+
+	"corianderspool.example/spool/internal/bench/draw"
+)
+
+// report is the subcommand that plots what the others wrote as JSON.
+type report struct {
+	*flaggy.Subcommand
+	dir string
+}
+
+func newReport() *report {
+	report := &report{Subcommand: flaggy.NewSubcommand("Report"), dir: "out"}
+	report.Description = "Plots slopes.json, path.json and policy.json of a folder, as far as they are there"
+	report.String(&report.dir, "d", "dir", "Folder that holds the JSON and gets the plots")
+	flaggy.AttachSubcommand(report.Subcommand, 1)
+	return report
+}
+
+func (report *report) run() error {
+	page, err := draw.NewPage(report.dir)
+	if err != nil {
+		return err
+	}
+	if err := plotFile(report.dir, "slopes.json", page.Slopes); err != nil {
+		return err
+	}
+	if err := plotFile(report.dir, "path.json", page.Path); err != nil {
+		return err
+	}
+	if err := plotFile(report.dir, "policy.json", page.Policy); err != nil {
+		return err
+	}
+	return page.Close()
+}
+
+// plotFile plots the content of a file, if the file is there.
+func plotFile[Content any](dir, name string, plot func(content Content) error) error {
+	text, err := os.ReadFile(filepath.Join(dir, name))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "read the measures")
+	}
+	var content Content
+	if err := json.Unmarshal(text, &content); err != nil {
+		return eris.Wrapf(err, "read %s", name)
+	}
+	return plot(content)
+}
--- /dev/null
+++ b/internal/bench/draw/doc.go
@@ -0,0 +1,2 @@
+// Package draw plots the measures of the benches.
+package draw
--- /dev/null
+++ b/internal/bench/draw/draw_test.go
@@ -0,0 +1,42 @@
+package draw_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/internal/bench/draw"
+	"corianderspool.example/spool/internal/bench/path"
+	"corianderspool.example/spool/internal/bench/policy"
+	"corianderspool.example/spool/internal/bench/slope"
+)
+
+func TestPageHoldsEveryPlotAndItsCommand(t *testing.T) {
+	c := qt.New(t)
+	dir := filepath.Join(c.TempDir(), "out")
+	page, err := draw.NewPage(dir)
+	c.Assert(err, qt.IsNil)
+	points := []slope.Point{{Size: 1, Value: 2}, {Size: 2, Value: 4}}
+	c.Assert(page.Slopes(slope.Report{Series: []slope.Series{{
+		Name: "BeatHeld", Size: "roles", Unit: "bytes", Points: points, Fit: slope.Line(points),
+	}}}), qt.IsNil)
+	c.Assert(page.Path(path.Report{Rows: []path.Row{{Connections: 1}, {Connections: 16}}}), qt.IsNil)
+	share := 0.5
+	c.Assert(page.Policy([]policy.Result{
+		{Partner: policy.Sizes()[0].Partner, Scenario: "calm", Variant: "naive", WorstTeamShare: &share, Seed: 3},
+	}), qt.IsNil)
+	c.Assert(page.Close(), qt.IsNil)
+	for _, name := range []string{"slope-BeatHeld", "path-throughput", "path-latency"} {
+		for _, format := range []string{".svg", ".png"} {
+			info, err := os.Stat(filepath.Join(dir, name+format))
+			c.Assert(err, qt.IsNil)
+			c.Assert(info.Size() > 0, qt.IsTrue)
+		}
+	}
+	commands, err := os.ReadFile(filepath.Join(dir, "COMMANDS.txt"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(commands), qt.Contains, "slope-BeatHeld: go run ./cmd/bench Slopes --only '^BeatHeld$'\n")
+	c.Assert(string(commands), qt.Contains, "go run ./cmd/bench Policy --seed 3\n")
+}
