Share the demo's load, judge and preparation with tests of processes

Cause: tests over real processes need what the demo has: free addresses, certificates and settings, sessions that read and write, and the comparison of the server's log with what callers were told. All of it was private to the demo.

Ruled out: copying it into the tests, and starting the demo itself, whose order of failures is fixed.

A restarting process must find its port free. Ports came from the range that outgoing connections get, so that a caller's connection could take one meanwhile; they are now drawn below that range.

--- a/internal/fake/demo/check.go
+++ b/internal/fake/demo/check.go
@@ -6,28 +6,28 @@
 	"corianderspool.example/spool/internal/fake/regsrv"
 )
 
-// verdict is the comparison of a server's log with what the callers were told.
-type verdict struct {
+// Verdict is the comparison of a server's log with what the callers were told.
+type Verdict struct {
 	Lost      int // acknowledged writes that the log lacks
 	Duplicate int // writes that ran more than once
 	NotRunRan int // writes refused as not run that ran all the same
 	Torn      int // transactions that ran in part
 }
 
-// judge compares the log of the final primary with the writes.
-func judge(writes []Write, log []regsrv.Applied) verdict {
+// Judge compares the log of the final primary with the writes.
+func Judge(writes []Write, log []regsrv.Applied) Verdict {
 	byKey := map[string][]regsrv.Applied{}
 	for _, applied := range log {
 		byKey[applied.Key] = append(byKey[applied.Key], applied)
 	}
-	found := verdict{}
+	found := Verdict{}
 	for _, write := range writes {
 		found.add(write, byKey[write.Key])
 	}
 	return found
 }
 
-func (verdict *verdict) add(write Write, applied []regsrv.Applied) {
+func (verdict *Verdict) add(write Write, applied []regsrv.Applied) {
 	switch {
 	case write.Outcome == Duplicate || len(applied) > len(write.Values):
 		verdict.Duplicate++
--- a/internal/fake/demo/demo_test.go
+++ b/internal/fake/demo/demo_test.go
@@ -28,13 +28,13 @@
 }
 
 // load runs workers against the addresses for a while.
-func load(duration time.Duration, addresses ...string) *ledger {
+func load(duration time.Duration, addresses ...string) *Ledger {
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
-	ledger := newLedger()
+	ledger := NewLedger()
 	group := sync.WaitGroup{}
 	for i := range 4 {
-		group.Go(func() { newWorker(i, testKey, addresses, ledger).run(ctx) })
+		group.Go(func() { NewWorker(i, testKey, addresses, ledger).Run(ctx) })
 	}
 	group.Wait()
 	return ledger
@@ -45,10 +45,10 @@
 	server := startServer(c, regsrv.WithPrimary(1))
 	ledger := load(500*time.Millisecond, server.Address())
 	c.Assert(len(ledger.acks) > 4, qt.IsTrue)
-	c.Assert(ledger.counts[Answered] > len(ledger.acks), qt.IsTrue)
-	c.Assert(ledger.counts[Unknown], qt.Equals, 0, qt.Commentf("%v", ledger.problems))
-	c.Assert([]int{ledger.stale, ledger.mixed, ledger.repeated}, qt.DeepEquals, []int{0, 0, 0})
-	c.Assert(judge(ledger.writes, server.Log()), qt.Equals, verdict{})
+	c.Assert(ledger.Counts[Answered] > len(ledger.acks), qt.IsTrue)
+	c.Assert(ledger.Counts[Unknown], qt.Equals, 0, qt.Commentf("%v", ledger.Problems))
+	c.Assert([]int{ledger.Stale, ledger.Mixed, ledger.Repeated}, qt.DeepEquals, []int{0, 0, 0})
+	c.Assert(Judge(ledger.Writes, server.Log()), qt.Equals, Verdict{})
 }
 
 func TestWorkersFindStaleReadsOfALaggingReplica(t *testing.T) {
@@ -56,7 +56,7 @@
 	primary := startServer(c, regsrv.WithPrimary(1))
 	replica := startServer(c, regsrv.WithFollow(primary.Address()), regsrv.WithLag(time.Hour))
 	ledger := load(time.Second, primary.Address(), replica.Address())
-	c.Assert(ledger.stale > 0, qt.IsTrue)
+	c.Assert(ledger.Stale > 0, qt.IsTrue)
 }
 
 func TestWorkersFindWritesThatAKilledPrimaryLost(t *testing.T) {
@@ -65,7 +65,7 @@
 	replica := startServer(c, regsrv.WithFollow(primary.Address()), regsrv.WithLag(200*time.Millisecond))
 	ledger := load(500*time.Millisecond, primary.Address())
 	primary.Close()
-	c.Assert(judge(ledger.writes, replica.Log()).Lost > 0, qt.IsTrue)
+	c.Assert(Judge(ledger.Writes, replica.Log()).Lost > 0, qt.IsTrue)
 }
 
 func applied(position spool.Position, key, value string) regsrv.Applied {
@@ -81,26 +81,26 @@
 		name  string
 		write Write
 		log   []regsrv.Applied
-		want  verdict
+		want  Verdict
 	}{
-		{"acknowledged and there", single(Answered), once, verdict{}},
-		{"acknowledged and lost", single(Answered), nil, verdict{Lost: 1}},
-		{"ran twice", single(Answered), twice, verdict{Duplicate: 1}},
-		{"unknown and ran twice", single(Unknown), twice, verdict{Duplicate: 1}},
-		{"told of its own key", single(Duplicate), once, verdict{Duplicate: 1}},
-		{"unknown and there", single(Unknown), once, verdict{}},
-		{"unknown and not there", single(Unknown), nil, verdict{}},
-		{"refused and not there", single(NotRun), nil, verdict{}},
-		{"refused and there", single(NotRun), once, verdict{NotRunRan: 1}},
-		{"unsent and there", single(Unsent), once, verdict{NotRunRan: 1}},
-		{"transaction whole", double, []regsrv.Applied{applied(1, "k", "a"), applied(1, "k", "b")}, verdict{}},
-		{"transaction in part", double, once, verdict{Torn: 1}},
-		{"transaction in two", double, []regsrv.Applied{applied(1, "k", "a"), applied(2, "k", "b")}, verdict{Torn: 1}},
+		{"acknowledged and there", single(Answered), once, Verdict{}},
+		{"acknowledged and lost", single(Answered), nil, Verdict{Lost: 1}},
+		{"ran twice", single(Answered), twice, Verdict{Duplicate: 1}},
+		{"unknown and ran twice", single(Unknown), twice, Verdict{Duplicate: 1}},
+		{"told of its own key", single(Duplicate), once, Verdict{Duplicate: 1}},
+		{"unknown and there", single(Unknown), once, Verdict{}},
+		{"unknown and not there", single(Unknown), nil, Verdict{}},
+		{"refused and not there", single(NotRun), nil, Verdict{}},
+		{"refused and there", single(NotRun), once, Verdict{NotRunRan: 1}},
+		{"unsent and there", single(Unsent), once, Verdict{NotRunRan: 1}},
+		{"transaction whole", double, []regsrv.Applied{applied(1, "k", "a"), applied(1, "k", "b")}, Verdict{}},
+		{"transaction in part", double, once, Verdict{Torn: 1}},
+		{"transaction in two", double, []regsrv.Applied{applied(1, "k", "a"), applied(2, "k", "b")}, Verdict{Torn: 1}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			c.Assert(judge([]Write{test.write}, test.log), qt.Equals, test.want)
+			c.Assert(Judge([]Write{test.write}, test.log), qt.Equals, test.want)
 		})
 	}
 }
@@ -117,30 +117,30 @@
 
 func TestReadsAreJudged(t *testing.T) {
 	c := qt.New(t)
-	ledger := newLedger()
+	ledger := NewLedger()
 	write := Write{Key: "k", Values: []string{"a", "b"}}
 	ledger.read(write, []string{"a", "b"})
-	c.Assert([]int{ledger.stale, ledger.mixed, ledger.repeated}, qt.DeepEquals, []int{0, 0, 0})
+	c.Assert([]int{ledger.Stale, ledger.Mixed, ledger.Repeated}, qt.DeepEquals, []int{0, 0, 0})
 	ledger.read(write, nil)
 	ledger.read(write, []string{"a", "c"})
 	ledger.read(write, []string{"a", "b", "a", "b"})
-	c.Assert([]int{ledger.stale, ledger.mixed, ledger.repeated}, qt.DeepEquals, []int{1, 1, 1})
+	c.Assert([]int{ledger.Stale, ledger.Mixed, ledger.Repeated}, qt.DeepEquals, []int{1, 1, 1})
 }
 
 func TestGapIsTheLongestTimeWithoutAnAcknowledgement(t *testing.T) {
 	c := qt.New(t)
-	ledger := newLedger()
+	ledger := NewLedger()
 	begin := time.Unix(1000, 0)
 	for _, millis := range []int{0, 900, 1000, 2500, 2600, 9000} {
 		ledger.acks = append(ledger.acks, begin.Add(time.Duration(millis)*time.Millisecond))
 	}
-	gap := ledger.gap(begin.Add(800*time.Millisecond), begin.Add(3*time.Second))
+	gap := ledger.Gap(begin.Add(800*time.Millisecond), begin.Add(3*time.Second))
 	c.Assert(gap, qt.Equals, 6400*time.Millisecond)
-	gap = ledger.gap(begin.Add(800*time.Millisecond), begin.Add(2550*time.Millisecond))
+	gap = ledger.Gap(begin.Add(800*time.Millisecond), begin.Add(2550*time.Millisecond))
 	c.Assert(gap, qt.Equals, 1500*time.Millisecond)
-	gap = ledger.gap(begin.Add(3*time.Second), begin.Add(4*time.Second))
+	gap = ledger.Gap(begin.Add(3*time.Second), begin.Add(4*time.Second))
 	c.Assert(gap, qt.Equals, 6400*time.Millisecond)
-	gap = ledger.gap(begin.Add(9500*time.Millisecond), begin.Add(12*time.Second))
+	gap = ledger.Gap(begin.Add(9500*time.Millisecond), begin.Add(12*time.Second))
 	c.Assert(gap, qt.Equals, 3*time.Second)
 }
 
--- a/internal/fake/demo/fleet.go
+++ b/internal/fake/demo/fleet.go
@@ -66,8 +66,8 @@
 	return living
 }
 
-// serverState is what a server says of its role on its control port.
-type serverState struct {
+// ServerState is what a server says of its role on its control port.
+type ServerState struct {
 	Term     spool.Term
 	Position spool.Position
 	Primary  bool
@@ -75,11 +75,16 @@
 }
 
 // primary returns the living server that is primary of the highest term.
-func (fleet *fleet) primary() (Process, serverState, error) {
+func (fleet *fleet) primary() (Process, ServerState, error) {
+	return Primary(fleet.living(fleet.plan.Servers))
+}
+
+// Primary returns the server that answers as primary of the highest term; it fails if there is none.
+func Primary(servers []Process) (Process, ServerState, error) {
 	found := Process{}
-	highest := serverState{}
-	for _, server := range fleet.living(fleet.plan.Servers) {
-		state, err := fetch[serverState](server, "/status")
+	highest := ServerState{}
+	for _, server := range servers {
+		state, err := Fetch[ServerState](server, "/status")
 		if err != nil {
 			continue
 		}
@@ -96,7 +101,7 @@
 // reads adds up the reads that the living servers ran in either role.
 func (fleet *fleet) reads() (primary, replica int) {
 	for _, server := range fleet.living(fleet.plan.Servers) {
-		seen, err := fetch[regsrv.Seen](server, "/seen")
+		seen, err := Fetch[regsrv.Seen](server, "/seen")
 		if err != nil {
 			continue
 		}
@@ -106,8 +111,8 @@
 	return primary, replica
 }
 
-// fetch gets and decodes what a server's control port shows.
-func fetch[T any](server Process, path string) (T, error) {
+// Fetch gets and decodes what a server's control port shows.
+func Fetch[T any](server Process, path string) (T, error) {
 	var result T
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
--- a/internal/fake/demo/ledger.go
+++ b/internal/fake/demo/ledger.go
@@ -57,32 +57,34 @@
 	Key     string
 	Values  []string // more than one when they were written in a transaction
 	Outcome Outcome
+	At      time.Time // of the outcome
 }
 
-// ledger keeps what the callers were told.
-type ledger struct {
+// Ledger keeps what the callers were told; read its fields once the workers have ended.
+type Ledger struct {
+	Counts   map[Outcome]int
+	Writes   []Write
+	Stale    int            // reads that did not show the session's own write
+	Repeated int            // reads that showed a value more than once
+	Mixed    int            // reads that showed what another request wrote
+	Problems map[string]int // errors by their text
 	mutex    sync.Mutex
-	counts   map[Outcome]int
-	writes   []Write
 	acks     []time.Time // of acknowledged writes
-	stale    int
-	repeated int // reads that showed a value more than once
-	mixed    int // reads that showed what another request wrote
-	lost     int // sessions that were told of a lost write
-	problems map[string]int
+	lost     int         // sessions that were told of a lost write
 }
 
-func newLedger() *ledger {
-	return &ledger{counts: map[Outcome]int{}, problems: map[string]int{}}
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{Counts: map[Outcome]int{}, Problems: map[string]int{}}
 }
 
-func (ledger *ledger) request(err error) Outcome {
+func (ledger *Ledger) request(err error) Outcome {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	outcome := classify(err)
-	ledger.counts[outcome]++
+	ledger.Counts[outcome]++
 	if err != nil {
-		ledger.problems[describe(err)]++
+		ledger.Problems[describe(err)]++
 	}
 	if lostWrite(err) {
 		ledger.lost++
@@ -90,36 +92,37 @@
 	return outcome
 }
 
-func (ledger *ledger) write(write Write) {
+func (ledger *Ledger) write(write Write) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	ledger.writes = append(ledger.writes, write)
+	write.At = time.Now()
+	ledger.Writes = append(ledger.Writes, write)
 	if write.Outcome == Answered {
-		ledger.acks = append(ledger.acks, time.Now())
+		ledger.acks = append(ledger.acks, write.At)
 	}
 }
 
 // read judges the values that a session read of its own acknowledged write.
-func (ledger *ledger) read(write Write, values []string) {
+func (ledger *Ledger) read(write Write, values []string) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	for _, value := range values {
 		if !slices.Contains(write.Values, value) {
-			ledger.mixed++
+			ledger.Mixed++
 			return
 		}
 	}
 	switch {
 	case slices.Equal(values, write.Values):
 	case len(values) < len(write.Values):
-		ledger.stale++
+		ledger.Stale++
 	default:
-		ledger.repeated++
+		ledger.Repeated++
 	}
 }
 
-// gap returns the longest time without an acknowledged write that overlaps the span.
-func (ledger *ledger) gap(from, till time.Time) time.Duration {
+// Gap returns the longest time without an acknowledged write that overlaps the span.
+func (ledger *Ledger) Gap(from, till time.Time) time.Duration {
 	ledger.mutex.Lock()
 	acks := slices.Clone(ledger.acks)
 	ledger.mutex.Unlock()
@@ -135,8 +138,8 @@
 	return longest
 }
 
-// answeredSince counts the writes acknowledged since an instant.
-func (ledger *ledger) answeredSince(since time.Time) int {
+// AnsweredSince counts the writes acknowledged since an instant.
+func (ledger *Ledger) AnsweredSince(since time.Time) int {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	count := 0
--- a/internal/fake/demo/plan.go
+++ b/internal/fake/demo/plan.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,7 +17,10 @@
 )
 
 const (
-	loopback       = "127.0.0.1:0"
+	loopback       = "127.0.0.1"
+	lowestPort     = 10000
+	highestPort    = 32000
+	portTries      = 100
 	planFile       = "plan.json"
 	certificateAge = 24 * time.Hour
 	drainTimeout   = 2 * time.Second
@@ -123,10 +128,11 @@
 	return plan, operators, chooseAddresses(targets)
 }
 
-// chooseAddresses sets each target to a loopback address whose port was free.
+// chooseAddresses sets each target to a loopback address whose port was free; no outgoing connection takes such a port
+// while a process restarts.
 func chooseAddresses(targets []*string) error {
 	for _, target := range targets {
-		listener, err := net.Listen("tcp", loopback)
+		listener, err := listenAnywhere()
 		if err != nil {
 			return eris.Wrap(err, "choosing a port")
 		}
@@ -136,6 +142,20 @@
 	return nil
 }
 
+// listenAnywhere listens on a free port below those that outgoing connections get.
+func listenAnywhere() (net.Listener, error) {
+	var err error
+	for range portTries {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		var listener net.Listener
+		listener, err = net.Listen("tcp", net.JoinHostPort(loopback, strconv.Itoa(port)))
+		if err == nil {
+			return listener, nil
+		}
+	}
+	return nil, err
+}
+
 func (plan Plan) members() []spool.Member {
 	members := []spool.Member{}
 	for _, proxy := range plan.Proxies {
--- a/internal/fake/demo/report.go
+++ b/internal/fake/demo/report.go
@@ -29,8 +29,8 @@
 	}{
 		{run.verdict.Lost, "acknowledged writes were lost"},
 		{run.report.DuplicateWrites, "writes ran more than once"},
-		{run.ledger.stale, "reads did not show the session's own writes"},
-		{run.ledger.mixed, "reads showed what another request wrote"},
+		{run.ledger.Stale, "reads did not show the session's own writes"},
+		{run.ledger.Mixed, "reads showed what another request wrote"},
 		{run.verdict.NotRunRan, "statements refused as not run ran all the same"},
 		{run.verdict.Torn, "transactions ran in part"},
 		{run.strangers, "logins at servers did not use the proxy's own user"},
@@ -49,15 +49,15 @@
 
 // fill computes the report from what the run saw.
 func (run *run) fill() {
-	counts := run.ledger.counts
+	counts := run.ledger.Counts
 	report := &run.report
 	report.Answered = counts[Answered] + counts[Duplicate]
 	report.RefusedNotRun = counts[NotRun]
 	report.OutcomeUnknown = counts[Unknown]
 	report.Requests = report.Answered + report.RefusedNotRun + report.OutcomeUnknown
 	report.LostAcknowledgedWrites = run.verdict.Lost
-	report.DuplicateWrites = max(run.verdict.Duplicate, run.ledger.repeated)
-	report.StaleSessionReads = run.ledger.stale
+	report.DuplicateWrites = max(run.verdict.Duplicate, run.ledger.Repeated)
+	report.StaleSessionReads = run.ledger.Stale
 	report.KeyWithdrawalMillis = run.withdrawal.Milliseconds()
 	primary, replica := run.fleet.reads()
 	primary += run.deadPrimaryReads
--- a/internal/fake/demo/run.go
+++ b/internal/fake/demo/run.go
@@ -34,12 +34,12 @@
 type run struct {
 	plan    Plan
 	fleet   *fleet
-	ledger  *ledger
+	ledger  *Ledger
 	client  *objapi.Client
 	version spool.Version
 	out     io.Writer
 
-	verdict          verdict
+	verdict          Verdict
 	report           Report
 	withdrawal       time.Duration
 	deadPrimaryReads int
@@ -62,7 +62,7 @@
 	run := &run{
 		plan:   plan,
 		fleet:  fleet,
-		ledger: newLedger(),
+		ledger: NewLedger(),
 		client: objapi.New("http://" + plan.Platform),
 		out:    out,
 	}
@@ -146,7 +146,7 @@
 func probe(proxy Process, key Key) error {
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
-	connection, err := connect(ctx, proxy.Address, key, "")
+	connection, err := Connect(ctx, proxy.Address, key, "")
 	if err != nil {
 		return err
 	}
@@ -166,8 +166,8 @@
 		addresses = append(addresses, proxy.Address)
 	}
 	for i := range sessions {
-		worker := newWorker(i, run.plan.Keys[0], addresses, run.ledger)
-		workers.Go(func() { worker.run(ctx) })
+		worker := NewWorker(i, run.plan.Keys[0], addresses, run.ledger)
+		workers.Go(func() { worker.Run(ctx) })
 	}
 	run.say("%d sessions read and write and roam between the proxies.", sessions)
 	time.Sleep(calmTime)
@@ -204,7 +204,7 @@
 		return err
 	}
 	time.Sleep(proxyLossTime)
-	gap := run.ledger.gap(killed.Add(-gapLead), time.Now())
+	gap := run.ledger.Gap(killed.Add(-gapLead), time.Now())
 	run.say("The longest time without an acknowledged write was %d ms.", gap.Milliseconds())
 	run.expectWrites(killed.Add(proxyLossTime-time.Second), "after the loss of a proxy")
 	return nil
@@ -216,7 +216,7 @@
 		return err
 	}
 	run.checkLogins(victim)
-	if seen, err := fetch[regsrv.Seen](victim, "/seen"); err == nil {
+	if seen, err := Fetch[regsrv.Seen](victim, "/seen"); err == nil {
 		run.deadPrimaryReads = seen.PrimaryReads
 		run.deadReplicaReads = seen.ReplicaReads
 	}
@@ -226,7 +226,7 @@
 		return err
 	}
 	time.Sleep(primaryLossTime)
-	gap := run.ledger.gap(killed.Add(-gapLead), time.Now())
+	gap := run.ledger.Gap(killed.Add(-gapLead), time.Now())
 	run.report.FailoverGapMillis = gap.Milliseconds()
 	run.expectWrites(killed.Add(primaryLossTime-time.Second), "after the loss of the primary")
 	successor, state, err := run.fleet.primary()
@@ -241,14 +241,14 @@
 
 // expectWrites notes a failure if no write was acknowledged since an instant.
 func (run *run) expectWrites(since time.Time, when string) {
-	if run.ledger.answeredSince(since) == 0 {
+	if run.ledger.AnsweredSince(since) == 0 {
 		run.failures = append(run.failures, "no write was acknowledged "+when)
 	}
 }
 
 // checkLogins counts logins at the server that used another user than the proxy's own.
 func (run *run) checkLogins(server Process) {
-	seen, err := fetch[regsrv.Seen](server, "/seen")
+	seen, err := Fetch[regsrv.Seen](server, "/seen")
 	if err != nil {
 		return
 	}
@@ -271,14 +271,14 @@
 	if err != nil {
 		return err
 	}
-	log, err := fetch[[]regsrv.Applied](primary, "/log")
+	log, err := Fetch[[]regsrv.Applied](primary, "/log")
 	if err != nil {
 		return err
 	}
 	for _, server := range run.fleet.living(run.plan.Servers) {
 		run.checkLogins(server)
 	}
-	run.verdict = judge(run.ledger.writes, log)
+	run.verdict = Judge(run.ledger.Writes, log)
 	run.fill()
 	run.summarize(len(log))
 	broken := run.broken()
@@ -297,12 +297,12 @@
 }
 
 func (run *run) summarize(applied int) {
-	run.say("Compared %d writes with the %d values in the primary's log.", len(run.ledger.writes), applied)
+	run.say("Compared %d writes with the %d values in the primary's log.", len(run.ledger.Writes), applied)
 	if run.ledger.lost > 0 {
 		run.say("%d sessions were told that what they had seen was lost.", run.ledger.lost)
 	}
 	shown := 0
-	for problem, count := range run.ledger.problems {
+	for problem, count := range run.ledger.Problems {
 		if shown++; shown > maxShownProblems {
 			break
 		}
--- a/internal/fake/demo/withdraw.go
+++ b/internal/fake/demo/withdraw.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/rotisserie/eris"
 )
 
 const holderInterval = 5 * time.Millisecond
@@ -14,29 +15,38 @@
 func (run *run) withdraw() error {
 	key := run.plan.Keys[1]
 	proxies := run.fleet.living(run.plan.Proxies)
+	run.say("Withdrawing key %s while %d sessions use it.", key.Name, len(proxies))
+	lasted, err := Withdraw(key, proxies, func() error { return run.push(key.Name) })
+	for _, alive := range lasted {
+		run.withdrawal = max(run.withdrawal, alive)
+	}
+	run.say("The key worked for %d ms after the push.", run.withdrawal.Milliseconds())
+	return err
+}
+
+// Withdraw connects a session with the key to each proxy, withdraws the key and returns for each proxy how long the
+// key went on working after that; it fails if the key did not work before.
+func Withdraw(key Key, proxies []Process, withdraw func() error) ([]time.Duration, error) {
 	holders := []*holder{}
 	for _, proxy := range proxies {
 		holder := &holder{key: key, address: proxy.Address}
 		if err := holder.use(); err != nil {
-			run.failures = append(run.failures, "key "+key.Name+" did not work on "+proxy.Name+" before its withdrawal")
+			return nil, eris.Wrapf(err, "key %s did not work on %s before its withdrawal", key.Name, proxy.Name)
 		}
 		holders = append(holders, holder)
 	}
-	run.say("Withdrawing key %s while %d sessions use it.", key.Name, len(holders))
-	begin := time.Now()
-	if err := run.push(key.Name); err != nil {
-		return err
-	}
 	group := sync.WaitGroup{}
+	begin := time.Now()
 	for _, holder := range holders {
 		group.Go(func() { holder.persist(begin.Add(withdrawalTime)) })
 	}
+	err := withdraw()
 	group.Wait()
+	lasted := []time.Duration{}
 	for _, holder := range holders {
-		run.withdrawal = max(run.withdrawal, holder.last.Sub(begin))
+		lasted = append(lasted, holder.last.Sub(begin))
 	}
-	run.say("The key worked for %d ms after the push.", run.withdrawal.Milliseconds())
-	return nil
+	return lasted, err
 }
 
 // holder is a session that goes on trying to use a key.
@@ -60,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	if holder.connection == nil {
-		connection, err := connect(ctx, holder.address, holder.key, "")
+		connection, err := Connect(ctx, holder.address, holder.key, "")
 		if err != nil {
 			return err
 		}
--- a/internal/fake/demo/worker.go
+++ b/internal/fake/demo/worker.go
@@ -21,12 +21,13 @@
 	tokenParameter  = "corianderspool.token"
 )
 
-// worker is one session that roams between proxies.
-type worker struct {
+// Worker is one session that roams between proxies.
+type Worker struct {
+	WriteShare float64 // part of the requests that write
 	id         int
 	key        Key
 	addresses  []string
-	ledger     *ledger
+	ledger     *Ledger
 	random     *rand.Rand
 	connection *pgx.Conn
 	token      string
@@ -36,19 +37,21 @@
 	stay       int
 }
 
-func newWorker(id int, key Key, addresses []string, ledger *ledger) *worker {
-	return &worker{
-		id:        id,
-		key:       key,
-		addresses: addresses,
-		ledger:    ledger,
-		random:    rand.New(rand.NewPCG(uint64(id), 1)),
-		next:      id,
+// NewWorker returns a worker that writes under keys that contain its number.
+func NewWorker(id int, key Key, addresses []string, ledger *Ledger) *Worker {
+	return &Worker{
+		WriteShare: writeShare,
+		id:         id,
+		key:        key,
+		addresses:  addresses,
+		ledger:     ledger,
+		random:     rand.New(rand.NewPCG(uint64(id), 1)),
+		next:       id,
 	}
 }
 
-// run sends requests until the context ends; the request in flight is finished.
-func (worker *worker) run(ctx context.Context) {
+// Run sends requests until the context ends; the request in flight is finished.
+func (worker *Worker) Run(ctx context.Context) {
 	defer worker.hangUp()
 	for ctx.Err() == nil {
 		if !worker.connected(ctx) {
@@ -63,7 +66,7 @@
 }
 
 // connected makes sure of a connection, to another proxy after each stay.
-func (worker *worker) connected(ctx context.Context) bool {
+func (worker *Worker) connected(ctx context.Context) bool {
 	worker.stay++
 	if worker.stay > requestsPerStay {
 		worker.hangUp()
@@ -74,7 +77,7 @@
 	worker.stay = 0
 	worker.next++
 	address := worker.addresses[worker.next%len(worker.addresses)]
-	connection, err := connect(ctx, address, worker.key, worker.token)
+	connection, err := Connect(ctx, address, worker.key, worker.token)
 	if err != nil {
 		return false
 	}
@@ -82,8 +85,8 @@
 	return true
 }
 
-// connect opens a session with a stock client.
-func connect(ctx context.Context, address string, key Key, token string) (*pgx.Conn, error) {
+// Connect opens a session with a stock client.
+func Connect(ctx context.Context, address string, key Key, token string) (*pgx.Conn, error) {
 	target := url.URL{
 		Scheme:   "postgres",
 		User:     url.UserPassword(key.Name, key.Secret),
@@ -104,11 +107,11 @@
 }
 
 // step sends one request and reports if it was answered.
-func (worker *worker) step() bool {
+func (worker *Worker) step() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	var err error
-	if len(worker.own) == 0 || worker.random.Float64() < writeShare {
+	if len(worker.own) == 0 || worker.random.Float64() < worker.WriteShare {
 		err = worker.write(ctx)
 	} else {
 		err = worker.read(ctx)
@@ -128,7 +131,7 @@
 }
 
 // write writes under a key that nothing else uses and keeps what the caller was told.
-func (worker *worker) write(ctx context.Context) error {
+func (worker *Worker) write(ctx context.Context) error {
 	worker.written++
 	number := worker.written
 	write := Write{
@@ -154,7 +157,7 @@
 	return err
 }
 
-func (worker *worker) transaction(ctx context.Context, write Write) error {
+func (worker *Worker) transaction(ctx context.Context, write Write) error {
 	return pgx.BeginFunc(ctx, worker.connection, func(tx pgx.Tx) error {
 		for _, value := range write.Values {
 			if _, err := tx.Exec(ctx, "APPEND $1 $2", write.Key, value); err != nil {
@@ -166,7 +169,7 @@
 }
 
 // read reads one of the session's own writes, half the time the latest.
-func (worker *worker) read(ctx context.Context) error {
+func (worker *Worker) read(ctx context.Context) error {
 	write := worker.own[len(worker.own)-1]
 	if worker.random.IntN(2) == 0 {
 		write = worker.own[worker.random.IntN(len(worker.own))]
@@ -183,7 +186,7 @@
 	return err
 }
 
-func (worker *worker) hangUp() {
+func (worker *Worker) hangUp() {
 	if worker.connection == nil {
 		return
 	}
