Freeze the keeper with answers of the replaced primary in its sockets

Now eight writes are on the primary for 500 ms when their keeper is frozen, and the test expects that they ran there.

The test gives the servers 60 connections; the limit itself is left as it is.

--- a/internal/fake/demo/ledger.go
+++ b/internal/fake/demo/ledger.go
@@ -92,7 +92,9 @@
 	return outcome
 }
 
-func (ledger *Ledger) write(write Write) {
+// Write notes a write that was sent and the error that its caller got; it returns the outcome.
+func (ledger *Ledger) Write(write Write, err error) Outcome {
+	write.Outcome = ledger.request(err)
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	write.At = time.Now()
@@ -100,6 +102,7 @@
 	if write.Outcome == Answered {
 		ledger.acks = append(ledger.acks, write.At)
 	}
+	return write.Outcome
 }
 
 // read judges the values that a session read of its own acknowledged write.
--- a/internal/fake/demo/worker.go
+++ b/internal/fake/demo/worker.go
@@ -157,9 +157,7 @@
 		write.Values = append(write.Values, write.Values[0]+"-second")
 		err = worker.transaction(ctx, write)
 	}
-	write.Outcome = worker.ledger.request(err)
-	worker.ledger.write(write)
-	if write.Outcome == Answered {
+	if worker.ledger.Write(write, err) == Answered {
 		worker.own = append(worker.own, write)
 		worker.own = worker.own[max(0, len(worker.own)-ownWrites):]
 	}
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -83,6 +84,8 @@
 		fleet.start(server.Name, "regsrv", append([]string{
 			"--address", server.Address, "--control", server.Control, "--user", fleet.plan.BackendUser,
 			"--password-file", fleet.path("password"), "--connect-delay", "1ms", "--lag", "20ms",
+			"--slots", strconv.Itoa(fleet.manifest.Groups[0].Servers[i].Slots),
+			"--connections", strconv.Itoa(fleet.manifest.Groups[0].Servers[i].Connections),
 		}, role...)...)
 	}
 }
--- a/internal/procs/freeze_test.go
+++ b/internal/procs/freeze_test.go
@@ -9,12 +9,16 @@
 
 	"corianderspool.example/spool/internal/fake/demo"
 	"corianderspool.example/spool/internal/fake/regsrv"
-	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
-	slowWork   = 20 * time.Millisecond // keeps writes in flight on the primary at any moment
-	freezeTime = 4 * time.Second       // past the lease, and shorter than callers wait for an answer
+	freezeTime = 4 * time.Second        // past the lease, and shorter than callers wait for an answer
+	slowWork   = 500 * time.Millisecond // of the writes that are in flight when the keeper is frozen
+	sendTime   = slowWork / 2           // for these writes to reach the primary
+	lateWrites = 8
+
+	manySlots       = 24 // so that slow writes and the load run at once
+	manyConnections = 60 // so that the frozen keeper's connections leave room for its successor's
 )
 
 // TestFrozenKeeper: while the group's keeper is frozen past its lease the other proxies go on within 2 s; when it wakes
@@ -36,19 +40,31 @@
 // not passed on when it wakes. The route is not Durable and the primary is cut from its replicas, so that only the
 // keeper's lease can keep the lost writes from being acknowledged.
 func TestFrozenKeeperWakesWithOldAnswers(t *testing.T) {
-	fleet := newFleet(t, func(fleet *fleet) { fleet.manifest.Routes[0].Durable = false })
+	fleet := newFleet(t, func(fleet *fleet) {
+		fleet.manifest.Routes[0].Durable = false
+		for i := range fleet.manifest.Groups[0].Servers {
+			fleet.manifest.Groups[0].Servers[i].Slots = manySlots
+			fleet.manifest.Groups[0].Servers[i].Connections = manyConnections
+		}
+	})
 	load := fleet.startLoad()
 	victim, _ := fleet.primary()
-	cut, work := true, spool.Duration(slowWork)
-	fleet.control(victim, regsrv.Control{CutPeers: &cut, WorkTime: &work})
-	load.awaitWrites(fleet.plan.Proxies[0], time.Now(), workersPerProxy)
+	keeper, _ := fleet.keeper()
+	cut := true
+	fleet.control(victim, regsrv.Control{CutPeers: &cut})
+	late := fleet.writeSlowly(keeper, victim)
 	frozen := fleet.freezePastReplacement(load)
+	ran := late.appliedBy(victim)
 	woken := time.Now()
 	fleet.signal(frozen.Name, syscall.SIGCONT)
 	load.awaitWrites(frozen, woken, workersPerProxy)
 	verdict := load.judge(woken)
-	t.Logf("keeper %s woken; %d writes through it since then; %d of unknown outcome", frozen.Name,
-		load.ledgers[frozen.Name].AnsweredSince(woken), load.count(demo.Unknown))
+	lateVerdict := late.judge()
+	t.Logf("keeper %s woken; %d of %d writes had run on the replaced primary, %d were acknowledged; %d others since then",
+		frozen.Name, ran, lateWrites, late.ledger.Counts[demo.Answered], load.ledgers[frozen.Name].AnsweredSince(woken))
+	fleet.Check(frozen.Name, qt.Equals, keeper.Name)
+	fleet.Check(ran > 0, qt.IsTrue)
+	fleet.Check(lateVerdict, qt.Equals, demo.Verdict{})
 	fleet.Check(verdict, qt.Equals, demo.Verdict{})
 }
 
--- a/internal/procs/load_test.go
+++ b/internal/procs/load_test.go
@@ -77,9 +77,6 @@
 // judge compares what the callers were told, of writes that end after an instant, with the log of the primary.
 func (load *load) judge(since time.Time) demo.Verdict {
 	load.end()
-	primary, _ := load.fleet.primary()
-	log, err := demo.Fetch[[]regsrv.Applied](primary, "/log")
-	load.fleet.Assert(err, qt.IsNil)
 	writes := []demo.Write{}
 	for _, ledger := range load.ledgers {
 		for _, write := range ledger.Writes {
@@ -89,7 +86,15 @@
 		}
 	}
 	load.fleet.Assert(len(writes) > 0, qt.IsTrue)
-	return demo.Judge(writes, log)
+	return demo.Judge(writes, load.fleet.primaryLog())
+}
+
+// primaryLog returns every write that the primary holds.
+func (fleet *fleet) primaryLog() []regsrv.Applied {
+	primary, _ := fleet.primary()
+	log, err := demo.Fetch[[]regsrv.Applied](primary, "/log")
+	fleet.Assert(err, qt.IsNil)
+	return log
 }
 
 // check expects that nothing acknowledged is missing, that nothing ran twice or in part and that "not run" was true.
