Run the proofs by make proof and draw new seeds by make fuzz

Cause: the tests behind the thirteen promises lay in nine packages, and nothing said which of them a promise stands on or whether a named test still exists.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEEDS ?= 20
 SECONDS ?= 60
 
-.PHONY: build test lint demo bench slopes report
+.PHONY: build test lint demo proof fuzz bench slopes report
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -23,6 +23,12 @@
 demo: build
 	scripts/demo.sh
 
+proof:
+	scripts/proof.sh
+
+fuzz:
+	scripts/fuzz.sh $(SEEDS) $(SECONDS)
+
 bench:
 	$(GO) run ./cmd/bench Path
 	$(GO) run ./cmd/bench Policy
