--- a/internal/fake/demo/ledger.go
+++ b/internal/fake/demo/ledger.go
@@ -59,31 +59,33 @@
 	Key     string
 	Values  []string // more than one when they were written in a transaction
 	Outcome Outcome
-	Told    bool // the session was told that something it has seen is lost
+	At      time.Time // of the outcome
+	Told    bool      // the session was told that something it has seen is lost
 }
 
-// ledger keeps what the callers were told.
-type ledger struct {
+// Ledger keeps what the callers were told; read its fields once the workers have ended.
+type Ledger struct {
+	Counts   map[Outcome]int
+	Writes   []Write
+	Stale    int            // reads that did not show the session's own write
+	Repeated int            // reads that showed a value more than once
+	Mixed    int            // reads that showed what another request wrote
+	Problems map[string]int // errors by their text
 	mutex    sync.Mutex
-	counts   map[Outcome]int
-	writes   []Write
-	acks     []time.Time // of acknowledged writes
-	stale    int
+	acks     []time.Time    // of acknowledged writes
 	missing  map[string]int // reads that lacked a write after the session was told of a loss, by key
-	repeated int            // reads that showed a value more than once
-	mixed    int            // reads that showed what another request wrote
 	lost     int            // sessions that were told of a lost write
 	slow     int            // requests slower than slowRequest
 	slowest  time.Duration
-	problems map[string]int
 }
 
-func newLedger() *ledger {
-	return &ledger{counts: map[Outcome]int{}, missing: map[string]int{}, problems: map[string]int{}}
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{Counts: map[Outcome]int{}, missing: map[string]int{}, Problems: map[string]int{}}
 }
 
 // request counts a request that began at an instant and returns its outcome.
-func (ledger *ledger) request(begun time.Time, err error) Outcome {
+func (ledger *Ledger) request(begun time.Time, err error) Outcome {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	outcome := classify(err)
@@ -92,9 +94,9 @@
 	if took > slowRequest {
 		ledger.slow++
 	}
-	ledger.counts[outcome]++
+	ledger.Counts[outcome]++
 	if err != nil {
-		ledger.problems[describe(err)]++
+		ledger.Problems[describe(err)]++
 	}
 	if lostWrite(err) {
 		ledger.lost++
@@ -102,22 +104,26 @@
 	return outcome
 }
 
-func (ledger *ledger) write(write Write) {
+// Write notes a write that began at an instant and the error that its caller got; it returns the outcome.
+func (ledger *Ledger) Write(write Write, begun time.Time, err error) Outcome {
+	write.Outcome = ledger.request(begun, err)
+	write.At = time.Now()
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	ledger.writes = append(ledger.writes, write)
+	ledger.Writes = append(ledger.Writes, write)
 	if write.Outcome == Answered {
-		ledger.acks = append(ledger.acks, time.Now())
+		ledger.acks = append(ledger.acks, write.At)
 	}
+	return write.Outcome
 }
 
 // read judges the values that a session read of its own acknowledged write.
-func (ledger *ledger) read(write Write, values []string) {
+func (ledger *Ledger) read(write Write, values []string) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	for _, value := range values {
 		if !slices.Contains(write.Values, value) {
-			ledger.mixed++
+			ledger.Mixed++
 			return
 		}
 	}
@@ -126,24 +132,24 @@
 	case len(values) < len(write.Values) && write.Told:
 		ledger.missing[write.Key]++
 	case len(values) < len(write.Values):
-		ledger.stale++
+		ledger.Stale++
 	default:
-		ledger.repeated++
+		ledger.Repeated++
 	}
 }
 
-// settle counts reads that lacked a write as stale if the write is in the log, so that it was not lost.
-func (ledger *ledger) settle(log []regsrv.Applied) {
+// Settle counts reads that lacked a write as stale if the write is in the log, so that it was not lost.
+func (ledger *Ledger) Settle(log []regsrv.Applied) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	for _, applied := range log {
-		ledger.stale += ledger.missing[applied.Key]
+		ledger.Stale += ledger.missing[applied.Key]
 		delete(ledger.missing, applied.Key)
 	}
 }
 
-// gap returns the longest time without an acknowledged write that overlaps the span.
-func (ledger *ledger) gap(from, till time.Time) time.Duration {
+// Gap returns the longest time without an acknowledged write that overlaps the span.
+func (ledger *Ledger) Gap(from, till time.Time) time.Duration {
 	ledger.mutex.Lock()
 	acks := slices.Clone(ledger.acks)
 	ledger.mutex.Unlock()
@@ -159,8 +165,8 @@
 	return longest
 }
 
-// answeredSince counts the writes acknowledged since an instant.
-func (ledger *ledger) answeredSince(since time.Time) int {
+// AnsweredSince counts the writes acknowledged since an instant.
+func (ledger *Ledger) AnsweredSince(since time.Time) int {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	count := 0
--- a/internal/fake/demo/worker.go
+++ b/internal/fake/demo/worker.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -21,12 +22,13 @@
 	tokenParameter  = "corianderspool.token"
 )
 
-// worker is one session that roams between proxies.
-type worker struct {
+// Worker is one session that roams between proxies.
+type Worker struct {
+	WriteShare float64 // part of the requests that write
 	id         int
 	key        Key
 	addresses  []string
-	ledger     *ledger
+	ledger     *Ledger
 	random     *rand.Rand
 	connection *pgx.Conn
 	token      string
@@ -36,19 +38,21 @@
 	stay       int
 }
 
-func newWorker(id int, key Key, addresses []string, ledger *ledger) *worker {
-	return &worker{
-		id:        id,
-		key:       key,
-		addresses: addresses,
-		ledger:    ledger,
-		random:    rand.New(rand.NewPCG(uint64(id), 1)),
-		next:      id,
+// NewWorker returns a worker that writes under keys that contain its number.
+func NewWorker(id int, key Key, addresses []string, ledger *Ledger) *Worker {
+	return &Worker{
+		WriteShare: writeShare,
+		id:         id,
+		key:        key,
+		addresses:  addresses,
+		ledger:     ledger,
+		random:     rand.New(rand.NewPCG(uint64(id), 1)),
+		next:       id,
 	}
 }
 
-// run sends requests until the context ends; the request in flight is finished.
-func (worker *worker) run(ctx context.Context) {
+// Run sends requests until the context ends; the request in flight is finished.
+func (worker *Worker) Run(ctx context.Context) {
 	defer worker.hangUp()
 	for ctx.Err() == nil {
 		if !worker.connected(ctx) {
@@ -63,7 +67,7 @@
 }
 
 // connected makes sure of a connection, to another proxy after each stay.
-func (worker *worker) connected(ctx context.Context) bool {
+func (worker *Worker) connected(ctx context.Context) bool {
 	worker.stay++
 	if worker.stay > requestsPerStay {
 		worker.hangUp()
@@ -74,7 +78,7 @@
 	worker.stay = 0
 	worker.next++
 	address := worker.addresses[worker.next%len(worker.addresses)]
-	connection, err := connect(ctx, address, worker.key, worker.token)
+	connection, err := Connect(ctx, Target{Address: address, Key: worker.key, Token: worker.token})
 	if err != nil {
 		return false
 	}
@@ -82,21 +86,29 @@
 	return true
 }
 
-// connect opens a session with a stock client.
-func connect(ctx context.Context, address string, key Key, token string) (*pgx.Conn, error) {
-	target := url.URL{
+// Target is where a session connects to and as whom; without a route it asks for the demo's.
+type Target struct {
+	Address string
+	Route   string
+	Key     Key
+	Token   string
+}
+
+// Connect opens a session with a stock client.
+func Connect(ctx context.Context, target Target) (*pgx.Conn, error) {
+	location := url.URL{
 		Scheme:   "postgres",
-		User:     url.UserPassword(key.Name, key.Secret),
-		Host:     address,
-		Path:     route,
+		User:     url.UserPassword(target.Key.Name, target.Key.Secret),
+		Host:     target.Address,
+		Path:     cmp.Or(target.Route, route),
 		RawQuery: "sslmode=prefer",
 	}
-	config, err := pgx.ParseConfig(target.String())
+	config, err := pgx.ParseConfig(location.String())
 	if err != nil {
 		return nil, err
 	}
-	if token != "" {
-		config.RuntimeParams[tokenParameter] = token
+	if target.Token != "" {
+		config.RuntimeParams[tokenParameter] = target.Token
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
@@ -104,11 +116,11 @@
 }
 
 // step sends one request and reports if it was answered.
-func (worker *worker) step() bool {
+func (worker *Worker) step() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	var err error
-	if len(worker.own) == 0 || worker.random.Float64() < writeShare {
+	if len(worker.own) == 0 || worker.random.Float64() < worker.WriteShare {
 		err = worker.write(ctx)
 	} else {
 		err = worker.read(ctx)
@@ -127,7 +139,7 @@
 }
 
 // write writes under a key that nothing else uses and keeps what the caller was told.
-func (worker *worker) write(ctx context.Context) error {
+func (worker *Worker) write(ctx context.Context) error {
 	worker.written++
 	number := worker.written
 	write := Write{
@@ -145,16 +157,14 @@
 		write.Values = append(write.Values, write.Values[0]+"-second")
 		err = worker.transaction(ctx, write)
 	}
-	write.Outcome = worker.ledger.request(begun, err)
-	worker.ledger.write(write)
-	if write.Outcome == Answered {
+	if worker.ledger.Write(write, begun, err) == Answered {
 		worker.own = append(worker.own, write)
 		worker.own = worker.own[max(0, len(worker.own)-ownWrites):]
 	}
 	return err
 }
 
-func (worker *worker) transaction(ctx context.Context, write Write) error {
+func (worker *Worker) transaction(ctx context.Context, write Write) error {
 	return pgx.BeginFunc(ctx, worker.connection, func(tx pgx.Tx) error {
 		for _, value := range write.Values {
 			if _, err := tx.Exec(ctx, "APPEND $1 $2", write.Key, value); err != nil {
@@ -166,7 +176,7 @@
 }
 
 // read reads one of the session's own writes, half the time the latest.
-func (worker *worker) read(ctx context.Context) error {
+func (worker *Worker) read(ctx context.Context) error {
 	write := worker.own[len(worker.own)-1]
 	if worker.random.IntN(2) == 0 {
 		write = worker.own[worker.random.IntN(len(worker.own))]
@@ -185,7 +195,7 @@
 }
 
 // forget drops the token of a session that was told of a lost write.
-func (worker *worker) forget() {
+func (worker *Worker) forget() {
 	worker.token = ""
 	worker.hangUp()
 	for i := range worker.own {
@@ -193,7 +203,7 @@
 	}
 }
 
-func (worker *worker) hangUp() {
+func (worker *Worker) hangUp() {
 	if worker.connection == nil {
 		return
 	}
