Seek a role as soon as its holder's heartbeat no longer lists it

Cause: a candidate waits until the rival's pledges would have ended, also when the rival gave the role up, as a leaving VM does.

--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -40,6 +40,7 @@
 	for name, location := range core.located {
 		if location.vm == from && !slices.Contains(beat.Held, string(name)) {
 			core.forget(name)
+			core.freed(name, from, now)
 		}
 	}
 	for _, name := range beat.Held {
@@ -112,6 +113,14 @@
 	core.emit(MoveRole{Role: name})
 }
 
+// freed has this proxy seek a role at once that its holder gave up.
+func (core *Core) freed(name lease.Role, from spool.VM, now spool.Instant) {
+	role := core.roles.get(name)
+	if role != nil && role.holder.Rival(now) == from {
+		role.holder.Freed(now)
+	}
+}
+
 func (core *Core) locateAnswered(answer *wire.LocateAnswer, now spool.Instant) {
 	name := lease.Role(answer.Role)
 	if _, known := core.located[name]; !known && answer.Holder != "" {
