Bound what a text costs, and tell a rolled back transaction from an unknown outcome

Cause, found by reading: a statement's tokens took some 40 bytes a token, so that a 4 MB text could take over 80 MB; beyond the first 64 tokens only words that matter are kept, and a text with more than 8192 is refused with 54000. A message's memory grows with what has arrived, not with what its header says. Portals of the proxy's own statements were unbounded in a transaction.

A server lost in a transaction before its COMMIT was sent rolls it back; the caller is told so (40000, not run) in place of 08007, which stays for COMMIT and outside of transactions. The test of that case expected 08007 and is replaced by three: in a transaction, outside in all query modes, and a lost answer to COMMIT. COMMIT AND CHAIN no longer counts as an end.

A connection accepted while Drain begins is counted under the same lock, and a session whose transaction is already lost no longer holds Drain up.

--- a/internal/front/analyst.go
+++ b/internal/front/analyst.go
@@ -70,15 +70,18 @@
 		found.read = found.read && statement.has("READ", "ONLY")
 		return
 	case "COMMIT", "END", "ROLLBACK", "ABORT":
-		if !statement.has("TO") && !statement.has("PREPARED") {
-			found.ends = true
-		}
+		found.ends = found.ends || endsTransaction(statement)
 	}
 	declared := hasPrefix(statement.text, analyst.reads)
 	found.read = found.read && (declared || readWords[statement.word(0)]) && !locks(statement)
 	found.idempotent = found.idempotent && hasPrefix(statement.text, analyst.idempotent)
 }
 
+// endsTransaction tells that a statement ends the transaction and begins no other.
+func endsTransaction(statement statement) bool {
+	return !statement.has("TO") && !statement.has("PREPARED") && !statement.has("AND", "CHAIN")
+}
+
 func firstRefusal(first, second *spool.Refusal) *spool.Refusal {
 	if first != nil {
 		return first
--- a/internal/front/assembly.go
+++ b/internal/front/assembly.go
@@ -245,6 +245,9 @@
 		return notRun(codeUnknownStatement, "prepared statement %q does not exist", name)
 	}
 	if own := named.own(assembly.lost); own != nil {
+		if len(assembly.definitions.portals) >= assembly.statements {
+			return notRun(codeTooLarge, "too many portals")
+		}
 		assembly.definitions.portals[string(portal)] = own
 		assembly.answer(spool.ReplyBind, nil)
 		return nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,13 +89,28 @@
 		refuse(socket, &spool.Refusal{Code: spool.CodeNoSlot, Message: "too many connections are logging in"})
 		return
 	}
-	front.running.Add(1)
+	if refusal := front.start(); refusal != nil {
+		<-front.startups
+		refuse(socket, refusal)
+		return
+	}
 	go func() {
 		defer front.running.Done()
 		front.serve(socket)
 	}()
 }
 
+// start counts a connection that Drain waits for.
+func (front *Front) start() *spool.Refusal {
+	front.mutex.Lock()
+	defer front.mutex.Unlock()
+	if front.drain != nil {
+		return front.drain
+	}
+	front.running.Add(1)
+	return nil
+}
+
 // register adds a logged-in session, unless the front drains.
 func (front *Front) register(session *session) *spool.Refusal {
 	front.mutex.Lock()
--- a/internal/front/input.go
+++ b/internal/front/input.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"slices"
 
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -56,10 +57,22 @@
 	if length+1 > input.limit {
 		return nil, notRun(codeTooLarge, "a message of %d bytes exceeds the limit of %d bytes", length+1, input.limit)
 	}
-	if cap(input.message) < length+1 || cap(input.message) > keptBodySize {
-		input.message = make([]byte, max(length+1, readBufferSize))
+	return input.body(length + 1)
+}
+
+// body reads a message of known size; memory grows with what has arrived.
+func (input *input) body(size int) ([]byte, error) {
+	if cap(input.message) > keptBodySize {
+		input.message = nil
+	}
+	message := input.message[:0]
+	for len(message) < size {
+		part := min(size-len(message), keptBodySize)
+		message = slices.Grow(message, part)[:len(message)+part]
+		if _, err := io.ReadFull(input, message[len(message)-part:]); err != nil {
+			return nil, err
+		}
 	}
-	message := input.message[:length+1]
-	_, err = io.ReadFull(input, message)
-	return message, err
+	input.message = message
+	return message, nil
 }
--- a/internal/front/leak.go
+++ b/internal/front/leak.go
@@ -16,6 +16,8 @@
 func leak(statement statement) *spool.Refusal {
 	first := statement.word(0)
 	switch {
+	case statement.excess:
+		return notRun(codeTooLarge, "the statement is too complex")
 	case leakingWords[first]:
 		return unsupported("%s is not supported, %s", first, sharedConnections)
 	case first == "COPY":
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -16,6 +16,7 @@
 
 	codeTooLarge         = "54000" // program_limit_exceeded
 	codeInvalidValue     = "22023" // invalid_parameter_value
+	codeRolledBack       = "40000" // transaction_rollback
 	codeFailed           = "25P02" // in_failed_sql_transaction
 	codeIdle             = "25P03" // idle_in_transaction_session_timeout
 	codeInternal         = "XX000" // internal_error
--- a/internal/front/refusal_test.go
+++ b/internal/front/refusal_test.go
@@ -117,8 +117,8 @@
 	tx, err := client.Begin(ctx)
 	bed.Assert(err, qt.IsNil)
 	_, err = tx.Exec(ctx, "SLEEP 60000")
-	bed.Assert(failure(err).Code, qt.Equals, spool.CodeOutcomeUnknown)
-	bed.Assert(failure(err).Detail, qt.Matches, "The outcome is not known: .*")
+	bed.Assert(failure(err).Code, qt.Equals, "40000")
+	bed.Assert(failure(err).Detail, qt.Equals, "The statement was not run.")
 	bed.Assert(client.PgConn().TxStatus(), qt.Equals, byte('E'))
 	_, err = tx.Exec(ctx, "PUT $1 b", "a")
 	bed.Assert(failure(err).Code, qt.Equals, "25P02")
@@ -128,6 +128,38 @@
 	bed.Assert(client.PgConn().TxStatus(), qt.Equals, byte('I'))
 }
 
+func TestServerLostOutsideOfATransaction(t *testing.T) {
+	for _, mode := range modes {
+		bed := newBed(t)
+		ctx := bed.context()
+		client := bed.connect()
+		bed.gate.Wrap = func(lane spool.Lane) spool.Lane { return severed{lane, bed, "SLEEP"} }
+		if mode == pgx.QueryExecModeCacheStatement {
+			bed.gate.Wrap = func(lane spool.Lane) spool.Lane { return severed{lane, bed, "\x00\x0560000"} }
+		}
+		_, err := client.Exec(ctx, "SLEEP $1", mode, "60000")
+		bed.Assert(failure(err).Code, qt.Equals, spool.CodeOutcomeUnknown, qt.Commentf(mode.String()))
+		bed.Assert(failure(err).Detail, qt.Matches, "The outcome is not known: .*")
+		bed.Assert(client.PgConn().TxStatus(), qt.Equals, byte('I'))
+	}
+}
+
+func TestCommitWhoseAnswerIsLost(t *testing.T) {
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+		bed := newBed(t)
+		ctx := bed.context()
+		client := bed.connect()
+		bed.gate.Wrap = func(lane spool.Lane) spool.Lane { return severed{lane, bed, "commit"} }
+		_, err := client.Exec(ctx, "begin", mode)
+		bed.Assert(err, qt.IsNil)
+		frozen := spool.Duration(100 * time.Millisecond)
+		bed.server.Control(regsrv.Control{FrozenFor: &frozen})
+		_, err = client.Exec(ctx, "commit", mode)
+		bed.Assert(failure(err).Code, qt.Equals, spool.CodeOutcomeUnknown)
+		bed.Assert(client.PgConn().TxStatus(), qt.Equals, byte('I'))
+	}
+}
+
 func TestOversizedMessagesAndCycles(t *testing.T) {
 	bed := newBed(t, front.WithMessageSize(1<<20), front.WithCycleSize(2<<20))
 	ctx := bed.context()
--- a/internal/front/scan.go
+++ b/internal/front/scan.go
@@ -13,7 +13,7 @@
 type tokenKind int
 
 const (
-	tokenEnd tokenKind = iota
+	tokenEnd tokenKind = iota // the end of the text, or a gap between tokens
 	tokenWord
 	tokenLiteral // a quoted string, with its quotes
 	tokenSign    // any other single character
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -132,7 +132,7 @@
 		session.mutex.Unlock()
 		return session.ending.Refusal, false
 	}
-	session.idle = session.lane == nil && !session.lost && !session.started() && !session.skipping
+	session.idle = session.lane == nil && !session.started() && !session.skipping
 	switch {
 	case !session.idle:
 		session.bounded = true
--- a/internal/front/statement.go
+++ b/internal/front/statement.go
@@ -4,10 +4,22 @@
 	"strings"
 )
 
+const (
+	completeTokens = 64   // of the beginning of a statement
+	maxTokens      = 8192 // beyond which a statement is refused
+)
+
+// telling are the words that matter beyond the beginning of a statement.
+var telling = map[string]bool{
+	"FOR": true, "UPDATE": true, "SHARE": true, "NO": true, "KEY": true, "INTO": true, "TEMP": true, "TEMPORARY": true,
+	"WITH": true, "HOLD": true, "SET_CONFIG": true,
+}
+
 // statement is one of the statements of a text, cut at semicolons.
 type statement struct {
-	text   string // from the first token on
-	tokens []sqlToken
+	text   string     // from the first token on
+	tokens []sqlToken // beyond the beginning only those that matter, and one in place of those between them
+	excess bool       // some tokens were left out, although they matter
 }
 
 func (scanner *scanner) done() bool {
@@ -25,10 +37,29 @@
 			}
 			return found
 		}
-		found.tokens = append(found.tokens, token)
+		found.add(token)
 	}
 }
 
+func (statement *statement) add(token sqlToken) {
+	count := len(statement.tokens)
+	if count >= completeTokens && !token.matters() {
+		if statement.tokens[count-1].kind == tokenEnd {
+			return
+		}
+		token = sqlToken{kind: tokenEnd}
+	}
+	if count >= maxTokens {
+		statement.excess = true
+		return
+	}
+	statement.tokens = append(statement.tokens, token)
+}
+
+func (token sqlToken) matters() bool {
+	return token.kind == tokenWord && (telling[token.text] || strings.HasPrefix(token.text, "PG_"))
+}
+
 // word returns a word in upper case, or nothing if there is none at that place.
 func (statement statement) word(index int) string {
 	if index >= len(statement.tokens) || statement.tokens[index].kind != tokenWord {
