--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -18,10 +18,14 @@
 	core.nextBeat = now.Add(beatInterval)
 	beat := &wire.Beat{
 		Domain: string(core.self.Domain), Address: core.self.Address,
-		Leaving: core.view.Self().Leaving, Versions: core.versions(),
+		Leaving: core.view.Self().Leaving, Versions: core.own().list,
 		Sequence: core.nonce(), Members: core.view.Digest(now),
 	}
-	for _, role := range core.sortedRoles() {
+	if core.confirmed.known {
+		beat.Confirmed = true
+		beat.ConfirmedAgeNanos = int64(now.Sub(core.confirmed.at))
+	}
+	for _, role := range core.roles.sorted {
 		if role.held {
 			beat.Held = append(beat.Held, string(role.name))
 		}
@@ -41,6 +45,9 @@
 	for _, name := range beat.Held {
 		core.locate(lease.Role(name), from, now)
 	}
+	if beat.Confirmed && !core.behind(beat.Versions) {
+		core.confirmed.raise(now - spool.Instant(beat.ConfirmedAgeNanos) - spool.Instant(beatDelay))
+	}
 	core.compare(from, beat.Versions, now)
 	for _, version := range beat.Versions {
 		if version.Kind == spool.KindRoster {
@@ -51,25 +58,13 @@
 
 // compare asks a peer for the objects of which it has a newer version.
 func (core *Core) compare(from spool.VM, versions []*wire.ObjectVersion, now spool.Instant) {
-	own := core.versions()
-	for _, version := range versions {
-		if newer(version, own) && now >= core.asked[from] {
-			core.asked[from] = now.Add(askInterval)
-			core.send(from, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{
-				ConfigRequest: &wire.ConfigRequest{Versions: own},
-			}})
-			return
-		}
-	}
-}
-
-func newer(version *wire.ObjectVersion, than []*wire.ObjectVersion) bool {
-	for _, own := range than {
-		if own.Kind == version.Kind && own.Name == version.Name {
-			return version.Version > own.Version
-		}
+	if now < core.asked[from] || !core.behind(versions) || core.without == exchangeMechanism {
+		return
 	}
-	return true
+	core.asked[from] = now.Add(askInterval)
+	core.send(from, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{
+		ConfigRequest: &wire.ConfigRequest{Versions: core.own().list},
+	}})
 }
 
 func (core *Core) configAsked(from spool.VM, request *wire.ConfigRequest) {
@@ -78,12 +73,13 @@
 		objects = append(objects, roster)
 	}
 	answer := &wire.ConfigAnswer{Complete: core.configured}
+	asker := newVersions(request.Versions)
 	for _, object := range objects {
 		copied := &wire.ObjectCopy{
 			Kind: object.Kind, Name: object.Name, Version: uint64(object.Version), Body: object.Body,
 		}
 		version := &wire.ObjectVersion{Kind: object.Kind, Name: object.Name, Version: uint64(object.Version)}
-		if newer(version, request.Versions) {
+		if asker.lack(version) {
 			answer.Objects = append(answer.Objects, copied)
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	readRetry      = 250 * time.Millisecond
 	askInterval    = 100 * time.Millisecond
 	settleTime     = 1 * time.Second
+	removedAfter   = 30 * time.Second
 	maxCandidates  = 4
 )
 
@@ -29,21 +30,26 @@
 	termsOptions []terms.Option
 	shareOptions []share.Option
 
-	view    *member.View
-	store   *policy.Store
-	witness *lease.Witness
-	changer *lease.Changer
-	roster  lease.Roster
-	copies  map[string]spool.Object // newest roster object, to pass on to peers
-
-	roles   map[lease.Role]*role
-	groups  map[spool.Group]*group
+	view        *member.View
+	ranks       *member.Ranks
+	store       *policy.Store
+	witness     *lease.Witness
+	changer     *lease.Changer
+	roster      lease.Roster
+	ownVersions *versions               // nil when an object changed since they were listed
+	copies      map[string]spool.Object // newest roster object, to pass on to peers
+
+	roles   ordered[lease.Role, *role]
+	groups  ordered[spool.Group, *group]
 	owners  map[spool.Team]*share.Owner
 	located map[lease.Role]location
 
 	started    spool.Instant
+	confirmed  confirmation
+	trusted    bool
 	complete   bool // every kind of object was read from the platform itself
 	configured bool // manifests came from the platform or from a complete peer
+	reassign   bool // the roles to seek may have changed since they were last looked at
 	reading    bool
 	readAfter  spool.Instant
 	watching   bool
@@ -51,7 +57,9 @@
 	nextAssign spool.Instant
 	asked      map[spool.VM]spool.Instant
 	sought     map[lease.Role]spool.Instant
+	removed    map[spool.VM]spool.Instant // VMs that the platform removed from its list, and since when
 	sequence   uint64
+	without    mechanism // turned off by tests that expect a proof to fail
 
 	effects []Effect
 }
@@ -81,17 +89,19 @@
 		view:    member.New(self),
 		store:   policy.NewStore(),
 		copies:  map[string]spool.Object{},
-		roles:   map[lease.Role]*role{},
-		groups:  map[spool.Group]*group{},
+		roles:   newOrdered[lease.Role, *role](),
+		groups:  newOrdered[spool.Group, *group](),
 		owners:  map[spool.Team]*share.Owner{},
 		located: map[lease.Role]location{},
 		started: now,
 		asked:   map[spool.VM]spool.Instant{},
 		sought:  map[lease.Role]spool.Instant{},
+		removed: map[spool.VM]spool.Instant{},
 	}
 	for _, option := range options {
 		option(core)
 	}
+	core.ranks = member.NewRanks(core.view)
 	core.witness = lease.NewWitness(self.VM, now, core.leaseOptions...)
 	core.changer = lease.NewChanger(core.leaseOptions...)
 	return core
@@ -119,6 +129,7 @@
 		core.reading = false
 		core.readAfter = now.Add(readRetry)
 	case ObjectsSeen:
+		core.confirmed.raise(event.SentAt)
 		core.learnAll(event.Objects, now)
 	case ObjectRead:
 		core.objectRead(event.Object, now)
@@ -159,11 +170,15 @@
 	}
 	core.tickRoles(now)
 	core.tickGroups(now)
+	core.judgeTrust(now)
 	if now >= core.nextBeat {
 		core.beat(now)
 	}
 }
 
+// settled tells whether the fleet had time to be heard since the start; a duty taken before would be taken by all.
+func (core *Core) settled(now spool.Instant) bool { return now.Sub(core.started) >= settleTime }
+
 func (core *Core) receive(from spool.VM, envelope *wire.Envelope, now spool.Instant) {
 	switch body := envelope.Body.(type) {
 	case *wire.Envelope_Beat:
@@ -198,8 +213,8 @@
 
 func (core *Core) leave(now spool.Instant) {
 	core.view.Leave()
-	for name, role := range core.roles {
-		if _, isGroup := name.Group(); isGroup && role.held {
+	for _, role := range core.roles.sorted {
+		if _, isGroup := role.name.Group(); isGroup && role.held {
 			continue
 		}
 		core.giveUp(role, now)
@@ -208,7 +223,7 @@
 }
 
 func (core *Core) drained(group spool.Group, now spool.Instant) {
-	if role := core.roles[lease.GroupRole(group)]; role != nil {
+	if role := core.roles.get(lease.GroupRole(group)); role != nil {
 		core.giveUp(role, now)
 	}
 }
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -53,6 +53,9 @@
 	Reason terms.Reason
 }
 
+// DrainGroup tells that no new request may begin on the primary, while those that run may end.
+type DrainGroup struct{ Group spool.Group }
+
 // FenceGroup replaces the acknowledgement rule of a group.
 type FenceGroup struct {
 	Group spool.Group
@@ -90,6 +93,9 @@
 	VM   spool.VM
 }
 
+// Trust tells whether the manifests in force can be relied on: no withdrawal of a key can have been missed for long.
+type Trust struct{ Trusted bool }
+
 // ApplyPolicy puts a snapshot of all manifests in force.
 type ApplyPolicy struct {
 	Snapshot *policy.Snapshot
@@ -113,13 +119,14 @@
 	TopicWithdrawn
 )
 
-// Note tells of a decision for the log and the audit trail.
+// Note tells of a decision for the log and the audit trail; Text of TopicTerm is a terms.Reason.
 type Note struct {
 	Topic   Topic
 	Group   spool.Group
 	Team    spool.Team
 	Server  spool.Server
 	Partner spool.Partner
+	Key     string
 	Term    spool.Term
 	Version spool.Version
 	Text    string
@@ -134,11 +141,13 @@
 func (DropGroup) effect()     {}
 func (OpenGroup) effect()     {}
 func (CloseGroup) effect()    {}
+func (DrainGroup) effect()    {}
 func (FenceGroup) effect()    {}
 func (ProbeServer) effect()   {}
 func (PromoteServer) effect() {}
 func (FollowServer) effect()  {}
 func (GiveTokens) effect()    {}
 func (MoveRole) effect()      {}
+func (Trust) effect()         {}
 func (ApplyPolicy) effect()   {}
 func (Note) effect()          {}
--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -6,11 +6,14 @@
 	"slices"
 
 	"corianderspool.example/spool/internal/core/lease"
+	"corianderspool.example/spool/internal/core/policy"
 	"corianderspool.example/spool/internal/core/terms"
-	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
 
+// rosterRole names the duty to tend the roster, which is no lease.
+const rosterRole = "Roster"
+
 // bootKinds are read from the platform at the start; terms follow the roster, as the witness requires.
 var bootKinds = []string{spool.KindRoster, spool.KindTerm, spool.KindManifest, spool.KindMember}
 
@@ -24,6 +27,7 @@
 	core.reading = false
 	core.complete = true
 	core.configured = true
+	core.confirmed.raise(event.SentAt)
 	roster := lease.Roster{}
 	for _, object := range event.Objects {
 		if object.Kind == spool.KindTerm {
@@ -55,8 +59,7 @@
 func (core *Core) learnMembers(objects []spool.Object) {
 	members := []spool.Member{}
 	for _, object := range objects {
-		var member spool.Member
-		if object.Kind == spool.KindMember && json.Unmarshal(object.Body, &member) == nil {
+		if member, listed := parseMember(object); listed {
 			members = append(members, member)
 		}
 	}
@@ -65,6 +68,15 @@
 	}
 }
 
+// parseMember returns the VM that an object of the platform's list shows; the object of a removed VM shows none.
+func parseMember(object spool.Object) (spool.Member, bool) {
+	var member spool.Member
+	if object.Kind != spool.KindMember || json.Unmarshal(object.Body, &member) != nil {
+		return member, false
+	}
+	return member, string(member.VM) == object.Name
+}
+
 // learnAll takes in objects in the order of their versions, whatever path they came on.
 func (core *Core) learnAll(objects []spool.Object, now spool.Instant) {
 	objects = slices.Clone(objects)
@@ -83,16 +95,19 @@
 	case spool.KindTerm:
 		core.witness.Learn(parseTerm(object))
 	case spool.KindMember:
-		core.learnMember(object)
+		core.learnMember(object, now)
 	}
 }
 
-func (core *Core) learnMember(object spool.Object) {
-	var member spool.Member
-	if json.Unmarshal(object.Body, &member) != nil {
+func (core *Core) learnMember(object spool.Object, now spool.Instant) {
+	if member, listed := parseMember(object); listed {
+		delete(core.removed, member.VM)
+		core.found(member)
 		return
 	}
-	core.found(member)
+	if _, known := core.removed[spool.VM(object.Name)]; !known {
+		core.removed[spool.VM(object.Name)] = now
+	}
 }
 
 func (core *Core) found(member spool.Member) {
@@ -112,9 +127,12 @@
 	if !change.Accepted {
 		return
 	}
+	core.ownVersions = nil
 	snapshot := core.store.Snapshot()
 	core.emit(ApplyPolicy{Snapshot: snapshot, Change: change})
 	core.emit(Note{Topic: TopicAccepted, Partner: change.Partner, Version: change.Version})
+	core.noteWithdrawn(change, change.Withdrawn, "withdrawn or removed")
+	core.noteWithdrawn(change, change.Replaced, "verifier or team replaced")
 	for _, name := range change.Teams {
 		spec, known := snapshot.Team(name)
 		if owner := core.owners[name]; owner != nil && known {
@@ -123,25 +141,35 @@
 	}
 	for _, name := range change.Groups {
 		spec, known := snapshot.Group(name)
-		if known && core.groups[name] != nil {
+		if known && core.groups.get(name) != nil {
 			core.groupEvent(name, terms.ServersChanged{Servers: spec.Servers}, now)
 		}
 	}
+	core.reassign = true
 	core.nextAssign = now
 	core.nextBeat = now
 }
 
+func (core *Core) noteWithdrawn(change policy.Change, keys []string, text string) {
+	for _, key := range keys {
+		core.emit(Note{
+			Topic: TopicWithdrawn, Partner: change.Partner, Version: change.Version, Key: key, Text: text,
+		})
+	}
+}
+
 func (core *Core) learnRoster(object spool.Object, now spool.Instant) {
 	if object.Version <= core.copies[spool.KindRoster].Version {
 		return
 	}
 	core.copies[spool.KindRoster] = object
 	core.roster = core.parseRoster(object)
+	core.ownVersions = nil
 	core.witness.Confirm(core.roster, false)
-	for _, role := range core.roles {
+	for _, role := range core.roles.sorted {
 		role.holder.SetRoster(core.roster, now)
 	}
-	for _, group := range core.sortedGroups() {
+	for _, group := range core.groups.sorted {
 		core.groupEvent(group.name, core.witnesses(), now)
 	}
 	core.changerActions(core.changer.Observe(core.roster, now))
@@ -205,7 +233,7 @@
 
 // watch has one proxy of each failure domain watch the platform.
 func (core *Core) watch(now spool.Instant) {
-	reader := core.view.Reader(now) && core.complete
+	reader := core.view.Reader(now) && core.complete && core.settled(now)
 	if reader == core.watching {
 		return
 	}
@@ -219,14 +247,27 @@
 
 // tendRoster has one proxy of the fleet replace witnesses that are gone.
 func (core *Core) tendRoster(now spool.Instant) {
-	rank, may := core.view.Rank("Roster", now)
-	if !may || rank > 0 || !core.complete || now.Sub(core.started) < settleTime {
+	rank, may := core.ranks.Rank(rosterRole)
+	if !may || rank > 0 || !core.complete || !core.settled(now) {
 		return
 	}
 	core.changer.SetMembers(core.view.Serving(now), now)
+	core.changer.SetRemoved(core.destroyed(now))
 	core.changerActions(core.changer.Tick(now))
 }
 
+// destroyed returns the VMs that the platform removed from its list a while ago and that nobody has heard since.
+func (core *Core) destroyed(now spool.Instant) []spool.VM {
+	gone := []spool.VM{}
+	for vm, since := range core.removed {
+		if now.Sub(since) >= removedAfter && !core.view.Alive(vm, now) {
+			gone = append(gone, vm)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
 func (core *Core) changerActions(actions []lease.Action) {
 	for _, action := range actions {
 		switch action := action.(type) {
@@ -237,21 +278,3 @@
 		}
 	}
 }
-
-func (core *Core) versions() []*wire.ObjectVersion {
-	versions := []*wire.ObjectVersion{}
-	for partner, version := range core.store.Versions() {
-		versions = append(versions, &wire.ObjectVersion{
-			Kind: spool.KindManifest, Name: string(partner), Version: uint64(version),
-		})
-	}
-	if core.roster.Version > 0 {
-		versions = append(versions, &wire.ObjectVersion{
-			Kind: spool.KindRoster, Name: lease.RosterName, Version: uint64(core.roster.Version),
-		})
-	}
-	slices.SortFunc(versions, func(a, b *wire.ObjectVersion) int {
-		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
-	})
-	return versions
-}
--- a/internal/core/share/client.go
+++ b/internal/core/share/client.go
@@ -8,7 +8,7 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-const incarnationShift = 32
+const doubt = 2 // a queued request is refused when even this part of its expected wait is too long
 
 // waiting is a queued request.
 type waiting struct {
@@ -33,10 +33,12 @@
 	refused  []Refusal
 }
 
-// NewClient returns a client without tokens; incarnation must rise with each start of the VM's proxy.
-func NewClient(team spool.Team, incarnation uint64, now spool.Instant, options ...Option) *Client {
+// NewClient returns a client without tokens that numbers its requests from first on.
+//
+// First must be above every number that earlier clients of the VM used, such as the wall clock in nanoseconds.
+func NewClient(team spool.Team, first uint64, now spool.Instant, options ...Option) *Client {
 	client := &Client{timing: newTiming(options), team: team, nextAsk: now, stepped: now}
-	client.ledger.sequence = incarnation << incarnationShift
+	client.ledger.sequence = first
 	client.demand.measured = now
 	return client
 }
@@ -121,6 +123,9 @@
 	client.forecast.lost = false
 }
 
+// Tokens returns the number of tokens that are left of the grants.
+func (client *Client) Tokens() int { return client.purse.total }
+
 func (client *Client) admit(now spool.Instant) {
 	client.admitted = client.admitted[:0]
 	for client.queue.Len() > 0 {
@@ -137,7 +142,7 @@
 	kept := 0
 	client.queue.Filter(func(waiting waiting) bool {
 		wait := client.forecast.wait(kept+1, &client.timing, now)
-		if now < waiting.deadline && (!client.forecast.fresh || now.Add(wait) < waiting.deadline) {
+		if now < waiting.deadline && (!client.forecast.fresh || now.Add(wait/doubt) < waiting.deadline) {
 			kept++
 			return true
 		}
--- a/internal/core/slots/queue.go
+++ b/internal/core/slots/queue.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"slices"
 	"time"
 
 	"corianderspool.example/spool/pkg/spool"
@@ -71,11 +72,17 @@
 // Ask grants the item a slot, queues it or refuses it.
 func (queue *Queue) Ask(item Item, now spool.Instant) Answer {
 	team := queue.team(item.Team, now)
-	if index, found := queue.freest(item.Servers); found {
+	if index, found := queue.freest(item.Servers, 0); found {
 		queue.start(index, team, now)
 		return Answer{Verdict: Granted, Server: index}
 	}
-	wait := queue.wait(team, item.Servers, team.waiting+1, now)
+	wait := queue.wait(team, item.Servers, queue.ahead(team, item.Servers), now)
+	if wait > item.Deadline.Sub(now)/longWait {
+		if index, found := queue.freest(item.Spare, spareReserve); found {
+			queue.start(index, team, now)
+			return Answer{Verdict: Granted, Server: index}
+		}
+	}
 	if now.Add(wait) >= item.Deadline {
 		return Answer{Verdict: Refused, RetryAfter: queue.retryAfter(wait, item.Deadline, now)}
 	}
@@ -124,7 +131,9 @@
 			return true
 		}
 	}
-	return false
+	before := len(queue.overdue)
+	queue.overdue = slices.DeleteFunc(queue.overdue, func(refusal Refusal) bool { return refusal.ID == id })
+	return len(queue.overdue) < before
 }
 
 // Connect reserves one of a server's connections and reports whether the limit allows it.
--- a/internal/front/analyst.go
+++ b/internal/front/analyst.go
@@ -73,8 +73,10 @@
 		found.ends = found.ends || endsTransaction(statement)
 	}
 	declared := hasPrefix(statement.text, analyst.reads)
-	found.read = found.read && (declared || readWords[statement.word(0)]) && !locks(statement)
-	found.idempotent = found.idempotent && hasPrefix(statement.text, analyst.idempotent)
+	locking := locks(statement)
+	found.read = found.read && (declared || readWords[statement.word(0)]) && !locking
+	repeatable := hasPrefix(statement.text, analyst.idempotent) || declared && !locking
+	found.idempotent = found.idempotent && repeatable
 }
 
 // endsTransaction tells that a statement ends the transaction and begins no other.
--- a/internal/front/option.go
+++ b/internal/front/option.go
@@ -11,6 +11,7 @@
 	defaultTransactionTimeout = 5 * time.Minute
 	defaultKeepAlive          = 30 * time.Second
 	defaultEndingGrace        = 20 * time.Millisecond
+	defaultEndingPatience     = 1 * time.Second
 	defaultStartups           = 256
 	defaultMessageSize        = 4 << 20
 	defaultCycleSize          = 16 << 20
@@ -24,10 +25,12 @@
 	transactionTimeout time.Duration
 	keepAlive          time.Duration
 	endingGrace        time.Duration
+	endingPatience     time.Duration
 	startups           int
 	messageSize        int
 	cycleSize          int
 	statements         int
+	observer           Observer
 }
 
 func defaultSettings() settings {
@@ -37,16 +40,23 @@
 		transactionTimeout: defaultTransactionTimeout,
 		keepAlive:          defaultKeepAlive,
 		endingGrace:        defaultEndingGrace,
+		endingPatience:     defaultEndingPatience,
 		startups:           defaultStartups,
 		messageSize:        defaultMessageSize,
 		cycleSize:          defaultCycleSize,
 		statements:         defaultStatements,
+		observer:           silent{},
 	}
 }
 
 // Option changes a setting of a Front.
 type Option func(*settings)
 
+// WithObserver sets who is told of refused callers and ended sessions.
+func WithObserver(observer Observer) Option {
+	return func(settings *settings) { settings.observer = observer }
+}
+
 // WithTLS offers TLS to callers.
 func WithTLS(config *tls.Config) Option {
 	return func(settings *settings) { settings.tls = config }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -41,8 +41,9 @@
 	cancel  context.CancelFunc
 	running bool // a gate or a lane works on a cycle
 	ending  *spool.Ending
-	idle    bool // waits for a cycle outside of a transaction
-	bounded bool // a read deadline is set
+	endBy   time.Time // instant after which an ending session reads no further cycle
+	idle    bool      // waits for a cycle outside of a transaction
+	bounded bool      // a read deadline is set
 }
 
 func (front *Front) newSession(socket net.Conn) *session {
@@ -69,6 +70,7 @@
 	for {
 		more, refusal := session.serveCycle()
 		if refusal != nil {
+			session.reportEnd(refusal)
 			session.output.farewell(errorResponse(refusal, severityFatal))
 			session.closeLane()
 			session.linger()
@@ -110,6 +112,9 @@
 
 // receive waits for the next message; none and no refusal mean that the caller left.
 func (session *session) receive() ([]byte, *spool.Refusal) {
+	if refusal := session.overdue(); refusal != nil {
+		return nil, refusal
+	}
 	if session.input.Buffered() == 0 {
 		if refusal, ok := session.wait(); !ok {
 			return nil, refusal
@@ -125,6 +130,19 @@
 	return nil, nil
 }
 
+// overdue returns why an ending session whose caller never pauses ends between two transactions.
+func (session *session) overdue() *spool.Refusal {
+	if session.lane != nil || session.lost || session.started() || session.skipping {
+		return nil
+	}
+	session.mutex.Lock()
+	defer session.mutex.Unlock()
+	if session.ending == nil || time.Now().Before(session.endBy) {
+		return nil
+	}
+	return session.ending.Refusal
+}
+
 // wait returns once the caller has sent something; else it gives the reason to end, if there is one.
 func (session *session) wait() (refusal *spool.Refusal, ok bool) {
 	session.mutex.Lock()
@@ -186,6 +204,9 @@
 // conclude ends the session at once, or after the running transaction.
 func (session *session) conclude(ending spool.Ending) {
 	session.mutex.Lock()
+	if session.ending == nil {
+		session.endBy = time.Now().Add(session.endingPatience)
+	}
 	if session.ending == nil || ending.AtOnce {
 		session.ending = &ending
 	}
@@ -193,17 +214,28 @@
 		session.bounded = true
 		_ = session.socket.SetReadDeadline(time.Now().Add(session.endingGrace))
 	}
+	running := session.running
 	session.mutex.Unlock()
 	if !ending.AtOnce {
 		return
 	}
 	session.cancelCycle()
 	session.output.hurry()
-	session.output.farewell(errorResponse(ending.Refusal, severityFatal))
+	session.output.farewell(errorResponse(interrupting(ending.Refusal, running), severityFatal))
 	_ = session.socket.SetReadDeadline(time.Now())
 	time.AfterFunc(2*farewellTimeout, func() { _ = session.socket.Close() })
 }
 
+// interrupting gives the reason to end a session at once; a cycle that runs meanwhile may have reached a server.
+func interrupting(refusal *spool.Refusal, running bool) *spool.Refusal {
+	if !running || refusal.Verdict != spool.NotRun {
+		return refusal
+	}
+	unknown := *refusal
+	unknown.Verdict = spool.Unknown
+	return &unknown
+}
+
 // cancelCycle ends the running cycle at the caller's wish.
 func (session *session) cancelCycle() {
 	session.mutex.Lock()
@@ -215,11 +247,10 @@
 
 // leave ends a session whose caller left or was told to end.
 func (session *session) leave() {
-	session.mutex.Lock()
-	told := session.ending != nil
-	session.mutex.Unlock()
+	refusal := session.toldToEnd()
 	session.closeLane()
-	if told {
+	if refusal != nil {
+		session.reportEnd(refusal)
 		session.linger()
 	}
 }
--- a/internal/keeper/group.go
+++ b/internal/keeper/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,7 @@
 	observer Observer
 	patience time.Duration
 	fence    atomic.Pointer[terms.Fence]
+	unfenced bool // turned off by a test that expects the acknowledgement rule to break
 
 	mutex    sync.Mutex
 	specs    []spool.ServerSpec // indices never move; a server that was removed stays as leaving
@@ -58,8 +60,10 @@
 	pools    []pool
 	waiters  map[uint64]chan verdict
 	changed  chan struct{} // closed and replaced when the table changes
+	reset    chan struct{} // closed and replaced when another set of servers may answer
 	sequence uint64
 	running  int
+	links    map[*link]spool.Term // connections to a primary that carry a request, and the term that it counts on
 	closedAt spool.Instant
 	draining bool
 	dropped  bool
@@ -91,7 +95,7 @@
 	group := &Group{
 		name: spec.Name, timers: timers, dial: dial, observer: silent{}, patience: defaultPatience,
 		table: route.New(nil), queue: slots.New(),
-		waiters: map[uint64]chan verdict{}, changed: make(chan struct{}), idle: make(chan struct{}),
+		waiters: map[uint64]chan verdict{}, links: map[*link]spool.Term{}, changed: make(chan struct{}), reset: make(chan struct{}), idle: make(chan struct{}),
 		closedAt: timers.Now(),
 	}
 	for _, option := range options {
@@ -148,7 +152,7 @@
 		}
 	}
 	group.grant(group.queue.SetServers(limits, group.timers.Now()))
-	group.announce()
+	group.restart()
 }
 
 // See records a server's status that was asked for at sentAt.
@@ -195,7 +199,17 @@
 	group.table.History = history
 	group.table.Open(open.Primary, route.Reign{Term: open.Term, Start: open.Start})
 	group.closedAt = 0
-	group.announce()
+	group.cut(open.Term)
+	group.restart()
+}
+
+// cut ends the requests that wait for the primary of an earlier term, whose answers nobody may pass on.
+func (group *Group) cut(term spool.Term) {
+	for link, counted := range group.links {
+		if counted < term {
+			link.Close()
+		}
+	}
 }
 
 // Close lets no request run on the primary until the next Open.
@@ -204,7 +218,7 @@
 	defer group.mutex.Unlock()
 	group.table.Close()
 	group.closedAt = group.timers.Now()
-	group.announce()
+	group.restart()
 }
 
 // SetFence replaces the acknowledgement rule.
@@ -220,7 +234,7 @@
 }
 
 func (group *Group) allows(term spool.Term) bool {
-	return group.fence.Load().Allows(term, group.timers.Now())
+	return group.unfenced || group.fence.Load().Allows(term, group.timers.Now())
 }
 
 // Drain admits nothing new and returns a channel that is closed once nothing runs any more.
@@ -229,7 +243,7 @@
 	defer group.mutex.Unlock()
 	if !group.draining {
 		group.draining = true
-		group.announce()
+		group.restart()
 		group.settle()
 	}
 	return group.idle
@@ -243,13 +257,22 @@
 	defer group.mutex.Unlock()
 	group.dropped = true
 	group.table.Close()
+	group.cut(math.MaxUint64)
 	for i := range group.pools {
 		group.pools[i].closeIdle(func() { group.queue.Disconnect(i) })
 	}
-	group.announce()
+	group.restart()
 	group.settle()
 }
 
+// Hold keeps a draining group from ending until the returned function is called.
+func (group *Group) Hold() (release func()) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.running++
+	return group.leave
+}
+
 func (group *Group) settle() {
 	if (group.draining || group.dropped) && group.running == 0 {
 		select {
@@ -266,6 +289,13 @@
 	group.changed = make(chan struct{})
 }
 
+// restart has the requests that wait for a slot look again for servers that may answer.
+func (group *Group) restart() {
+	close(group.reset)
+	group.reset = make(chan struct{})
+	group.announce()
+}
+
 func (group *Group) expire(now spool.Instant) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
--- a/internal/keeper/lane.go
+++ b/internal/keeper/lane.go
@@ -83,6 +83,9 @@
 		link, refusal := lane.group.connect(ctx, taken.server)
 		if refusal == nil {
 			lane.place, lane.link = taken, link
+			if taken.primary {
+				lane.group.watch(link, taken.term)
+			}
 			return nil
 		}
 		lane.group.release(taken.server, lane.request.Team)
@@ -135,7 +138,7 @@
 	if reported != lane.link.last && reported.Position > 0 {
 		lane.link.last = reported
 		result.Token.Position = max(result.Token.Position, reported.Position)
-		if lane.request.Durable && !lane.group.replicated(ctx, lane.place.term, reported.Position) {
+		if lane.request.Durable && !lane.replicated(ctx, reported.Position) {
 			return result, notReplicated()
 		}
 		lane.group.acknowledge(lane.place.term, reported.Position)
@@ -155,15 +158,22 @@
 	group.table.Acknowledge(term, position)
 }
 
-// replicated waits until a replica of the term holds a position.
-func (group *Group) replicated(ctx context.Context, term spool.Term, position spool.Position) bool {
+// replicated waits until a replica holds a position, or until the position proves to be part of a later term's log.
+func (lane *Lane) replicated(ctx context.Context, position spool.Position) bool {
+	group := lane.group
 	for {
 		group.mutex.Lock()
-		held := group.table.Replicated(term, position)
+		held := group.table.Replicated(lane.place.term, position)
+		survived, open := group.table.Survived(lane.place.term, position)
+		term := group.table.Reign.Term
 		changed := group.changed
 		group.mutex.Unlock()
-		if held {
+		switch {
+		case held && open:
 			return true
+		case term > lane.place.term && open:
+			lane.place.term = term
+			return survived
 		}
 		select {
 		case <-changed:
@@ -184,6 +194,7 @@
 func (lane *Lane) free(clean bool) {
 	link := lane.link
 	lane.link = nil
+	lane.group.unwatch(link)
 	lane.group.put(link, clean)
 	lane.group.release(lane.place.server, lane.request.Team)
 }
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -39,8 +39,11 @@
 		node.purse(spool.Team(effect.Answer.Team)).give(effect.Answer)
 	case core.MoveRole:
 		node.moveRole(effect)
+	case core.Trust:
+		node.trusted.Store(effect.Trusted)
 	case core.ApplyPolicy:
 		node.applyPolicy(effect)
+		node.trail.accepted(effect.Change)
 	case core.Note:
 		node.note(effect)
 	default:
@@ -58,6 +61,10 @@
 		if kept, known := node.groups.get(effect.Group); known {
 			kept.Open(effect.Open)
 		}
+	case core.DrainGroup:
+		if kept, known := node.groups.get(effect.Group); known {
+			kept.Close()
+		}
 	case core.CloseGroup:
 		if kept, known := node.groups.get(effect.Group); known {
 			kept.Close()
@@ -144,6 +151,8 @@
 	var result terms.Event = terms.Followed{Server: effect.Server.Name, Term: effect.Term}
 	if err != nil {
 		result = terms.FollowFailed{Server: effect.Server.Name, Term: effect.Term}
+	} else {
+		node.followed(effect.Group, effect.Server.Name, effect.Term)
 	}
 	node.handle(core.GroupEvent{Group: effect.Group, Event: result})
 }
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -9,14 +9,32 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-const defaultTimeout = 30 * time.Second
+const (
+	defaultTimeout = 30 * time.Second
+	runReserve     = 250 * time.Millisecond // left of a request's time once its team's rate admits it
+)
 
 // Login finds the key and route of a new caller or says why it may not enter.
 func (node *Node) Login(key, route string) (spool.Login, *spool.Refusal) {
 	if node.leaving.Load() {
 		return spool.Login{}, &spool.Refusal{Code: spool.CodeShutdown, Message: "the proxy is shutting down"}
 	}
-	return node.snapshot.Load().Login(key, route)
+	login, refusal := node.snapshot.Load().Login(key, route)
+	if refusal == nil {
+		refusal = node.checkTrust(login.Route)
+	}
+	return login, refusal
+}
+
+// checkTrust refuses keys while this proxy may have missed their withdrawal.
+func (node *Node) checkTrust(route spool.RouteSpec) *spool.Refusal {
+	if route.Open || node.trusted.Load() {
+		return nil
+	}
+	return &spool.Refusal{
+		Verdict: spool.NotRun, Code: spool.CodeNoPrimary, RetryAfter: movedRetryAfter,
+		Message: "the proxy is cut off from the platform and from most other proxies",
+	}
 }
 
 // Attach registers a connected session.
@@ -36,16 +54,20 @@
 	}
 }
 
-// Begin admits work against its team's rate.
-func (node *Node) Begin(ctx context.Context, work spool.Work) (spool.Lane, error) {
+// admit admits work against its team's rate.
+func (node *Node) admit(ctx context.Context, work spool.Work) (spool.Lane, error) {
 	snapshot := node.snapshot.Load()
 	if refusal := snapshot.Check(work.Session.Login); refusal != nil {
 		return nil, refusal
 	}
 	route, _ := snapshot.Route(work.Session.Login.Route.Name)
+	if refusal := node.checkTrust(route); refusal != nil {
+		return nil, refusal
+	}
 	timeout := node.timeout(route, work)
 	deadline := node.timers.Now().Add(timeout)
-	if refusal := node.purse(work.Session.Login.Team).admit(ctx, deadline); refusal != nil {
+	admitBy := deadline.Add(-min(runReserve, timeout/2))
+	if refusal := node.purse(work.Session.Login.Team).admit(ctx, admitBy); refusal != nil {
 		return nil, refusal
 	}
 	return &lane{node: node, group: route.Group, request: request(route, work, deadline), timeout: timeout}, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"corianderspool.example/spool/internal/core/policy"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/front"
+	"corianderspool.example/spool/internal/metric"
 	"corianderspool.example/spool/internal/peer"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
@@ -58,6 +59,14 @@
 	waits    waits
 	watcher  watcher
 	leaving  atomic.Bool
+	trusted  atomic.Bool
+	soughtAt atomic.Int64 // spool.Instant of the latest search for a role's holder
+
+	metrics       *metric.Metrics
+	trail         *trail
+	platformReach *reach
+	follows       registry[spool.Server, spool.Term] // the term in which a server was logged as following
+	promotions    map[spool.Group]spool.Term         // ordered and not opened yet; guarded by mutex
 }
 
 // Option changes a node under construction.
@@ -70,12 +79,16 @@
 
 // New returns a node that serves nobody yet; it fails when files that the settings name cannot be read.
 func New(settings config.Settings, platform spool.Platform, logger *zap.Logger, options ...Option) (*Node, error) {
-	node := &Node{settings: settings, platform: platform, logger: logger, timers: clock.Real{}}
+	node := &Node{
+		settings: settings, platform: platform, logger: logger, timers: clock.Real{},
+		promotions: map[spool.Group]spool.Term{},
+	}
 	for _, option := range options {
 		option(node)
 	}
 	node.ctx, node.cancel = context.WithCancel(context.Background())
 	node.snapshot.Store(policy.NewStore().Snapshot())
+	node.observe()
 	if err := node.loadFiles(); err != nil {
 		return nil, err
 	}
@@ -84,7 +97,8 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
 	node.core = core.New(self, node.timers.Now())
-	node.transport = peer.New(settings.VM, node.peerBundle, node.address, peer.WithLogger(logger))
+	node.transport = peer.New(settings.VM, node.peerBundle, node.address,
+		peer.WithLogger(node.logger), peer.WithObserver(node.metrics.PeerBytes))
 	return node, nil
 }
 
@@ -118,14 +132,14 @@
 func (node *Node) newFront() (*front.Front, error) {
 	caller := node.settings.Caller
 	if caller.Certificate == "" {
-		return front.New(node), nil
+		return front.New(node, front.WithObserver(node)), nil
 	}
 	bundle, err := certs.Load(certs.Files{Certificate: caller.Certificate, PrivateKey: caller.PrivateKey})
 	if err != nil {
 		return nil, err
 	}
 	node.reload(bundle)
-	return front.New(node, front.WithTLS(bundle.Server())), nil
+	return front.New(node, front.WithObserver(node), front.WithTLS(bundle.Server())), nil
 }
 
 func (node *Node) reload(bundle *certs.Bundle) {
@@ -137,6 +151,10 @@
 // Run serves until ctx ends, then drains; it fails when an address cannot be listened on.
 func (node *Node) Run(ctx context.Context) error {
 	defer node.cancel()
+	operators, err := node.serveOperators()
+	if err != nil {
+		return err
+	}
 	peers, err := net.Listen("tcp", node.settings.Peer.Address)
 	if err != nil {
 		return eris.Wrap(err, "listen for other proxies")
@@ -150,7 +168,8 @@
 	node.transport.Listen(peers, node)
 	defer node.transport.Close()
 	node.start()
-	event.Log(node.logger, event.ProxyStarted, zap.String("Address", callers.Addr().String()))
+	event.Log(node.logger, event.ProxyStarted,
+		zap.String("Address", callers.Addr().String()), zap.String("Operator", operators))
 	failed := make(chan error, 1)
 	go func() { failed <- node.front.Serve(callers) }()
 	select {
@@ -163,6 +182,7 @@
 }
 
 func (node *Node) start() {
+	node.trail.start(node.ctx)
 	node.handle(core.Started{})
 	stop := node.timers.Every(tickInterval, spool.TimerFunc(func(spool.Instant) { node.handle(core.Tick{}) }))
 	context.AfterFunc(node.ctx, stop)
--- a/internal/node/objects.go
+++ b/internal/node/objects.go
@@ -2,37 +2,73 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
-	"go.uber.org/zap"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"corianderspool.example/spool/internal/core"
-	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
 	callTimeout = 2 * time.Second
 	watchRetry  = 200 * time.Millisecond
+	marks       = 64
 )
 
 func (node *Node) readObjects(kinds []string) {
 	ctx, cancel := context.WithTimeout(node.ctx, callTimeout)
 	defer cancel()
-	read := core.ObjectsRead{}
+	read, err := node.list(ctx, kinds)
+	if err != nil {
+		node.handle(core.ObjectsFailed{})
+		return
+	}
+	node.handle(read)
+}
+
+// list reads all objects of the kinds and fails if the platform answers from before the call.
+func (node *Node) list(ctx context.Context, kinds []string) (core.ObjectsRead, error) {
+	read := core.ObjectsRead{SentAt: node.timers.Now()}
+	mark, err := node.mark(ctx)
+	if err != nil {
+		return read, err
+	}
 	for i, kind := range kinds {
 		objects, version, err := node.platform.List(ctx, kind)
 		if err != nil {
-			node.handle(core.ObjectsFailed{})
-			return
+			return read, err
+		}
+		if version < mark {
+			return read, eris.Errorf("the list of %s shows version %d, before %d", kind, version, mark)
 		}
 		read.Objects = append(read.Objects, objects...)
 		if i == 0 {
 			read.Version = version
 		}
 	}
-	node.handle(read)
+	return read, nil
+}
+
+// mark writes an object and returns its version; what is read later and shows a lower version is stale.
+func (node *Node) mark(ctx context.Context) (spool.Version, error) {
+	name := fmt.Sprint(xxhash.Sum64String(string(node.settings.VM)) % marks)
+	object, err := node.platform.Get(ctx, spool.KindMark, name)
+	if err != nil && !errors.Is(err, spool.ErrNotFound) {
+		return 0, err
+	}
+	body, err := json.Marshal(node.settings.VM)
+	if err != nil {
+		return 0, err
+	}
+	written, err := node.platform.Put(ctx, spool.Object{
+		Kind: spool.KindMark, Name: name, Version: object.Version, Body: body,
+	})
+	return written.Version, err
 }
 
 func (node *Node) readObject(kind, name string) {
@@ -86,33 +122,19 @@
 var watchedKinds = []string{spool.KindManifest, spool.KindRoster, spool.KindTerm, spool.KindMember}
 
 func (node *Node) watch(ctx context.Context, after spool.Version) {
-	lost := false
 	for ctx.Err() == nil {
+		sentAt := node.timers.Now()
 		objects, version, err := node.platform.Watch(ctx, watchedKinds, after)
 		if ctx.Err() != nil {
 			return
 		}
-		if lost != (err != nil) {
-			lost = err != nil
-			node.logPlatform(lost, err)
-		}
 		if err != nil {
 			pause(ctx, watchRetry)
 			continue
 		}
 		after = version
-		if len(objects) > 0 {
-			node.handle(core.ObjectsSeen{Objects: objects})
-		}
-	}
-}
-
-func (node *Node) logPlatform(lost bool, err error) {
-	if lost {
-		event.Log(node.logger, event.PlatformLost, zap.Error(err))
-		return
+		node.handle(core.ObjectsSeen{Objects: objects, SentAt: sentAt})
 	}
-	event.Log(node.logger, event.PlatformBack)
 }
 
 func pause(ctx context.Context, duration time.Duration) {
