End a session whose transaction is already lost when its time is up

Cause: such a session counts as idle for an ending since the bound on texts, but the check for callers that never pause still let it go on.

--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -132,7 +132,7 @@
 
 // overdue returns why an ending session whose caller never pauses ends between two transactions.
 func (session *session) overdue() *spool.Refusal {
-	if session.lane != nil || session.lost || session.started() || session.skipping {
+	if session.lane != nil || session.started() || session.skipping {
 		return nil
 	}
 	session.mutex.Lock()
