--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -132,7 +132,7 @@
 
 // overdue returns why an ending session whose caller never pauses ends between two transactions.
 func (session *session) overdue() *spool.Refusal {
-	if session.lane != nil || session.lost || session.started() || session.skipping {
+	if session.lane != nil || session.started() || session.skipping {
 		return nil
 	}
 	session.mutex.Lock()
@@ -150,7 +150,7 @@
 		session.mutex.Unlock()
 		return session.ending.Refusal, false
 	}
-	session.idle = session.lane == nil && !session.lost && !session.started() && !session.skipping
+	session.idle = session.lane == nil && !session.started() && !session.skipping
 	switch {
 	case !session.idle:
 		session.bounded = true
