--- a/internal/procs/freeze_test.go
+++ b/internal/procs/freeze_test.go
@@ -42,10 +42,7 @@
 func TestFrozenKeeperWakesWithOldAnswers(t *testing.T) {
 	fleet := newFleet(t, func(fleet *fleet) {
 		fleet.manifest.Routes[0].Durable = false
-		for i := range fleet.manifest.Groups[0].Servers {
-			fleet.manifest.Groups[0].Servers[i].Slots = manySlots
-			fleet.manifest.Groups[0].Servers[i].Connections = manyConnections
-		}
+		fleet.manySlots()
 	})
 	load := fleet.startLoad()
 	victim, _ := fleet.primary()
@@ -68,6 +65,15 @@
 	fleet.Check(verdict, qt.Equals, demo.Verdict{})
 }
 
+// manySlots gives the servers room for slow writes beside the load.
+func (fleet *fleet) manySlots() {
+	servers := fleet.manifest.Groups[0].Servers
+	for i := range servers {
+		servers[i].Slots = manySlots
+		servers[i].Connections = manyConnections
+	}
+}
+
 // freezePastReplacement freezes the keeper, sees the others go on, kills the primary and sees them go on again.
 func (fleet *fleet) freezePastReplacement(load *load) demo.Process {
 	keeper, _ := fleet.keeper()
--- a/internal/procs/late_test.go
+++ b/internal/procs/late_test.go
@@ -31,6 +31,15 @@
 
 // writeSlowly sends writes through a proxy, each over a session of its own, and returns while the primary works on them.
 func (fleet *fleet) writeSlowly(proxy, primary demo.Process) *late {
+	late := fleet.sendSlowly(proxy, primary)
+	none := spool.Duration(0)
+	fleet.control(primary, regsrv.Control{WorkTime: &none})
+	go late.watch(primary)
+	return late
+}
+
+// sendSlowly sends writes that the primary goes on working on for some time.
+func (fleet *fleet) sendSlowly(proxy, primary demo.Process) *late {
 	late := &late{fleet: fleet, ledger: demo.NewLedger(), logged: make(chan struct{})}
 	ctx, cancel := context.WithTimeout(context.Background(), lateTimeout)
 	fleet.Cleanup(cancel)
@@ -40,14 +49,12 @@
 		fleet.Assert(err, qt.IsNil)
 		sessions[i] = connection
 	}
-	work, none := spool.Duration(slowWork), spool.Duration(0)
+	work := spool.Duration(slowWork)
 	fleet.control(primary, regsrv.Control{WorkTime: &work})
 	for i, session := range sessions {
 		late.sent.Go(func() { late.write(ctx, session, fmt.Sprintf("%s%d", latePrefix, i)) })
 	}
 	time.Sleep(sendTime)
-	fleet.control(primary, regsrv.Control{WorkTime: &none})
-	go late.watch(primary)
 	return late
 }
 
@@ -75,8 +82,13 @@
 func (late *late) appliedBy(server demo.Process) int {
 	<-late.logged
 	late.fleet.Assert(late.fleet.processes[server.Name].ended(), qt.IsTrue)
+	return countLate(late.primaryLog)
+}
+
+// countLate counts the values that such writes left in a log.
+func countLate(log []regsrv.Applied) int {
 	count := 0
-	for _, applied := range late.primaryLog {
+	for _, applied := range log {
 		if strings.HasPrefix(applied.Key, latePrefix) {
 			count++
 		}
