--- a/internal/procs/load_test.go
+++ b/internal/procs/load_test.go
@@ -31,17 +31,9 @@
 
 // startLoad starts sessions that stay on their proxy and waits until each proxy has acknowledged writes.
 func (fleet *fleet) startLoad() *load {
-	ctx, stop := context.WithCancel(context.Background())
-	load := &load{fleet: fleet, ledgers: map[string]*demo.Ledger{}, stop: stop}
-	fleet.Cleanup(load.end)
+	load, ctx := fleet.newLoad()
 	for i, proxy := range fleet.plan.Proxies {
-		ledger := demo.NewLedger()
-		load.ledgers[proxy.Name] = ledger
-		for j := range workersPerProxy {
-			worker := demo.NewWorker(i*workersApart+j, fleet.plan.Keys[0], []string{proxy.Address}, ledger)
-			worker.WriteShare = loadWriteShare
-			load.running.Go(func() { worker.Run(ctx) })
-		}
+		load.add(ctx, proxy.Name, i*workersApart, loadWriteShare, proxy.Address)
 	}
 	begun := time.Now()
 	for _, proxy := range fleet.plan.Proxies {
@@ -50,6 +42,25 @@
 	return load
 }
 
+func (fleet *fleet) newLoad() (*load, context.Context) {
+	ctx, stop := context.WithCancel(context.Background())
+	load := &load{fleet: fleet, ledgers: map[string]*demo.Ledger{}, stop: stop}
+	fleet.Cleanup(load.end)
+	return load, ctx
+}
+
+// add starts a few sessions that roam between the addresses and share a ledger.
+func (load *load) add(ctx context.Context, name string, first int, writeShare float64, addresses ...string) *demo.Ledger {
+	ledger := demo.NewLedger()
+	load.ledgers[name] = ledger
+	for i := range workersPerProxy {
+		worker := demo.NewWorker(first+i, load.fleet.plan.Keys[0], addresses, ledger)
+		worker.WriteShare = writeShare
+		load.running.Go(func() { worker.Run(ctx) })
+	}
+	return ledger
+}
+
 // awaitWrites waits until a proxy has acknowledged a number of writes since an instant.
 func (load *load) awaitWrites(proxy demo.Process, since time.Time, count int) {
 	load.fleet.await(fmt.Sprintf("%s acknowledges %d writes", proxy.Name, count), func() bool {
