Rank by hashes that are computed once

Cause: when many VMs come or go at once, as at a start or when a failure domain is lost, each moves the own place for every role, and each move hashed the names of role and VM: 2,800 VMs and 10,633 roles would hold the core's one thread for over two seconds.

The weight of a VM for a role mixes a hash of each name; Ranks keeps the hashes, and its places in a slice.

Proof: TestWeightsSpreadRolesEvenly and TestWeightsSpreadTheRolesOfALostVM for the hash; the generated test of Ranks now drops roles as well, and failed with 'places are [..], made anew [..]' when Keep misplaced an index.

--- a/internal/bench/slope/ticks.go
+++ b/internal/bench/slope/ticks.go
@@ -17,6 +17,7 @@
 	pledgeSpan = 10 * time.Second
 	someFleet  = 400
 	smallFleet = 40
+	lostRoles  = 800
 	rivalNanos = int64(700 * time.Millisecond)
 )
 
@@ -26,6 +27,8 @@
 		line("AssignTick", "roles times members, 400 members", "CPU µs a tick that assigns", counts, assignTick).against(fleetTimes),
 		line("AssignRoles", "roles squared, 40 members", "CPU µs a tick that assigns", []int{200, 500, 1000}, assignRoles).against(square),
 		line("AssignChange", "roles held elsewhere, 400 members", "CPU µs of 100 ms in which a member leaves", counts, assignChange),
+		line("AssignLost", "members lost at once times 800 roles", "CPU µs of 100 ms", []int{10, 50, 150, 300}, assignLost).
+			against(func(lost int) float64 { return float64(lost * lostRoles) }),
 		line("AssignMembers", "members, 40 roles", "CPU µs a tick that assigns", []int{400, 800, 1600, 2800}, assignMembers),
 		line("BeatTick", "members", "CPU µs a tick that sends a relay's heartbeat", counts, beatTick),
 		line("PlainTick", "roles held elsewhere", "CPU µs any other tick", []int{50, 200, 800}, plainTick),
@@ -65,6 +68,18 @@
 	return spent / leaving, nil
 }
 
+// assignLost lets members leave all at once.
+func assignLost(lost int) (float64, error) {
+	world := foreign(lostRoles, someFleet)
+	for i := range lost {
+		world.digest.Members[50+i].Leaving = true
+	}
+	world.handle(world.beat())
+	world.plain, world.assign, world.beats = meter{}, meter{}, meter{}
+	world.advance(assignInterval)
+	return world.millisPerSecond() * 1000 * assignInterval.Seconds(), nil
+}
+
 func assignRoles(roles int) (float64, error) { return foreign(roles, smallFleet).assign.mean(), nil }
 
 func plainTick(roles int) (float64, error) { return foreign(roles, someFleet).plain.mean(), nil }
--- a/internal/core/member/ranks_test.go
+++ b/internal/core/member/ranks_test.go
@@ -29,6 +29,9 @@
 			if rapid.Bool().Draw(t, "updates") {
 				compare(t, view, followed, now)
 			}
+			if dropped := rapid.IntRange(0, 2*drawnRoles).Draw(t, "dropped"); dropped < drawnRoles {
+				followed.Keep(func(role string) bool { return role != roleName(dropped) })
+			}
 		}
 		compare(t, view, followed, now)
 	})
@@ -69,7 +72,7 @@
 func places(ranks *member.Ranks) []int {
 	places := []int{}
 	for i := range drawnRoles {
-		rank, may := ranks.Rank(fmt.Sprintf("Team/t%d", i))
+		rank, may := ranks.Rank(roleName(i))
 		if !may {
 			rank = -1
 		}
@@ -77,3 +80,5 @@
 	}
 	return places
 }
+
+func roleName(index int) string { return fmt.Sprintf("Team/t%d", index) }
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -179,11 +177,3 @@
 	entry, known := view.entries[vm]
 	return known && vm != view.self.VM && !entry.Leaving && view.alive(entry, now)
 }
-
-func weight(role string, vm spool.VM) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(role)
-	_, _ = digest.WriteString("\x00")
-	_, _ = digest.WriteString(string(vm))
-	return digest.Sum64()
-}
--- /dev/null
+++ b/internal/core/member/weight_test.go
@@ -0,0 +1,55 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// TestWeightsSpreadRolesEvenly expects each VM to come first for about as many roles as any other.
+func TestWeightsSpreadRolesEvenly(t *testing.T) {
+	c := qt.New(t)
+	const vms, roles = 40, 8000 // 200 roles a VM, with a standard deviation of 14
+	first := map[int]int{}
+	for role := range roles {
+		best := 0
+		for vm := range vms {
+			if weightOf(role, vm) > weightOf(role, best) {
+				best = vm
+			}
+		}
+		first[best]++
+	}
+	for vm := range vms {
+		c.Assert(first[vm] > 140 && first[vm] < 260, qt.IsTrue, qt.Commentf("vm %d comes first for %d roles", vm, first[vm]))
+	}
+}
+
+// TestWeightsSpreadTheRolesOfALostVM expects the successors of one VM to be many.
+func TestWeightsSpreadTheRolesOfALostVM(t *testing.T) {
+	c := qt.New(t)
+	const vms, roles = 40, 8000
+	successors := map[int]int{}
+	for role := range roles {
+		next := 1
+		for vm := 1; vm < vms; vm++ {
+			if weightOf(role, vm) > weightOf(role, next) {
+				next = vm
+			}
+		}
+		if weightOf(role, 0) > weightOf(role, next) {
+			successors[next]++
+		}
+	}
+	for vm, count := range successors {
+		c.Assert(count < 20, qt.IsTrue, qt.Commentf("vm %d succeeds in %d roles", vm, count))
+	}
+	c.Assert(len(successors) > 30, qt.IsTrue, qt.Commentf("%d successors", len(successors)))
+}
+
+func weightOf(role, vm int) uint64 {
+	return weight(fmt.Sprintf("Group/kyushu.records-%d", role), spool.VM(fmt.Sprintf("vm-%04d", vm)))
+}
