Back off when the platform fails the reads of a start

Cause: a proxy that started read the platform again 250 ms after each failure, so that a fleet that restarts kept a slow platform slow.

The wait doubles from 250 ms to 4 s, and the second half of it differs between proxies. A proxy that starts in an outage learns of its end up to 4 s later than before; it serves from what its peers know meanwhile.

Ruled out: a longest wait of 10 s or more, which small sites would feel after each outage.

--- a/internal/bench/slope/ticks.go
+++ b/internal/bench/slope/ticks.go
@@ -13,12 +13,13 @@
 )
 
 const (
-	span       = 500 * time.Millisecond
-	pledgeSpan = 10 * time.Second
-	someFleet  = 400
-	smallFleet = 40
-	lostRoles  = 800
-	rivalNanos = int64(700 * time.Millisecond)
+	span        = 500 * time.Millisecond
+	pledgeSpan  = 10 * time.Second
+	someFleet   = 400
+	smallFleet  = 40
+	lostRoles   = 800
+	callTimeout = 2 * time.Second
+	rivalNanos  = int64(700 * time.Millisecond)
 )
 
 func coreMeasures() []measure {
@@ -36,6 +37,7 @@
 		line("TickTeams", "team roles held, one witness", "CPU ms/s", []int{4, 8, 16, 32, 64}, heldTeams),
 		line("TickGroups", "groups kept and open, one witness", "CPU ms/s", []int{2, 4, 8, 16, 32}, keptGroups),
 		line("PledgesStart", "roles held elsewhere", "requests in the first 2 s", []int{50, 100, 200, 400}, startPledges),
+		line("ReadsOutage", "seconds of an outage after a start", "times that a proxy reads the platform", []int{20, 60, 180}, outageReads),
 		line("PledgesHolder", "roles held, five witnesses", "requests/s", []int{1, 4, 16}, pledgeRate(1, true)),
 		line("PledgesStandby", "roles sought in vain, five witnesses", "requests/s", []int{4, 16, 64}, pledgeRate(4, false)),
 		line("EventGroup", "groups kept and open", "CPU µs a server's status", []int{2, 4, 8, 16, 32}, statusSeen),
@@ -217,6 +219,27 @@
 	return world.millisPerSecond(), nil
 }
 
+// outageReads counts the reads of a proxy whose platform answers none within the time of a call.
+func outageReads(seconds int) (float64, error) {
+	proxy := core.New(self(), 0)
+	reads := 0
+	failsAt := spool.Instant(0)
+	for now := spool.Instant(0); now < spool.Instant(time.Duration(seconds)*time.Second); now = now.Add(tickInterval) {
+		var event core.Event = core.Tick{}
+		if failsAt > 0 && now >= failsAt {
+			event = core.ObjectsFailed{}
+			failsAt = 0
+		}
+		for _, effect := range proxy.Handle(event, now) {
+			if _, isRead := effect.(core.ReadObjects); isRead {
+				reads++
+				failsAt = now.Add(callTimeout)
+			}
+		}
+	}
+	return float64(reads), nil
+}
+
 // startPledges counts what a proxy asks for before and after it knows the fleet.
 func startPledges(roles int) (float64, error) {
 	world := newWorld(someFleet, foreignObjects(roles), pledging(false))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	beatInterval   = 200 * time.Millisecond
 	assignInterval = 100 * time.Millisecond
 	readRetry      = 250 * time.Millisecond
+	longestRetry   = 4 * time.Second
 	askInterval    = 100 * time.Millisecond
 	settleTime     = 1 * time.Second
 	removedAfter   = 30 * time.Second
@@ -52,6 +53,7 @@
 	reassign   bool // the roles to seek may have changed since they were last looked at
 	reading    bool
 	readAfter  spool.Instant
+	failures   int // reads in a row that failed
 	watching   bool
 	nextBeat   spool.Instant
 	nextAssign spool.Instant
@@ -126,8 +128,7 @@
 	case ObjectsRead:
 		core.objectsRead(event, now)
 	case ObjectsFailed:
-		core.reading = false
-		core.readAfter = now.Add(readRetry)
+		core.readFailed(now)
 	case ObjectsSeen:
 		core.confirmed.raise(event.SentAt)
 		core.learnAll(event.Objects, now)
--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/core/policy"
@@ -11,6 +12,8 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
+const maxDoublings = 10
+
 // rosterRole names the duty to tend the roster, which is no lease.
 const rosterRole = "Roster"
 
@@ -23,8 +26,18 @@
 	core.emit(ReadObjects{Kinds: bootKinds})
 }
 
+// readFailed puts the next read off, twice as long after each failure and by another part for each proxy.
+func (core *Core) readFailed(now spool.Instant) {
+	core.reading = false
+	longest := min(readRetry<<min(core.failures, maxDoublings), longestRetry)
+	core.failures++
+	spread := time.Duration(core.self.Incarnation % uint64(longest/2))
+	core.readAfter = now.Add(longest/2 + spread)
+}
+
 func (core *Core) objectsRead(event ObjectsRead, now spool.Instant) {
 	core.reading = false
+	core.failures = 0
 	core.complete = true
 	core.configured = true
 	core.confirmed.raise(event.SentAt)
