--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -14,7 +14,7 @@
 
 const maxDoublings = 10
 
-// rosterRole names the duty to tend the roster, which is no lease.
+// rosterRole stands in requests that ask a witness for its roster's version; it is no lease.
 const rosterRole = "Roster"
 
 // bootKinds are read from the platform at the start; terms follow the roster, as the witness requires.
@@ -51,7 +51,7 @@
 		}
 	}
 	core.witness.Confirm(roster, true)
-	core.learnMembers(event.Objects)
+	core.learnMembers(event.Objects, now)
 	core.learnAll(event.Objects, now)
 	if roster.Version == 0 {
 		core.changerActions(core.changer.Observe(roster, now))
@@ -69,15 +69,30 @@
 	return roster
 }
 
-func (core *Core) learnMembers(objects []spool.Object) {
+func (core *Core) learnMembers(objects []spool.Object, now spool.Instant) {
 	members := []spool.Member{}
+	listed := map[spool.VM]bool{}
 	for _, object := range objects {
-		if member, listed := parseMember(object); listed {
+		if member, isListed := parseMember(object); isListed {
 			members = append(members, member)
+			listed[member.VM] = true
 		}
 	}
-	if len(members) > 0 {
-		core.view.List(members)
+	if len(members) == 0 {
+		return
+	}
+	core.view.List(members)
+	for _, witness := range core.roster.Members {
+		if !listed[witness] {
+			core.remove(witness, now)
+		}
+	}
+}
+
+// remove notes since when a VM is missing from the platform's list.
+func (core *Core) remove(vm spool.VM, now spool.Instant) {
+	if _, known := core.removed[vm]; !known {
+		core.removed[vm] = now
 	}
 }
 
@@ -118,9 +133,7 @@
 		core.found(member)
 		return
 	}
-	if _, known := core.removed[spool.VM(object.Name)]; !known {
-		core.removed[spool.VM(object.Name)] = now
-	}
+	core.remove(spool.VM(object.Name), now)
 }
 
 func (core *Core) found(member spool.Member) {
@@ -258,15 +271,18 @@
 	core.readAll(now)
 }
 
-// tendRoster has one proxy of the fleet replace witnesses that are gone.
+// tendRoster has the proxies that watch the platform replace witnesses that are gone; only they learn which VMs the
+// platform removed, and the conditional update lets one of them succeed.
 func (core *Core) tendRoster(now spool.Instant) {
-	rank, may := core.ranks.Rank(rosterRole)
-	if !may || rank > 0 || !core.complete || !core.settled(now) {
+	if !core.watching || !core.settled(now) {
 		return
 	}
 	core.changer.SetMembers(core.view.Serving(now), now)
 	core.changer.SetRemoved(core.destroyed(now))
 	core.changerActions(core.changer.Tick(now))
+	if core.roster.Changing {
+		core.seek(rosterRole, now)
+	}
 }
 
 // destroyed returns the VMs that the platform removed from its list a while ago and that nobody has heard since.
--- /dev/null
+++ b/internal/core/terms/isolated_test.go
@@ -0,0 +1,41 @@
+package terms
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// TestKeeperCutFromPlatformGivesWay gives the lease of a group without a record to a proxy that the platform never
+// answers, and expects it to let another one try.
+func TestKeeperCutFromPlatformGivesWay(t *testing.T) {
+	keeper := NewKeeper("g", "vm0", 1)
+	now := spool.Instant(time.Hour)
+	yields := 0
+	handle := func(event Event) {
+		for _, effect := range keeper.Handle(event, now) {
+			switch effect := effect.(type) {
+			case ReadTerm:
+				defer keeper.Handle(TermReadFailed{}, now)
+			case Yield:
+				yields++
+				qt.Assert(t, effect.BackOff, qt.Equals, DefaultBackOff)
+			}
+		}
+	}
+	handle(ServersChanged{Servers: []spool.ServerSpec{{Name: "s0"}}})
+	handle(LeaseGained{})
+	for range 90 {
+		now = now.Add(10 * time.Millisecond)
+		handle(Tick{})
+	}
+	qt.Assert(t, yields, qt.Equals, 0)
+	for range 30 {
+		now = now.Add(10 * time.Millisecond)
+		handle(Tick{})
+	}
+	qt.Assert(t, yields, qt.Equals, 1)
+}
--- a/internal/core/terms/reason.go
+++ b/internal/core/terms/reason.go
@@ -20,4 +20,5 @@
 	ReasonMisplaced     Reason = "primary answers in another role or term"
 	ReasonLeaving       Reason = "primary leaves"
 	ReasonRaised        Reason = "later term seen that was never opened"
+	ReasonPlatformGone  Reason = "platform out of reach"
 )
--- a/internal/core/terms/shell_test.go
+++ b/internal/core/terms/shell_test.go
@@ -24,24 +24,23 @@
 	world.handle(proxy, Tick{})
 }
 
-func (world *world) request(from *proxy, out lease.Out) {
-	to := world.proxy(out.To)
-	delay, ok := world.travel(from.domain, to.domain, from.vm, to.vm)
+// message runs do at another proxy, or at the same one at once, unless it gets lost.
+func (world *world) message(from, to *proxy, do func()) {
 	if from == to {
-		delay, ok = 0, true
-	}
-	if !ok {
+		world.arrive(to, 0, do)
 		return
 	}
-	world.arrive(to, delay, func() {
+	delay, ok := world.travel(from.domain, to.domain, from.vm, to.vm)
+	if ok {
+		world.arrive(to, delay, do)
+	}
+}
+
+func (world *world) request(from *proxy, out lease.Out) {
+	to := world.proxy(out.To)
+	world.message(from, to, func() {
 		answer := to.witness.Pledge(from.vm, out.Request, world.clock.Now())
-		back, ok := world.travel(to.domain, from.domain, from.vm, to.vm)
-		if from == to {
-			back, ok = 0, true
-		}
-		if ok {
-			world.arrive(from, back, func() { world.receive(from, to.vm, answer) })
-		}
+		world.message(to, from, func() { world.receive(from, to.vm, answer) })
 	})
 }
 
@@ -63,8 +62,11 @@
 func (world *world) gossip(proxy *proxy) {
 	world.read(proxy, func(record *wire.TermRecord, roster lease.Roster) {
 		now := world.clock.Now()
-		proxy.witness.Learn(record)
-		proxy.witness.Confirm(roster, true)
+		proxy.witness.Confirm(roster, false)
+		if proxy.witness.Uninformed() {
+			proxy.witness.Learn(record)
+			proxy.witness.Confirm(roster, true)
+		}
 		proxy.holder.SetRoster(roster, now)
 		world.handle(proxy, RosterChanged{Members: roster.Members, Domains: world.domains()})
 		world.act(proxy, proxy.changer.Observe(roster, now))
@@ -154,6 +156,9 @@
 		}
 		world.report(proxy)
 	case Open:
+		if owner := world.platform.owners[uint64(effect.Term)]; owner != string(effect.Primary) {
+			world.violated("term %d is opened for %s and recorded for %q", effect.Term, effect.Primary, owner)
+		}
 		world.open(effect, world.server(effect.Primary).log)
 	case Yield:
 		proxy.holder.Yield(effect.BackOff, world.clock.Now())
@@ -164,19 +169,11 @@
 
 func (world *world) probe(from *proxy, effect Probe) {
 	to := world.proxy(effect.To)
-	delay, ok := world.travel(from.domain, to.domain, from.vm, to.vm)
-	if !ok {
-		return
-	}
-	answer := &wire.ProbeAnswer{Group: effect.Request.Group, Server: effect.Request.Server, Sequence: effect.Request.Sequence}
 	reply := func(reached bool) {
-		back, ok := world.travel(to.domain, from.domain, from.vm, to.vm)
-		if ok {
-			answer.Reached = reached
-			world.arrive(from, back, func() { world.handle(from, ProbeSeen{From: to.vm, Answer: answer}) })
-		}
+		answer := &wire.ProbeAnswer{Sequence: effect.Request.Sequence, Reached: reached}
+		world.message(to, from, func() { world.handle(from, ProbeSeen{From: to.vm, Answer: answer}) })
 	}
-	world.arrive(to, delay, func() {
+	world.message(from, to, func() {
 		server := world.server(spool.Server(effect.Request.Server))
 		world.ask(to, server, 0, func() func() { return func() { reply(true) } }, func(bool) { reply(false) })
 	})
--- a/internal/core/terms/store.go
+++ b/internal/core/terms/store.go
@@ -26,6 +26,7 @@
 	wanted   bool // a read is to be asked for
 	readAt   spool.Instant
 	retryAt  spool.Instant
+	heardAt  spool.Instant // when the platform last answered, or the lease was gained
 	pending  *write
 }
 
@@ -38,7 +39,8 @@
 	waiting  bool // for its answer
 }
 
-func (store *store) restart() {
+func (store *store) restart(now spool.Instant) {
+	store.heardAt = now
 	store.answered = false
 	store.reading = false
 	store.wanted = true
@@ -95,6 +97,7 @@
 
 func (keeper *Keeper) termRead(record *wire.TermRecord, now spool.Instant) {
 	store := &keeper.store
+	store.heardAt = now
 	store.reading = false
 	store.wanted = false
 	store.answered = true
@@ -149,6 +152,9 @@
 	if pending == nil || pending.record.Nonce != event.Nonce {
 		return
 	}
+	if event.Result != WriteUnknown {
+		keeper.store.heardAt = now
+	}
 	if event.Result == WriteDone {
 		keeper.written(event.Version, now)
 		return
@@ -202,7 +208,22 @@
 	if keeper.phase == phaseIdle || !store.wanted || store.reading || now < store.retryAt {
 		return
 	}
+	if keeper.needsPlatform() && now.Sub(store.heardAt) >= keeper.config.PlatformGone {
+		store.heardAt = now
+		keeper.note(ReasonPlatformGone)
+		keeper.emit(Yield{BackOff: keeper.config.BackOff})
+	}
 	store.reading = true
 	store.readAt = now
 	keeper.emit(ReadTerm{Group: keeper.group})
 }
+
+// needsPlatform tells whether no term can be opened before the platform answers; another proxy may reach it.
+func (keeper *Keeper) needsPlatform() bool {
+	switch keeper.phase {
+	case phaseFinding, phaseChoosing, phaseClaiming:
+		return true
+	case phaseIdle, phaseResuming, phasePromoting, phasePledging, phaseOpen:
+	}
+	return false
+}
--- a/internal/node/note.go
+++ b/internal/node/note.go
@@ -34,6 +34,7 @@
 	terms.ReasonPromoting:     event.TermOrdered,
 	terms.ReasonNoCandidate:   event.TermStuck,
 	terms.ReasonWriteUnknown:  event.TermUncertain,
+	terms.ReasonPlatformGone:  event.TermStuck,
 }
 
 // note writes a decision to the log and the audit trail; calls come one at a time.
