--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -1,26 +1,17 @@
 package lease
 
 import (
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
+	"corianderspool.example/spool/internal/rapids"
 	"corianderspool.example/spool/pkg/spool"
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "4")
-		_ = flag.Set("rapid.checks", "30")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapids.Main(m, rapids.WithSeed(4), rapids.WithChecks(30)) }
 
 // TestOneHolder draws faults and checks that no instant has two holders and that a holder comes back afterwards.
 func TestOneHolder(t *testing.T) {
--- a/internal/core/share/bound_test.go
+++ b/internal/core/share/bound_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"flag"
-	"os"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"corianderspool.example/spool/internal/rapids"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -16,14 +16,7 @@
 	firstSeed = flag.Uint64("seed", 0, "first seed")
 )
 
-func TestMain(main *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "4")
-		_ = flag.Set("rapid.steps", "400")
-	}
-	os.Exit(main.Run())
-}
+func TestMain(m *testing.M) { rapids.Main(m, rapids.WithSeed(4), rapids.WithSteps(400)) }
 
 var boundSpecs = []spool.TeamSpec{
 	{Name: "large", RatePerSecond: 400, Burst: 200},
--- a/internal/core/slots/queue_test.go
+++ b/internal/core/slots/queue_test.go
@@ -1,28 +1,20 @@
 package slots
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"corianderspool.example/spool/internal/rapids"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 const millisecond = spool.Instant(time.Millisecond)
 
-func TestMain(main *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "4")
-		_ = flag.Set("rapid.steps", "400")
-	}
-	os.Exit(main.Run())
-}
+func TestMain(m *testing.M) { rapids.Main(m, rapids.WithSeed(4), rapids.WithSteps(400)) }
 
 func up(slots ...int) []Limit {
 	var limits []Limit
--- a/internal/core/terms/terms_test.go
+++ b/internal/core/terms/terms_test.go
@@ -1,25 +1,17 @@
 package terms
 
 import (
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"corianderspool.example/spool/internal/rapids"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "4")
-		_ = flag.Set("rapid.checks", "20")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapids.Main(m, rapids.WithSeed(4), rapids.WithChecks(20)) }
 
 // faults bring about a fault, or end it.
 var faults = []func(world *world, proxy *proxy, server *fakeServer){
