--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -29,7 +28,6 @@
 	proxy int
 	done  chan struct{}
 
-	mutex   sync.Mutex
 	acked   map[string]time.Time
 	refused map[string]bool // said to be "not run"
 	unknown int
@@ -48,6 +46,30 @@
 	return writer
 }
 
+// load is a writer through each proxy.
+type load struct {
+	writers []*writer
+	stop    chan struct{}
+}
+
+// load starts the writers and lets them run for a while.
+func (fleet *fleet) load() *load {
+	load := &load{stop: make(chan struct{})}
+	for proxy := range fleet.proxies {
+		load.writers = append(load.writers, fleet.write(proxy, load.stop))
+	}
+	time.Sleep(500 * time.Millisecond)
+	return load
+}
+
+// end stops the writers and waits for their last answers.
+func (load *load) end() {
+	close(load.stop)
+	for _, writer := range load.writers {
+		<-writer.done
+	}
+}
+
 func (writer *writer) run(stop <-chan struct{}) {
 	last := time.Now()
 	for i := 0; ; i++ {
@@ -76,8 +98,6 @@
 }
 
 func (writer *writer) record(key string, err error, last *time.Time) {
-	writer.mutex.Lock()
-	defer writer.mutex.Unlock()
 	var answer *pgconn.PgError
 	switch {
 	case err == nil:
@@ -94,10 +114,7 @@
 }
 
 // check compares what the writers were told with the primary's log.
-func (fleet *fleet) check(primary int, writers ...*writer) {
-	for _, writer := range writers {
-		<-writer.done
-	}
+func (fleet *fleet) check(primary int, load *load) {
 	counts := map[string]int{}
 	for _, applied := range fleet.servers[primary].Log() {
 		counts[applied.Key]++
@@ -105,8 +122,7 @@
 	for key, count := range counts {
 		fleet.c.Check(count, qt.Equals, 1, qt.Commentf("key %s", key))
 	}
-	for _, writer := range writers {
-		writer.mutex.Lock()
+	for _, writer := range load.writers {
 		for key := range writer.acked {
 			fleet.c.Check(counts[key], qt.Equals, 1, qt.Commentf("acknowledged key %s", key))
 		}
@@ -115,7 +131,6 @@
 		}
 		fleet.c.Logf("proxy %d: %d acknowledged, %d not run, %d unknown, longest gap %v",
 			writer.proxy, len(writer.acked), len(writer.refused), writer.unknown, writer.longest)
-		writer.mutex.Unlock()
 	}
 }
 
@@ -123,19 +138,15 @@
 
 func TestPrimaryKilledUnderLoad(t *testing.T) {
 	fleet := newFleet(t, durable)
-	stop := make(chan struct{})
-	writers := []*writer{fleet.write(0, stop), fleet.write(1, stop), fleet.write(2, stop)}
-	time.Sleep(500 * time.Millisecond)
+	load := fleet.load()
 	fleet.servers[0].Close()
 	time.Sleep(failoverTarget + time.Second)
-	close(stop)
+	load.end()
 	primary := fleet.findPrimary()
 	fleet.c.Assert(primary, qt.Not(qt.Equals), 0)
-	fleet.check(primary, writers...)
-	for _, writer := range writers {
-		writer.mutex.Lock()
+	fleet.check(primary, load)
+	for _, writer := range load.writers {
 		fleet.c.Check(writer.longest < failoverTarget, qt.IsTrue, qt.Commentf("gap %v", writer.longest))
-		writer.mutex.Unlock()
 	}
 }
 
@@ -175,27 +186,21 @@
 
 func TestProxyStoppedUnderLoadCutsNothing(t *testing.T) {
 	fleet := newFleet(t, nil)
-	stop := make(chan struct{})
-	writers := []*writer{fleet.write(0, stop), fleet.write(1, stop), fleet.write(2, stop)}
-	time.Sleep(500 * time.Millisecond)
+	load := fleet.load()
 	fleet.proxies[0].stop()
 	fleet.c.Assert(<-fleet.proxies[0].done, qt.IsNil)
 	time.Sleep(time.Second)
-	close(stop)
-	fleet.check(0, writers...)
-	for _, writer := range writers {
-		writer.mutex.Lock()
+	load.end()
+	fleet.check(0, load)
+	for _, writer := range load.writers {
 		fleet.c.Check(writer.unknown, qt.Equals, 0)
 		fleet.c.Check(writer.longest < failoverTarget || writer.proxy == 0, qt.IsTrue)
-		writer.mutex.Unlock()
 	}
 }
 
 func TestLeavingPrimaryHandsOver(t *testing.T) {
 	fleet := newFleet(t, nil)
-	stop := make(chan struct{})
-	writers := []*writer{fleet.write(0, stop), fleet.write(1, stop), fleet.write(2, stop)}
-	time.Sleep(500 * time.Millisecond)
+	load := fleet.load()
 	fleet.manifest.Groups[0].Servers[0].Leaving = true
 	fleet.push()
 	time.Sleep(leaveTarget)
@@ -206,51 +211,42 @@
 		fleet.c.Assert(err, qt.IsNil)
 	}
 	after := fleet.servers[0].Seen()
-	close(stop)
+	load.end()
 	fleet.c.Check(after.PrimaryReads+after.ReplicaReads, qt.Equals, before.PrimaryReads+before.ReplicaReads)
 	primary := fleet.findPrimary()
 	fleet.c.Assert(primary, qt.Not(qt.Equals), 0)
-	fleet.check(primary, writers...)
-	for _, writer := range writers {
-		writer.mutex.Lock()
+	fleet.check(primary, load)
+	for _, writer := range load.writers {
 		fleet.c.Check(writer.unknown, qt.Equals, 0)
 		fleet.c.Check(len(writer.refused), qt.Equals, 0)
-		writer.mutex.Unlock()
 	}
 }
 
 func TestWritesGoOnWhileThePlatformIsDown(t *testing.T) {
 	fleet := newFleet(t, nil)
 	fleet.platform.SetFaults(objsrv.Faults{DownFor: spool.Duration(time.Minute)})
-	stop := make(chan struct{})
-	writers := []*writer{fleet.write(0, stop), fleet.write(1, stop), fleet.write(2, stop)}
+	load := fleet.load()
 	time.Sleep(5 * time.Second)
-	close(stop)
-	fleet.check(0, writers...)
-	for _, writer := range writers {
-		writer.mutex.Lock()
+	load.end()
+	fleet.check(0, load)
+	for _, writer := range load.writers {
 		fleet.c.Check(len(writer.acked) > 100, qt.IsTrue)
 		fleet.c.Check(writer.unknown+len(writer.refused), qt.Equals, 0)
 		fleet.c.Check(writer.longest < failoverTarget, qt.IsTrue)
-		writer.mutex.Unlock()
 	}
 }
 
 func TestPrimaryFrozenUnderLoad(t *testing.T) {
 	fleet := newFleet(t, durable)
-	stop := make(chan struct{})
-	writers := []*writer{fleet.write(0, stop), fleet.write(1, stop), fleet.write(2, stop)}
-	time.Sleep(500 * time.Millisecond)
+	load := fleet.load()
 	frozen := spool.Duration(4 * time.Second)
 	fleet.servers[0].Control(regsrv.Control{FrozenFor: &frozen})
 	time.Sleep(6 * time.Second)
-	close(stop)
+	load.end()
 	primary := fleet.findPrimary()
 	fleet.c.Assert(primary, qt.Not(qt.Equals), 0)
-	fleet.check(primary, writers...)
-	for _, writer := range writers {
-		writer.mutex.Lock()
+	fleet.check(primary, load)
+	for _, writer := range load.writers {
 		fleet.c.Check(writer.longest < failoverTarget, qt.IsTrue, qt.Commentf("gap %v", writer.longest))
-		writer.mutex.Unlock()
 	}
 }
