Choose test addresses that no outgoing connection takes

A proxy of a test once never listened: its port had been freed before and lies in the range of outgoing connections (seen once in five runs of internal/node; likely, not proved). Tests, demo and slopes now share one way to choose ports below that range.

--- a/internal/bench/slope/platform.go
+++ b/internal/bench/slope/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -14,6 +13,7 @@
 	"corianderspool.example/spool/internal/certs"
 	"corianderspool.example/spool/internal/config"
 	"corianderspool.example/spool/internal/fake/objsrv"
+	"corianderspool.example/spool/internal/fake/ports"
 	"corianderspool.example/spool/internal/node"
 	"corianderspool.example/spool/internal/objapi"
 	"corianderspool.example/spool/pkg/spool"
@@ -92,6 +92,10 @@
 	if err := os.WriteFile(password, []byte("spool"), 0o600); err != nil {
 		return nil, eris.Wrap(err, "write the password")
 	}
+	addresses, err := ports.Choose(2 * vms)
+	if err != nil {
+		return nil, err
+	}
 	all := []config.Settings{}
 	for i := range vms {
 		member := memberAt(i)
@@ -99,19 +103,11 @@
 		if err != nil {
 			return nil, err
 		}
-		peerAddress, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		callerAddress, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
 		all = append(all, config.Settings{
 			VM: member.VM, Domain: domain(i),
-			Caller: config.Caller{Address: callerAddress},
+			Caller: config.Caller{Address: addresses[2*i]},
 			Peer: config.Peer{
-				Address: peerAddress, Certificate: files.Certificate,
+				Address: addresses[2*i+1], Certificate: files.Certificate,
 				PrivateKey: files.PrivateKey, Authority: files.Authority,
 			},
 			Platform:     config.Platform{URL: url},
@@ -122,15 +118,6 @@
 	return all, nil
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "find a free address")
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 func start(all []config.Settings, url string) (stop func(), err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/fake/demo/plan.go
+++ b/internal/fake/demo/plan.go
@@ -3,24 +3,18 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"time"
 
 	"corianderspool.example/spool/internal/certs"
+	"corianderspool.example/spool/internal/fake/ports"
 	"corianderspool.example/spool/pkg/spool"
 	"github.com/rotisserie/eris"
 )
 
 const (
-	loopback       = "127.0.0.1"
-	lowestPort     = 10000
-	highestPort    = 32000
-	portTries      = 100
 	planFile       = "plan.json"
 	certificateAge = 24 * time.Hour
 	drainTimeout   = 2 * time.Second
@@ -133,32 +127,13 @@
 	return plan, operators, chooseAddresses(targets)
 }
 
-// chooseAddresses sets each target to a loopback address whose port was free; no outgoing connection takes such a port
-// while a process restarts.
+// chooseAddresses sets each target to an address of its own.
 func chooseAddresses(targets []*string) error {
-	for _, target := range targets {
-		listener, err := listenAnywhere()
-		if err != nil {
-			return eris.Wrap(err, "choosing a port")
-		}
-		defer func() { _ = listener.Close() }()
-		*target = listener.Addr().String()
-	}
-	return nil
-}
-
-// listenAnywhere listens on a free port below those that outgoing connections get.
-func listenAnywhere() (net.Listener, error) {
-	var err error
-	for range portTries {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		var listener net.Listener
-		listener, err = net.Listen("tcp", net.JoinHostPort(loopback, strconv.Itoa(port)))
-		if err == nil {
-			return listener, nil
-		}
+	addresses, err := ports.Choose(len(targets))
+	for i, address := range addresses {
+		*targets[i] = address
 	}
-	return nil, err
+	return err
 }
 
 func (plan Plan) members() []spool.Member {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -18,6 +17,7 @@
 	"corianderspool.example/spool/internal/certs"
 	"corianderspool.example/spool/internal/config"
 	"corianderspool.example/spool/internal/fake/objsrv"
+	"corianderspool.example/spool/internal/fake/ports"
 	"corianderspool.example/spool/internal/fake/regsrv"
 	"corianderspool.example/spool/internal/node"
 	"corianderspool.example/spool/internal/objapi"
@@ -124,13 +124,6 @@
 	fleet.c.Assert(err, qt.IsNil)
 }
 
-func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func (fleet *fleet) startProxies() {
 	issuer, err := certs.NewIssuer(time.Hour)
 	fleet.c.Assert(err, qt.IsNil)
@@ -138,18 +131,20 @@
 	passwordFile := filepath.Join(dir, "password")
 	fleet.c.Assert(os.WriteFile(passwordFile, []byte("backend\n"), 0o600), qt.IsNil)
 	members := []spool.Member{}
+	addresses, err := ports.Choose(9)
+	fleet.c.Assert(err, qt.IsNil)
 	for i := range 3 {
 		vm := spool.VM(fmt.Sprintf("vm%d", i+1))
 		files, err := issuer.Issue(dir, vm)
 		fleet.c.Assert(err, qt.IsNil)
 		settings := config.Settings{
 			VM: vm, Domain: spool.Domain(fmt.Sprintf("d%d", i+1)),
-			Caller: config.Caller{Address: freeAddress(fleet.c)},
+			Caller: config.Caller{Address: addresses[3*i]},
 			Peer: config.Peer{
-				Address: freeAddress(fleet.c), Certificate: files.Certificate,
+				Address: addresses[3*i+1], Certificate: files.Certificate,
 				PrivateKey: files.PrivateKey, Authority: files.Authority,
 			},
-			Operator:     config.Operator{Address: freeAddress(fleet.c)},
+			Operator:     config.Operator{Address: addresses[3*i+2]},
 			Backend:      config.Backend{User: "spool", PasswordFile: passwordFile},
 			DrainTimeout: spool.Duration(5 * time.Second),
 		}
