--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -37,7 +37,7 @@
 	ActionReject   = "Reject"   // proxies refused a manifest
 	ActionEndKeys  = "EndKeys"  // proxies ended keys that were withdrawn, removed or replaced
 	ActionPromote  = "Promote"  // a term was opened
-	ActionRoster   = "Roster"   // the witnesses of leases changed
+	ActionQuorum   = "Quorum"   // the witnesses of leases changed
 )
 
 // object returns the entry as an object of that name that does not exist yet.
--- a/internal/audit/writer_test.go
+++ b/internal/audit/writer_test.go
@@ -106,14 +106,14 @@
 	at := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	for _, actor := range []string{"fukuoka-1", "kumamoto-1"} {
 		writer := audit.New(client, actor, audit.WithCapacity(2), audit.WithLost(func(name string) { lost = append(lost, name) }))
-		for _, name := range []string{"Accept-kyushu-7", "Promote-kyushu.db-3", "Roster-9"} {
+		for _, name := range []string{"Accept-kyushu-7", "Promote-kyushu.db-3", "Quorum-9"} {
 			writer.RecordOnce(name, audit.Entry{At: at, Action: audit.ActionAccept, Detail: name})
 		}
 		c.Assert(writer.Flush(context.Background()), qt.IsNil)
 		c.Assert(writer.Lost(), qt.Equals, uint64(1))
 	}
 	c.Assert(details(c, client), qt.DeepEquals, []string{"Accept-kyushu-7", "Promote-kyushu.db-3"})
-	c.Assert(lost, qt.DeepEquals, []string{"Roster-9", "Roster-9"})
+	c.Assert(lost, qt.DeepEquals, []string{"Quorum-9", "Quorum-9"})
 	entries, err := audit.List(context.Background(), client)
 	c.Assert(err, qt.IsNil)
 	c.Assert(entries[0].Actor, qt.Equals, "fukuoka-1")
--- a/internal/bench/draw/draw_test.go
+++ b/internal/bench/draw/draw_test.go
@@ -20,7 +20,7 @@
 	c.Assert(err, qt.IsNil)
 	points := []slope.Point{{Size: 1, Value: 2}, {Size: 2, Value: 4}}
 	c.Assert(page.Slopes(slope.Report{Series: []slope.Series{{
-		Name: "BeatHeld", Size: "roles", Unit: "bytes", Points: points, Fit: slope.Line(points),
+		Name: "HeartbeatHeld", Size: "roles", Unit: "bytes", Points: points, Fit: slope.Line(points),
 	}}}), qt.IsNil)
 	c.Assert(page.Path(path.Report{Rows: []path.Row{{Connections: 1}, {Connections: 16}}}), qt.IsNil)
 	share := 0.5
@@ -28,7 +28,7 @@
 		{Partner: policy.Sizes()[0].Partner, Scenario: "calm", Variant: "naive", WorstTeamShare: &share, Seed: 3},
 	}), qt.IsNil)
 	c.Assert(page.Close(), qt.IsNil)
-	for _, name := range []string{"slope-BeatHeld", "path-throughput", "path-latency"} {
+	for _, name := range []string{"slope-HeartbeatHeld", "path-throughput", "path-latency"} {
 		for _, format := range []string{".svg", ".png"} {
 			info, err := os.Stat(filepath.Join(dir, name+format))
 			c.Assert(err, qt.IsNil)
@@ -37,6 +37,6 @@
 	}
 	commands, err := os.ReadFile(filepath.Join(dir, "COMMANDS.txt"))
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(commands), qt.Contains, "slope-BeatHeld: go run ./cmd/bench Slopes --only '^BeatHeld$'\n")
+	c.Assert(string(commands), qt.Contains, "slope-HeartbeatHeld: go run ./cmd/bench Slopes --only '^HeartbeatHeld$'\n")
 	c.Assert(string(commands), qt.Contains, "go run ./cmd/bench Policy --seed 3\n")
 }
--- a/internal/bench/policy/group.go
+++ b/internal/bench/policy/group.go
@@ -14,12 +14,12 @@
 	tickPeriod   = 10 * time.Millisecond
 )
 
-// group is the keeper of the trial's group: it routes by positions, queues for slots and keeps the primary.
+// group is the leader of the trial's group: it routes by positions, queues for slots and keeps the primary.
 type group struct {
 	trial   *trial
 	table   *route.Table
 	queue   *slots.Queue
-	terms   *terms.Keeper
+	terms   *terms.Leader
 	record  platformRecord
 	waiting map[uint64]*request
 	gap     []*request // wait for a primary
@@ -30,7 +30,7 @@
 		trial:   trial,
 		table:   route.New(trial.log.specs()),
 		queue:   slots.New(),
-		terms:   terms.NewKeeper(groupName, vmName(keeper), 1),
+		terms:   terms.NewLeader(groupName, vmName(leader), 1),
 		waiting: map[uint64]*request{},
 	}
 	group.limit()
--- a/internal/bench/policy/reign.go
+++ b/internal/bench/policy/reign.go
@@ -41,7 +41,7 @@
 		}
 	}
 	group.handle(terms.ServersChanged{Servers: group.trial.log.specs()})
-	group.handle(terms.RosterChanged{Members: members, Domains: domains})
+	group.handle(terms.QuorumChanged{Members: members, Domains: domains})
 	group.handle(terms.LeaseGained{})
 }
 
@@ -66,10 +66,10 @@
 		trial.after(trial.size.Near+promotionTime, func() { group.promote(effect) })
 	case terms.Follow:
 		trial.after(trial.size.Near, func() { group.follow(effect) })
-	case terms.Pledge:
+	case terms.Vote:
 		trial.after(2*trial.size.Far, func() { group.handle(terms.Backed(effect)) })
 	case terms.Open:
-		group.table.Open(effect.Primary, route.Reign{Term: effect.Term, Start: effect.Start})
+		group.table.Open(effect.Primary, route.TermStart{Term: effect.Term, Start: effect.Start})
 		group.retryGap()
 	case terms.Closed, terms.Drain:
 		group.table.Close()
--- a/internal/bench/policy/trial.go
+++ b/internal/bench/policy/trial.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	runTime     = 250 * time.Millisecond // kept for the way to the keeper and for running
+	runTime     = 250 * time.Millisecond // kept for the way to the leader and for running
 	readPart    = 0.9                    // part of the requests that only read
 	agedPart    = 0.5                    // part of the reads that accept data of an age
 	acceptedAge = 500 * time.Millisecond
 	sessions    = 20 // of each team
 	ownerVM     = 0  // holds the teams' roles at first
-	keeper      = 1  // holds the group's role
+	leader      = 1  // holds the group's role
 	successor   = 4  // takes the teams' roles over
 )
 
@@ -32,10 +32,10 @@
 	team     int
 	vm       int
 	session  *session
-	token    spool.Token // of the session when the request reached the keeper
+	token    spool.Token // of the session when the request reached the leader
 	read     bool
 	maxAge   time.Duration
-	may      bool // a replica had what the request asks for when it reached the keeper
+	may      bool // a replica had what the request asks for when it reached the leader
 	deadline spool.Instant
 	counted  bool
 	inside   bool // one bucket of the team's rate and burst for the whole fleet would admit it
@@ -168,16 +168,16 @@
 // wall maps the virtual time to a time.Time.
 func (trial *trial) wall() time.Time { return time.Unix(0, int64(trial.clock.Now())) }
 
-// admit passes a request on to the group's keeper.
+// admit passes a request on to the group's leader.
 func (trial *trial) admit(request *request) {
 	if !trial.bounds[request.team].AllowN(trial.wall(), 1) {
 		trial.outcome.Tallies[request.team].AboveBound++
 	}
-	if trial.cut(request.vm, keeper) {
+	if trial.cut(request.vm, leader) {
 		trial.refuse(request)
 		return
 	}
-	trial.after(trial.latency(request.vm, keeper), func() {
+	trial.after(trial.latency(request.vm, leader), func() {
 		request.token = request.session.token
 		request.may = request.read && trial.log.replicaCould(request)
 		trial.backend.run(request)
@@ -223,7 +223,7 @@
 	}
 }
 
-// finish counts a request whose answer leaves the keeper now.
+// finish counts a request whose answer leaves the leader now.
 func (trial *trial) finish(request *request) {
 	if trial.clock.Now() > request.deadline {
 		trial.refuse(request)
--- a/internal/bench/slope/fleet.go
+++ b/internal/bench/slope/fleet.go
@@ -117,6 +117,6 @@
 	return objects
 }
 
-func rosterObject(members ...spool.VM) spool.Object {
-	return lease.Roster{Members: members}.Object(bootVersion)
+func quorumObject(members ...spool.VM) spool.Object {
+	return lease.Quorum{Members: members}.Object(bootVersion)
 }
--- a/internal/bench/slope/groups.go
+++ b/internal/bench/slope/groups.go
@@ -25,7 +25,7 @@
 		specs[i].Name = spool.Server(groupName(i))
 	}
 	table := route.New(specs)
-	table.Open(specs[0].Name, route.Reign{Term: 1})
+	table.Open(specs[0].Name, route.TermStart{Term: 1})
 	now := spool.Instant(0)
 	for range 100 {
 		now = now.Add(25 * time.Millisecond)
--- a/internal/bench/slope/leases.go
+++ b/internal/bench/slope/leases.go
@@ -13,11 +13,11 @@
 
 func leaseMeasures() []measure {
 	return []measure{
-		line("PledgeCPU", "roles pledged to", "CPU µs a request", []int{100, 1000, 10000}, pledgeMicros),
-		line("PledgeGroupBytes", "terms in a group's record", "bytes of request and answer", []int{1, 2, 4, 8}, groupBytes),
-		line("PledgeGroupCode", "terms in a group's record", "CPU µs to encode and decode", []int{1, 2, 4, 8}, groupCode),
-		line("PledgeTeamBytes", "letters of a team's name", "bytes of request and answer", []int{10, 20, 40}, teamBytes),
-		line("PledgeTeamCode", "letters of a team's name", "CPU µs to encode and decode", []int{10, 20, 40}, teamCode),
+		line("VoteCPU", "roles voted to", "CPU µs a request", []int{100, 1000, 10000}, voteMicros),
+		line("VoteGroupBytes", "terms in a group's record", "bytes of request and answer", []int{1, 2, 4, 8}, groupBytes),
+		line("VoteGroupCode", "terms in a group's record", "CPU µs to encode and decode", []int{1, 2, 4, 8}, groupCode),
+		line("VoteTeamBytes", "letters of a team's name", "bytes of request and answer", []int{10, 20, 40}, teamBytes),
+		line("VoteTeamCode", "letters of a team's name", "CPU µs to encode and decode", []int{10, 20, 40}, teamCode),
 	}
 }
 
@@ -32,67 +32,67 @@
 	return record
 }
 
-func pledgeEnvelopes(role lease.Role, record *wire.TermRecord) (request, answer *wire.Envelope) {
+func voteEnvelopes(role lease.Role, record *wire.TermRecord) (request, answer *wire.Envelope) {
 	request = &wire.Envelope{
 		From: "vm-0007", Incarnation: memberAt(7).Incarnation,
-		Body: &wire.Envelope_PledgeRequest{PledgeRequest: &wire.PledgeRequest{
-			Role: string(role), Roster: bootVersion, Sequence: 123456, Record: record,
+		Body: &wire.Envelope_VoteRequest{VoteRequest: &wire.VoteRequest{
+			Role: string(role), Quorum: bootVersion, Sequence: 123456, Record: record,
 			Incarnation: memberAt(7).Incarnation,
 		}},
 	}
 	answer = &wire.Envelope{
 		From: "vm-0001", Incarnation: memberAt(1).Incarnation,
-		Body: &wire.Envelope_PledgeAnswer{PledgeAnswer: &wire.PledgeAnswer{
-			Role: string(role), Sequence: 123456, Granted: true, Roster: bootVersion, Record: record,
+		Body: &wire.Envelope_VoteAnswer{VoteAnswer: &wire.VoteAnswer{
+			Role: string(role), Sequence: 123456, Granted: true, Quorum: bootVersion, Record: record,
 			Incarnation: memberAt(7).Incarnation,
 		}},
 	}
 	return request, answer
 }
 
-func groupPledge(terms int) (request, answer *wire.Envelope) {
-	return pledgeEnvelopes(lease.GroupRole(groupName(7)), termRecord(terms))
+func groupVote(terms int) (request, answer *wire.Envelope) {
+	return voteEnvelopes(lease.GroupRole(groupName(7)), termRecord(terms))
 }
 
-func teamPledge(letters int) (request, answer *wire.Envelope) {
-	return pledgeEnvelopes(lease.TeamRole(spool.Team(strings.Repeat("a", letters))), nil)
+func teamVote(letters int) (request, answer *wire.Envelope) {
+	return voteEnvelopes(lease.TeamRole(spool.Team(strings.Repeat("a", letters))), nil)
 }
 
 func groupBytes(terms int) (float64, error) {
-	request, answer := groupPledge(terms)
+	request, answer := groupVote(terms)
 	return float64(proto.Size(request) + proto.Size(answer)), nil
 }
 
 func groupCode(terms int) (float64, error) {
-	request, answer := groupPledge(terms)
+	request, answer := groupVote(terms)
 	return codeMicros(request) + codeMicros(answer), nil
 }
 
 func teamBytes(letters int) (float64, error) {
-	request, answer := teamPledge(letters)
+	request, answer := teamVote(letters)
 	return float64(proto.Size(request) + proto.Size(answer)), nil
 }
 
 func teamCode(letters int) (float64, error) {
-	request, answer := teamPledge(letters)
+	request, answer := teamVote(letters)
 	return codeMicros(request) + codeMicros(answer), nil
 }
 
-// pledgeMicros measures one request to a witness that has pledged to that many roles.
-func pledgeMicros(roles int) (float64, error) {
+// voteMicros measures one request to a witness that has voted to that many roles.
+func voteMicros(roles int) (float64, error) {
 	witness := lease.NewWitness(self().VM, 0)
-	roster := lease.Roster{Version: bootVersion, Members: []spool.VM{self().VM}}
-	witness.Confirm(roster, true)
+	quorum := lease.Quorum{Version: bootVersion, Members: []spool.VM{self().VM}}
+	witness.Confirm(quorum, true)
 	now := spool.Instant(10 * time.Second)
-	requests := make([]*wire.PledgeRequest, 0, roles)
+	requests := make([]*wire.VoteRequest, 0, roles)
 	for i := range roles {
-		requests = append(requests, &wire.PledgeRequest{
-			Role: string(lease.TeamRole(teamName(i))), Roster: bootVersion, Sequence: 1, Incarnation: 7,
+		requests = append(requests, &wire.VoteRequest{
+			Role: string(lease.TeamRole(teamName(i))), Quorum: bootVersion, Sequence: 1, Incarnation: 7,
 		})
 	}
 	next := 0
 	return microsPerCall(func() {
-		witness.Pledge("vm-0007", requests[next], now)
+		witness.Vote("vm-0007", requests[next], now)
 		next = (next + 1) % roles
 	}), nil
 }
--- a/internal/bench/slope/memory.go
+++ b/internal/bench/slope/memory.go
@@ -9,7 +9,7 @@
 	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/core/policy"
 	"corianderspool.example/spool/internal/core/share"
-	"corianderspool.example/spool/internal/keeper"
+	"corianderspool.example/spool/internal/leader"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -22,16 +22,16 @@
 		line("MemoryKeys", "keys", "bytes of the manifests in force", counts, keyMemory),
 		line("MemoryRoutes", "routes", "bytes of the manifests in force", counts, routeMemory),
 		line("MemoryGroups", "groups of three servers", "bytes of the manifests in force", counts, groupMemory),
-		line("MemoryPledges", "groups pledged to", "bytes of the witness", counts, pledgeMemory),
+		line("MemoryVotes", "groups voted to", "bytes of the witness", counts, voteMemory),
 		line("MemoryOwner", "VMs that ask", "bytes of the owner", counts, ownerMemory),
 		line("MemoryClients", "teams asked for", "bytes of clients and goroutines", counts, clientMemory),
-		line("MemoryKept", "groups kept, no connections", "bytes of the keeper", counts, keptMemory),
+		line("MemoryKept", "groups kept, no connections", "bytes of the leader", counts, keptMemory),
 	}
 }
 
 func memberMemory(members int) (float64, error) {
 	return bytesOf(func() (any, error) {
-		world := newWorld(members, []spool.Object{rosterObject(memberAt(1).VM)}, nil)
+		world := newWorld(members, []spool.Object{quorumObject(memberAt(1).VM)}, nil)
 		world.advance(warmUp)
 		return world.core, nil
 	})
@@ -64,17 +64,17 @@
 
 func groupMemory(groups int) (float64, error) { return manifestMemory(sizes{groups: groups}) }
 
-func pledgeMemory(groups int) (float64, error) {
+func voteMemory(groups int) (float64, error) {
 	return bytesOf(func() (any, error) {
 		witness := lease.NewWitness(self().VM, 0)
-		witness.Confirm(lease.Roster{Version: bootVersion, Members: []spool.VM{self().VM}}, true)
+		witness.Confirm(lease.Quorum{Version: bootVersion, Members: []spool.VM{self().VM}}, true)
 		for i := range groups {
 			record := termRecord(4)
 			record.Group = string(groupName(i))
-			request := &wire.PledgeRequest{
-				Role: string(lease.GroupRole(groupName(i))), Roster: bootVersion, Sequence: 1, Record: record,
+			request := &wire.VoteRequest{
+				Role: string(lease.GroupRole(groupName(i))), Quorum: bootVersion, Sequence: 1, Record: record,
 			}
-			witness.Pledge(memberAt(i).VM, request, spool.Instant(time.Minute))
+			witness.Vote(memberAt(i).VM, request, spool.Instant(time.Minute))
 		}
 		return witness, nil
 	})
@@ -113,7 +113,7 @@
 }
 
 func keptMemory(groups int) (float64, error) {
-	kept := []*keeper.Group{}
+	kept := []*leader.Group{}
 	defer func() {
 		for _, group := range kept {
 			group.Drop()
@@ -121,7 +121,7 @@
 	}()
 	return bytesOf(func() (any, error) {
 		for i := range groups {
-			kept = append(kept, keeper.New(groupSpec(i), &clock.Simulated{}, nil))
+			kept = append(kept, leader.New(groupSpec(i), &clock.Simulated{}, nil))
 		}
 		return kept, nil
 	})
--- a/internal/bench/slope/platform.go
+++ b/internal/bench/slope/platform.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	startSpan  = 3 * time.Second // start, and the roster's creation or change
+	startSpan  = 3 * time.Second // start, and the quorum's creation or change
 	steadySpan = 3 * time.Second
 	watchWait  = 1 * time.Second
 )
--- a/internal/bench/slope/sessions.go
+++ b/internal/bench/slope/sessions.go
@@ -38,11 +38,13 @@
 	return make(chan spool.Ending, 1), func() {}
 }
 
-func (stubGate) Begin(context.Context, spool.Work) (spool.Lane, error) { return stubLane{}, nil }
+func (stubGate) Begin(context.Context, spool.Work) (spool.Executor, error) {
+	return stubExecutor{}, nil
+}
 
-type stubLane struct{}
+type stubExecutor struct{}
 
-func (stubLane) Exchange(_ context.Context, _ *spool.Cycle, sink spool.Sink) (spool.Result, error) {
+func (stubExecutor) Exchange(_ context.Context, _ *spool.Cycle, sink spool.Sink) (spool.Result, error) {
 	answer, err := (&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")}).Encode(nil)
 	if err != nil {
 		return spool.Result{TxStatus: 'I'}, err
@@ -51,7 +53,7 @@
 	return spool.Result{TxStatus: 'I', Token: spool.Token{Group: groupName(1), Term: 1, Position: 1}, Sent: true}, err
 }
 
-func (stubLane) Close() {}
+func (stubExecutor) Close() {}
 
 // caller is a connection without any memory of the Go runtime.
 type caller int
--- a/internal/bench/slope/slope_test.go
+++ b/internal/bench/slope/slope_test.go
@@ -27,7 +27,7 @@
 func TestReportKeepsItsShapeInJSON(t *testing.T) {
 	c := qt.New(t)
 	report := Report{Threads: 2, Cores: 10, Rounds: 1, LoadBefore: 1, LoadAfter: 2, Series: []Series{{
-		Name: "BeatHeld", Size: "roles", Unit: "bytes",
+		Name: "HeartbeatHeld", Size: "roles", Unit: "bytes",
 		Points: []Point{{Size: 1, Value: 124}, {Size: 4, Value: 197}},
 		Fit:    Fit{Slope: 24, Intercept: 100, R2: 1},
 	}}}
@@ -36,7 +36,7 @@
 	c.Assert(string(encoded), qt.JSONEquals, map[string]any{
 		"Threads": 2, "Cores": 10, "Rounds": 1, "LoadBefore": 1, "LoadAfter": 2,
 		"Series": []any{map[string]any{
-			"Name": "BeatHeld", "Size": "roles", "Unit": "bytes",
+			"Name": "HeartbeatHeld", "Size": "roles", "Unit": "bytes",
 			"Points": []any{
 				map[string]any{"Size": 1, "Value": 124},
 				map[string]any{"Size": 4, "Value": 197},
@@ -48,7 +48,7 @@
 
 func TestRunFitsALineThroughTheChosenMeasure(t *testing.T) {
 	c := qt.New(t)
-	report, err := Run(Options{Only: "^PledgeTeamBytes$", Rounds: 1})
+	report, err := Run(Options{Only: "^VoteTeamBytes$", Rounds: 1})
 	c.Assert(err, qt.IsNil)
 	c.Assert(report.Series, qt.HasLen, 1)
 	series := report.Series[0]
--- a/internal/bench/slope/ticks.go
+++ b/internal/bench/slope/ticks.go
@@ -14,7 +14,7 @@
 
 const (
 	span        = 500 * time.Millisecond
-	pledgeSpan  = 10 * time.Second
+	voteSpan    = 10 * time.Second
 	someFleet   = 400
 	smallFleet  = 40
 	lostRoles   = 800
@@ -31,15 +31,15 @@
 		line("AssignLost", "members lost at once times 800 roles", "CPU µs of 100 ms", []int{10, 50, 150, 300}, assignLost).
 			against(func(lost int) float64 { return float64(lost * lostRoles) }),
 		line("AssignMembers", "members, 40 roles", "CPU µs a tick that assigns", []int{400, 800, 1600, 2800}, assignMembers),
-		line("BeatTick", "members", "CPU µs a tick that sends a relay's heartbeat", counts, beatTick),
+		line("HeartbeatTick", "members", "CPU µs a tick that sends a relay's heartbeat", counts, heartbeatTick),
 		line("PlainTick", "roles held elsewhere", "CPU µs any other tick", []int{50, 200, 800}, plainTick),
 		line("EventForeign", "roles held elsewhere", "CPU µs an event", []int{50, 200, 800}, eventForeign),
 		line("TickTeams", "team roles held, one witness", "CPU ms/s", []int{4, 8, 16, 32, 64}, heldTeams),
 		line("TickGroups", "groups kept and open, one witness", "CPU ms/s", []int{2, 4, 8, 16, 32}, keptGroups),
-		line("PledgesStart", "roles held elsewhere", "requests in the first 2 s", []int{50, 100, 200, 400}, startPledges),
+		line("VotesStart", "roles held elsewhere", "requests in the first 2 s", []int{50, 100, 200, 400}, startVotes),
 		line("ReadsOutage", "seconds of an outage after a start", "times that a proxy reads the platform", []int{20, 60, 180}, outageReads),
-		line("PledgesHolder", "roles held, five witnesses", "requests/s", []int{1, 4, 16}, pledgeRate(1, true)),
-		line("PledgesStandby", "roles sought in vain, five witnesses", "requests/s", []int{4, 16, 64}, pledgeRate(4, false)),
+		line("VotesHolder", "roles held, five witnesses", "requests/s", []int{1, 4, 16}, voteRate(1, true)),
+		line("VotesStandby", "roles sought in vain, five witnesses", "requests/s", []int{4, 16, 64}, voteRate(4, false)),
 		line("EventGroup", "groups kept and open", "CPU µs a server's status", []int{2, 4, 8, 16, 32}, statusSeen),
 		line("TickCandidate", "roles sought in vain", "CPU ms/s", []int{4, 8, 16, 32, 64}, candidate),
 	}
@@ -62,8 +62,8 @@
 	spent := 0.0
 	for i := range leaving {
 		world.digest.Members[100+i].Leaving = true
-		world.handle(world.beat())
-		world.plain, world.assign, world.beats = meter{}, meter{}, meter{}
+		world.handle(world.heartbeat())
+		world.plain, world.assign, world.heartbeats = meter{}, meter{}, meter{}
 		world.advance(assignInterval)
 		spent += world.millisPerSecond() * 1000 * assignInterval.Seconds()
 	}
@@ -76,8 +76,8 @@
 	for i := range lost {
 		world.digest.Members[50+i].Leaving = true
 	}
-	world.handle(world.beat())
-	world.plain, world.assign, world.beats = meter{}, meter{}, meter{}
+	world.handle(world.heartbeat())
+	world.plain, world.assign, world.heartbeats = meter{}, meter{}, meter{}
 	world.advance(assignInterval)
 	return world.millisPerSecond() * 1000 * assignInterval.Seconds(), nil
 }
@@ -86,7 +86,7 @@
 
 func plainTick(roles int) (float64, error) { return foreign(roles, someFleet).plain.mean(), nil }
 
-func beatTick(members int) (float64, error) { return foreign(1, members).beats.mean(), nil }
+func heartbeatTick(members int) (float64, error) { return foreign(1, members).heartbeats.mean(), nil }
 
 // foreign is a world where nearly all roles have better candidates.
 func foreign(roles, members int) *world {
@@ -97,7 +97,7 @@
 
 func foreignObjects(roles int) []spool.Object {
 	return []spool.Object{
-		rosterObject(memberAt(1).VM, memberAt(2).VM, memberAt(3).VM),
+		quorumObject(memberAt(1).VM, memberAt(2).VM, memberAt(3).VM),
 		manifestObject(sizes{teams: roles}),
 	}
 }
@@ -112,7 +112,7 @@
 }
 
 func heldTeams(teams int) (float64, error) {
-	objects := []spool.Object{rosterObject(self().VM), manifestObject(sizes{teams: teams})}
+	objects := []spool.Object{quorumObject(self().VM), manifestObject(sizes{teams: teams})}
 	world := newWorld(1, objects, nil)
 	world.settle(span)
 	return world.millisPerSecond(), nil
@@ -120,7 +120,7 @@
 
 // keepGroups is a world whose VM keeps all groups, each with an open term.
 func keepGroups(groups int) (*world, error) {
-	objects := []spool.Object{rosterObject(self().VM), manifestObject(sizes{teams: 1, groups: groups})}
+	objects := []spool.Object{quorumObject(self().VM), manifestObject(sizes{teams: 1, groups: groups})}
 	opened := map[spool.Group]bool{}
 	var made *world
 	answer := func(effect core.Effect) core.Event {
@@ -181,24 +181,24 @@
 	return microsPerCall(func() { world.core.Handle(event, world.now) }), nil
 }
 
-// pledging answers for all witnesses: it grants every request, or refuses it for a rival.
-func pledging(granted bool) func(effect core.Effect) core.Event {
+// voting answers for all witnesses: it grants every request, or refuses it for a rival.
+func voting(granted bool) func(effect core.Effect) core.Event {
 	return func(effect core.Effect) core.Event {
 		send, isSend := effect.(core.Send)
-		if !isSend || send.Envelope.GetPledgeRequest() == nil {
+		if !isSend || send.Envelope.GetVoteRequest() == nil {
 			return nil
 		}
-		request := send.Envelope.GetPledgeRequest()
-		answer := &wire.PledgeAnswer{
+		request := send.Envelope.GetVoteRequest()
+		answer := &wire.VoteAnswer{
 			Role: request.Role, Sequence: request.Sequence, Incarnation: request.Incarnation,
-			Roster: request.Roster, Granted: granted,
+			Quorum: request.Quorum, Granted: granted,
 		}
 		if !granted && !request.Release {
 			answer.Holder = string(memberAt(2).VM)
 			answer.RemainingNanos = rivalNanos
 		}
 		return core.Received{From: send.To, Envelope: &wire.Envelope{
-			Body: &wire.Envelope_PledgeAnswer{PledgeAnswer: answer},
+			Body: &wire.Envelope_VoteAnswer{VoteAnswer: answer},
 		}}
 	}
 }
@@ -209,8 +209,8 @@
 	for i := range witnesses {
 		vms = append(vms, memberAt(100+i).VM)
 	}
-	objects := []spool.Object{rosterObject(vms...), manifestObject(sizes{teams: roles})}
-	return newWorld(members, objects, pledging(granted))
+	objects := []spool.Object{quorumObject(vms...), manifestObject(sizes{teams: roles})}
+	return newWorld(members, objects, voting(granted))
 }
 
 func candidate(roles int) (float64, error) {
@@ -240,20 +240,20 @@
 	return float64(reads), nil
 }
 
-// startPledges counts what a proxy asks for before and after it knows the fleet.
-func startPledges(roles int) (float64, error) {
-	world := newWorld(someFleet, foreignObjects(roles), pledging(false))
+// startVotes counts what a proxy asks for before and after it knows the fleet.
+func startVotes(roles int) (float64, error) {
+	world := newWorld(someFleet, foreignObjects(roles), voting(false))
 	world.advance(warmUp)
-	return float64(world.pledges), nil
+	return float64(world.votes), nil
 }
 
-// pledgeRate counts the requests to five witnesses.
-func pledgeRate(members int, granted bool) func(roles int) (float64, error) {
+// voteRate counts the requests to five witnesses.
+func voteRate(members int, granted bool) func(roles int) (float64, error) {
 	return func(roles int) (float64, error) {
 		world := seeking(roles, members, 5, granted)
 		world.advance(warmUp)
-		before := world.pledges
-		world.advance(pledgeSpan)
-		return float64(world.pledges-before) / pledgeSpan.Seconds(), nil
+		before := world.votes
+		world.advance(voteSpan)
+		return float64(world.votes-before) / voteSpan.Seconds(), nil
 	}
 }
--- a/internal/bench/slope/world.go
+++ b/internal/bench/slope/world.go
@@ -19,24 +19,24 @@
 
 // world is a core whose fleet is played by a script.
 type world struct {
-	core    *core.Core
-	now     spool.Instant
-	members int
-	digest  *wire.Beat
-	answer  func(effect core.Effect) core.Event // nil events are left out
-	feed    func()                              // brings the events before a tick, which are not measured
-	plain   meter                               // ticks that assign no roles
-	assign  meter                               // ticks that assign roles and send no heartbeats
-	beats   meter                               // ticks that send heartbeats
-	heard   meter
-	sent    []*wire.Envelope // of the last beat
-	pledges int              // requests sent to witnesses
+	core       *core.Core
+	now        spool.Instant
+	members    int
+	digest     *wire.Heartbeat
+	answer     func(effect core.Effect) core.Event // nil events are left out
+	feed       func()                              // brings the events before a tick, which are not measured
+	plain      meter                               // ticks that assign no roles
+	assign     meter                               // ticks that assign roles and send no heartbeats
+	heartbeats meter                               // ticks that send heartbeats
+	heard      meter
+	sent       []*wire.Envelope // of the last heartbeat
+	votes      int              // requests sent to witnesses
 }
 
 func newWorld(members int, objects []spool.Object, answer func(effect core.Effect) core.Event) *world {
 	world := &world{
 		core: core.New(self(), 0), members: members, answer: answer,
-		digest: &wire.Beat{Domain: "domain-01", Address: "10.20.0.2:7000", Members: infos(members)},
+		digest: &wire.Heartbeat{Domain: "domain-01", Address: "10.20.0.2:7000", Members: infos(members)},
 	}
 	world.handle(core.ObjectsRead{Objects: objects, Version: bootVersion, SentAt: 0})
 	return world
@@ -62,11 +62,11 @@
 	if !isSend {
 		return
 	}
-	if send.Envelope.GetBeat() != nil {
+	if send.Envelope.GetHeartbeat() != nil {
 		world.sent = append(world.sent, send.Envelope)
 	}
-	if send.Envelope.GetPledgeRequest() != nil {
-		world.pledges++
+	if send.Envelope.GetVoteRequest() != nil {
+		world.votes++
 	}
 }
 
@@ -76,7 +76,7 @@
 	for world.now < end {
 		world.now = world.now.Add(tickInterval)
 		if time.Duration(world.now)%digestInterval == 0 && world.members > 1 {
-			world.heard.time(func() { world.handle(world.beat()) })
+			world.heard.time(func() { world.handle(world.heartbeat()) })
 		}
 		if world.feed != nil {
 			world.feed()
@@ -92,7 +92,7 @@
 	spent.time(func() { world.handle(core.Tick{}) })
 	switch {
 	case len(world.sent) > 0:
-		world.beats.add(spent)
+		world.heartbeats.add(spent)
 	case time.Duration(world.now)%assignInterval == tickInterval:
 		world.assign.add(spent)
 	default:
@@ -100,17 +100,17 @@
 	}
 }
 
-func (world *world) beat() core.Received {
+func (world *world) heartbeat() core.Received {
 	return core.Received{From: memberAt(1).VM, Envelope: &wire.Envelope{
 		From: string(memberAt(1).VM), Incarnation: memberAt(1).Incarnation,
-		Body: &wire.Envelope_Beat{Beat: world.digest},
+		Body: &wire.Envelope_Heartbeat{Heartbeat: world.digest},
 	}}
 }
 
 // settle warms the world up, then measures it over a span.
 func (world *world) settle(span time.Duration) {
 	world.advance(warmUp)
-	world.plain, world.assign, world.beats, world.heard = meter{}, meter{}, meter{}, meter{}
+	world.plain, world.assign, world.heartbeats, world.heard = meter{}, meter{}, meter{}, meter{}
 	world.advance(span)
 }
 
@@ -119,12 +119,12 @@
 	all := meter{}
 	all.add(world.plain)
 	all.add(world.assign)
-	all.add(world.beats)
+	all.add(world.heartbeats)
 	return all.mean() * float64(time.Second/tickInterval) / 1000
 }
 
-// nextBeat returns the heartbeat that the core sends next.
-func (world *world) nextBeat() (*wire.Envelope, error) {
+// nextHeartbeat returns the heartbeat that the core sends next.
+func (world *world) nextHeartbeat() (*wire.Envelope, error) {
 	for range 100 {
 		world.advance(tickInterval)
 		if len(world.sent) > 0 {
--- a/internal/cmds/program_test.go
+++ b/internal/cmds/program_test.go
@@ -309,7 +309,7 @@
 	bench := newBench(t)
 	status := spool.Status{
 		VM:     "fukuoka-1",
-		Groups: []spool.GroupStatus{{Group: "kyushu.records", Term: 7, Primary: "kyushu.records-2", Keeper: "fukuoka-1", Open: true}},
+		Groups: []spool.GroupStatus{{Group: "kyushu.records", Term: 7, Primary: "kyushu.records-2", Leader: "fukuoka-1", Open: true}},
 		Teams:  []spool.TeamStatus{{Team: "kyushu.counter", Owner: "kumamoto-1", RatePerSecond: 50, Burst: 100}},
 	}
 	handler := func(writer http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(writer).Encode(status) }
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -85,8 +85,8 @@
 	row(table, "PLATFORM IN REACH", status.PlatformInReach)
 	row(table, "SESSIONS", status.Sessions)
 	row(table, "AUDIT LOST", status.AuditLost)
-	row(table, "ROSTER", status.Roster.Members)
-	row(table, "ROSTER CHANGING", status.Roster.Changing, status.Roster.Next)
+	row(table, "ROSTER", status.Quorum.Members)
+	row(table, "ROSTER CHANGING", status.Quorum.Changing, status.Quorum.Next)
 }
 
 func printVMs(table *tabwriter.Writer, status spool.Status) {
@@ -99,7 +99,7 @@
 func printGroups(table *tabwriter.Writer, status spool.Status) {
 	row(table, "GROUP", "TERM", "PRIMARY", "KEEPER", "OPEN")
 	for _, group := range status.Groups {
-		row(table, group.Group, group.Term, group.Primary, group.Keeper, group.Open)
+		row(table, group.Group, group.Term, group.Primary, group.Leader, group.Open)
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	beatInterval   = 200 * time.Millisecond
-	assignInterval = 100 * time.Millisecond
-	tendInterval   = 1 * time.Second
-	readRetry      = 250 * time.Millisecond
-	longestRetry   = 4 * time.Second
-	askInterval    = 100 * time.Millisecond
-	settleTime     = 1 * time.Second
-	removedAfter   = 30 * time.Second
-	maxCandidates  = 4
+	heartbeatInterval = 200 * time.Millisecond
+	assignInterval    = 100 * time.Millisecond
+	tendInterval      = 1 * time.Second
+	readRetry         = 250 * time.Millisecond
+	longestRetry      = 4 * time.Second
+	askInterval       = 100 * time.Millisecond
+	settleTime        = 1 * time.Second
+	removedAfter      = 30 * time.Second
+	maxCandidates     = 4
 )
 
 // Core decides for one proxy; it is not safe for concurrent use.
@@ -37,33 +37,33 @@
 	store       *policy.Store
 	witness     *lease.Witness
 	changer     *lease.Changer
-	roster      lease.Roster
+	quorum      lease.Quorum
 	ownVersions *versions               // nil when an object changed since they were listed
-	copies      map[string]spool.Object // newest roster object, to pass on to peers
+	copies      map[string]spool.Object // newest quorum object, to pass on to peers
 
 	roles   ordered[lease.Role, *role]
 	groups  ordered[spool.Group, *group]
 	owners  map[spool.Team]*share.Owner
 	located map[lease.Role]location
 
-	started    spool.Instant
-	confirmed  confirmation
-	trusted    bool
-	complete   bool // every kind of object was read from the platform itself
-	configured bool // manifests came from the platform or from a complete peer
-	reassign   bool // the roles to seek may have changed since they were last looked at
-	reading    bool
-	readAfter  spool.Instant
-	failures   int // reads in a row that failed
-	watching   bool
-	nextBeat   spool.Instant
-	nextAssign spool.Instant
-	nextTend   spool.Instant
-	asked      map[spool.VM]spool.Instant
-	sought     map[lease.Role]spool.Instant
-	removed    map[spool.VM]spool.Instant // VMs that the platform removed from its list, and since when
-	sequence   uint64
-	without    mechanism // turned off by tests that expect a proof to fail
+	started       spool.Instant
+	confirmed     confirmation
+	trusted       bool
+	complete      bool // every kind of object was read from the platform itself
+	configured    bool // manifests came from the platform or from a complete peer
+	reassign      bool // the roles to seek may have changed since they were last looked at
+	reading       bool
+	readAfter     spool.Instant
+	failures      int // reads in a row that failed
+	watching      bool
+	nextHeartbeat spool.Instant
+	nextAssign    spool.Instant
+	nextTend      spool.Instant
+	asked         map[spool.VM]spool.Instant
+	sought        map[lease.Role]spool.Instant
+	removed       map[spool.VM]spool.Instant // VMs that the platform removed from its list, and since when
+	sequence      uint64
+	without       mechanism // turned off by tests that expect a proof to fail
 
 	effects []Effect
 }
@@ -76,7 +76,7 @@
 	return func(core *Core) { core.leaseOptions = append(core.leaseOptions, options...) }
 }
 
-// WithTerms sets options of the keepers.
+// WithTerms sets options of the leaders.
 func WithTerms(options ...terms.Option) Option {
 	return func(core *Core) { core.termsOptions = append(core.termsOptions, options...) }
 }
@@ -169,13 +169,13 @@
 		core.view.Forget(now)
 		core.assign(now)
 		core.watch(now)
-		core.tendRoster(now)
+		core.tendQuorum(now)
 	}
 	core.tickRoles(now)
 	core.tickGroups(now)
 	core.judgeTrust(now)
-	if now >= core.nextBeat {
-		core.beat(now)
+	if now >= core.nextHeartbeat {
+		core.heartbeat(now)
 	}
 }
 
@@ -184,13 +184,13 @@
 
 func (core *Core) receive(from spool.VM, envelope *wire.Envelope, now spool.Instant) {
 	switch body := envelope.Body.(type) {
-	case *wire.Envelope_Beat:
-		core.heard(from, envelope.Incarnation, body.Beat, now)
-	case *wire.Envelope_PledgeRequest:
-		answer := core.witness.Pledge(from, body.PledgeRequest, now)
-		core.send(from, &wire.Envelope{Body: &wire.Envelope_PledgeAnswer{PledgeAnswer: answer}})
-	case *wire.Envelope_PledgeAnswer:
-		core.pledged(from, body.PledgeAnswer, now)
+	case *wire.Envelope_Heartbeat:
+		core.heard(from, envelope.Incarnation, body.Heartbeat, now)
+	case *wire.Envelope_VoteRequest:
+		answer := core.witness.Vote(from, body.VoteRequest, now)
+		core.send(from, &wire.Envelope{Body: &wire.Envelope_VoteAnswer{VoteAnswer: answer}})
+	case *wire.Envelope_VoteAnswer:
+		core.voted(from, body.VoteAnswer, now)
 	case *wire.Envelope_GrantRequest:
 		answer := core.grant(from, body.GrantRequest, now)
 		if answer != nil {
@@ -208,7 +208,7 @@
 		core.configAnswered(body.ConfigAnswer, now)
 	case *wire.Envelope_LocateRequest:
 		answer := core.witness.Locate(lease.Role(body.LocateRequest.Role), now)
-		answer.Roster = uint64(core.witness.Seen())
+		answer.Quorum = uint64(core.witness.Seen())
 		core.send(from, &wire.Envelope{Body: &wire.Envelope_LocateAnswer{LocateAnswer: answer}})
 	case *wire.Envelope_LocateAnswer:
 		core.locateAnswered(from, body.LocateAnswer, now)
@@ -223,7 +223,7 @@
 		}
 		core.giveUp(role, now)
 	}
-	core.beat(now)
+	core.heartbeat(now)
 }
 
 func (core *Core) drained(group spool.Group, now spool.Instant) {
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -35,10 +35,10 @@
 	Nonce  uint64
 }
 
-// KeepGroup tells that this proxy became the keeper of a group: its servers are to be polled.
+// KeepGroup tells that this proxy became the leader of a group: its servers are to be polled.
 type KeepGroup struct{ Group spool.GroupSpec }
 
-// DropGroup tells that this proxy is the keeper of a group no longer.
+// DropGroup tells that this proxy is the leader of a group no longer.
 type DropGroup struct{ Group spool.Group }
 
 // OpenGroup tells that requests may run on the primary of a term.
@@ -107,13 +107,13 @@
 
 // Topics of notes.
 const (
-	TopicKeeperTaken Topic = iota
-	TopicKeeperLost
+	TopicLeaderTaken Topic = iota
+	TopicLeaderLost
 	TopicOwnerTaken
 	TopicOwnerLost
 	TopicTerm
 	TopicTermOpened
-	TopicRoster
+	TopicQuorum
 	TopicAccepted
 	TopicRejected
 	TopicWithdrawn
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -61,7 +61,7 @@
 	Result WriteResult
 }
 
-// GroupEvent brings an event to the keeper of a group.
+// GroupEvent brings an event to the leader of a group.
 type GroupEvent struct {
 	Group spool.Group
 	Event terms.Event
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -9,10 +9,10 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// group is the keeper of a database group, which acts while its role is held.
+// group is the leader of a database group, which acts while its role is held.
 type group struct {
 	name   spool.Group
-	keeper *terms.Keeper
+	leader *terms.Leader
 	fence  terms.Fence
 	writes map[uint64]*wire.TermRecord
 }
@@ -24,20 +24,20 @@
 	}
 	created := &group{
 		name:   name,
-		keeper: terms.NewKeeper(name, core.self.VM, core.self.Incarnation, core.termsOptions...),
+		leader: terms.NewLeader(name, core.self.VM, core.self.Incarnation, core.termsOptions...),
 		writes: map[uint64]*wire.TermRecord{},
 	}
 	core.groups.add(name, created)
 	return created
 }
 
-// turnGroup begins or ends this proxy's time as a group's keeper.
+// turnGroup begins or ends this proxy's time as a group's leader.
 func (core *Core) turnGroup(name spool.Group, role *role, now spool.Instant) {
 	if !role.held {
 		role.backing = nil
 		core.groupEvent(name, terms.LeaseLost{}, now)
 		core.emit(DropGroup{Group: name})
-		core.emit(Note{Topic: TopicKeeperLost, Group: name})
+		core.emit(Note{Topic: TopicLeaderLost, Group: name})
 		return
 	}
 	spec, known := core.store.Snapshot().Group(name)
@@ -46,19 +46,19 @@
 	}
 	core.locate(role.name, core.self.VM, now)
 	core.emit(KeepGroup{Group: spec})
-	core.emit(Note{Topic: TopicKeeperTaken, Group: name})
+	core.emit(Note{Topic: TopicLeaderTaken, Group: name})
 	core.groupEvent(name, terms.ServersChanged{Servers: spec.Servers}, now)
 	core.groupEvent(name, core.witnesses(), now)
 	record := lease.NewestRecord(role.holder.Newest(), core.witness.Record(name))
 	core.groupEvent(name, terms.LeaseGained{Record: record}, now)
 }
 
-func (core *Core) witnesses() terms.RosterChanged {
+func (core *Core) witnesses() terms.QuorumChanged {
 	domains := map[spool.VM]spool.Domain{}
 	for _, member := range core.view.Members() {
 		domains[member.VM] = member.Domain
 	}
-	return terms.RosterChanged{Members: core.roster.Members, Domains: domains}
+	return terms.QuorumChanged{Members: core.quorum.Members, Domains: domains}
 }
 
 func (core *Core) groupEvent(name spool.Group, event terms.Event, now spool.Instant) {
@@ -66,7 +66,7 @@
 		return
 	}
 	group := core.group(name)
-	for _, effect := range group.keeper.Handle(event, now) {
+	for _, effect := range group.leader.Handle(event, now) {
 		core.groupEffect(group, effect, now)
 	}
 }
@@ -92,7 +92,7 @@
 		}
 	case terms.Follow:
 		core.follow(group.name, effect)
-	case terms.Pledge:
+	case terms.Vote:
 		role.backing = effect.Record
 		role.holder.SetRecord(effect.Record)
 		core.ask(role, now)
@@ -204,7 +204,7 @@
 		role := core.roles.get(lease.GroupRole(group.name))
 		fence := terms.Fence{}
 		if role.held && role.holder.Held(now) {
-			fence = terms.Fence{Until: role.holder.Until(), Term: group.keeper.OpenTerm()}
+			fence = terms.Fence{Until: role.holder.Until(), Term: group.leader.OpenTerm()}
 		}
 		if fence != group.fence {
 			group.fence = fence
--- a/internal/core/beats.go
+++ b/internal/core/heartbeat.go
@@ -14,44 +14,44 @@
 	heard spool.Instant
 }
 
-func (core *Core) beat(now spool.Instant) {
-	core.nextBeat = now.Add(beatInterval)
-	beat := &wire.Beat{
+func (core *Core) heartbeat(now spool.Instant) {
+	core.nextHeartbeat = now.Add(heartbeatInterval)
+	heartbeat := &wire.Heartbeat{
 		Domain: string(core.self.Domain), Address: core.self.Address,
 		Leaving: core.view.Self().Leaving, Versions: core.own().list,
 		Sequence: core.nonce(), Members: core.view.Digest(now),
 	}
 	if core.confirmed.known {
-		beat.Confirmed = true
-		beat.ConfirmedAgeNanos = int64(now.Sub(core.confirmed.at))
+		heartbeat.Confirmed = true
+		heartbeat.ConfirmedAgeNanos = int64(now.Sub(core.confirmed.at))
 	}
 	for _, role := range core.roles.sorted {
 		if role.held {
-			beat.Held = append(beat.Held, string(role.name))
+			heartbeat.Held = append(heartbeat.Held, string(role.name))
 		}
 	}
 	for _, to := range core.view.Links(now) {
-		core.send(to, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: beat}})
+		core.send(to, &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: heartbeat}})
 	}
 }
 
-func (core *Core) heard(from spool.VM, incarnation uint64, beat *wire.Beat, now spool.Instant) {
-	core.view.Hear(from, incarnation, beat, now)
+func (core *Core) heard(from spool.VM, incarnation uint64, heartbeat *wire.Heartbeat, now spool.Instant) {
+	core.view.Hear(from, incarnation, heartbeat, now)
 	for name, location := range core.located {
-		if location.vm == from && !slices.Contains(beat.Held, string(name)) {
+		if location.vm == from && !slices.Contains(heartbeat.Held, string(name)) {
 			core.forget(name)
 			core.freed(name, from, now)
 		}
 	}
-	for _, name := range beat.Held {
+	for _, name := range heartbeat.Held {
 		core.locate(lease.Role(name), from, now)
 	}
-	if beat.Confirmed && !core.behind(beat.Versions) {
-		core.confirmed.raise(now - spool.Instant(beat.ConfirmedAgeNanos) - spool.Instant(beatDelay))
+	if heartbeat.Confirmed && !core.behind(heartbeat.Versions) {
+		core.confirmed.raise(now - spool.Instant(heartbeat.ConfirmedAgeNanos) - spool.Instant(heartbeatDelay))
 	}
-	core.compare(from, beat.Versions, now)
-	for _, version := range beat.Versions {
-		if version.Kind == spool.KindRoster {
+	core.compare(from, heartbeat.Versions, now)
+	for _, version := range heartbeat.Versions {
+		if version.Kind == spool.KindQuorum {
 			core.changerActions(core.changer.Seen(from, spool.Version(version.Version), now))
 		}
 	}
@@ -70,8 +70,8 @@
 
 func (core *Core) configAsked(from spool.VM, request *wire.ConfigRequest) {
 	objects := core.store.Objects()
-	if roster, known := core.copies[spool.KindRoster]; known {
-		objects = append(objects, roster)
+	if quorum, known := core.copies[spool.KindQuorum]; known {
+		objects = append(objects, quorum)
 	}
 	answer := &wire.ConfigAnswer{Complete: core.configured}
 	asker := newVersions(request.Versions)
@@ -122,7 +122,7 @@
 }
 
 func (core *Core) locateAnswered(from spool.VM, answer *wire.LocateAnswer, now spool.Instant) {
-	core.changerActions(core.changer.Seen(from, spool.Version(answer.Roster), now))
+	core.changerActions(core.changer.Seen(from, spool.Version(answer.Quorum), now))
 	name := lease.Role(answer.Role)
 	if _, known := core.located[name]; !known && answer.Holder != "" {
 		core.locate(name, spool.VM(answer.Holder), now)
@@ -141,7 +141,7 @@
 		return
 	}
 	core.sought[name] = now.Add(askInterval)
-	for _, witness := range core.roster.Members {
+	for _, witness := range core.quorum.Members {
 		if witness != core.self.VM {
 			core.send(witness, &wire.Envelope{Body: &wire.Envelope_LocateRequest{
 				LocateRequest: &wire.LocateRequest{Role: string(name)},
--- a/internal/core/lease/attempt.go
+++ b/internal/core/lease/attempt.go
@@ -10,15 +10,15 @@
 // ask sends one request and remembers when.
 func (holder *Holder) ask(vm spool.VM, now spool.Instant) Out {
 	request := holder.request()
-	request.Roster = uint64(holder.roster.Version)
+	request.Quorum = uint64(holder.quorum.Version)
 	request.Record = holder.record
 	holder.support(vm).send(request.Sequence, flight{sentAt: now, record: holder.record}, holder.config.counted())
 	return Out{To: vm, Request: request}
 }
 
-func (holder *Holder) request() *wire.PledgeRequest {
+func (holder *Holder) request() *wire.VoteRequest {
 	holder.sequence++
-	return &wire.PledgeRequest{
+	return &wire.VoteRequest{
 		Role:        string(holder.role),
 		Sequence:    holder.sequence,
 		Incarnation: holder.incarnation,
@@ -34,7 +34,7 @@
 	return found
 }
 
-// expire notices that the lease has ended by itself; what was pledged before counts no more.
+// expire notices that the lease has ended by itself; what was voted before counts no more.
 func (holder *Holder) expire(now spool.Instant) {
 	if holder.phase != phaseHolding || now < holder.end() {
 		return
@@ -43,7 +43,7 @@
 	holder.nextAt = max(holder.nextAt, now.Add(holder.stagger()))
 }
 
-// drop ends the lease or the attempt and forgets all pledges.
+// drop ends the lease or the attempt and forgets all votes.
 func (holder *Holder) drop() {
 	if holder.phase == phaseHolding {
 		holder.changes = append(holder.changes, Lost)
@@ -56,7 +56,7 @@
 // release is drop with a release for every witness that was asked.
 func (holder *Holder) release() {
 	if holder.phase != phaseIdle {
-		for _, vm := range holder.roster.Members {
+		for _, vm := range holder.quorum.Members {
 			if !holder.support(vm).asked {
 				continue
 			}
@@ -68,7 +68,7 @@
 	holder.drop()
 }
 
-// abandon gives back the pledges of an attempt without a majority and plans the next one.
+// abandon gives back the votes of an attempt without a majority and plans the next one.
 func (holder *Holder) abandon(now spool.Instant) {
 	rivals := holder.supports
 	next := max(holder.RivalUntil(), now).Add(holder.stagger() + holder.jitter())
@@ -88,7 +88,7 @@
 			refusals++
 		}
 	}
-	if holder.phase == phaseAsking && refusals > len(holder.roster.Members)-holder.roster.Majority() {
+	if holder.phase == phaseAsking && refusals > len(holder.quorum.Members)-holder.quorum.Majority() {
 		holder.abandon(now)
 	}
 }
--- a/internal/core/lease/changer.go
+++ b/internal/core/lease/changer.go
@@ -6,28 +6,28 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// ReadRoster asks for the platform's roster.
-type ReadRoster struct{}
+// ReadQuorum asks for the platform's quorum.
+type ReadQuorum struct{}
 
-// WriteRoster asks to record a roster by conditional update.
-type WriteRoster struct {
-	Expected spool.Version // zero if the roster must not exist
-	Roster   Roster
+// WriteQuorum asks to record a quorum by conditional update.
+type WriteQuorum struct {
+	Expected spool.Version // zero if the quorum must not exist
+	Quorum   Quorum
 }
 
-// Action is what a Changer asks for: ReadRoster or WriteRoster.
+// Action is what a Changer asks for: ReadQuorum or WriteQuorum.
 type Action interface{ action() }
 
-func (ReadRoster) action()  {}
-func (WriteRoster) action() {}
+func (ReadQuorum) action()  {}
+func (WriteQuorum) action() {}
 
-// Changer creates the roster and replaces members that are gone; any number of proxies may run one.
+// Changer creates the quorum and replaces members that are gone; any number of proxies may run one.
 type Changer struct {
 	config    Config
-	roster    Roster
+	quorum    Quorum
 	read      bool // the platform was read at least once
 	readAt    spool.Instant
-	asked     bool // a ReadRoster was asked for
+	asked     bool // a ReadQuorum was asked for
 	calling   bool // an action waits for its result
 	firstAt   spool.Instant
 	alive     map[spool.VM]spool.Member
@@ -35,7 +35,7 @@
 	domain    map[spool.VM]spool.Domain
 	removed   map[spool.VM]bool
 	seen      map[spool.VM]spool.Version
-	sealed    bool // a majority has seen the changing roster
+	sealed    bool // a majority has seen the changing quorum
 	sealedAt  spool.Instant
 	unsettled bool
 }
@@ -75,28 +75,28 @@
 	}
 }
 
-// Observe tells of the roster that the platform was read to hold; a zero Version says that none exists.
-func (changer *Changer) Observe(roster Roster, now spool.Instant) []Action {
+// Observe tells of the quorum that the platform was read to hold; a zero Version says that none exists.
+func (changer *Changer) Observe(quorum Quorum, now spool.Instant) []Action {
 	changer.read = true
 	changer.readAt = now
 	changer.calling = false
-	changer.adopt(roster)
+	changer.adopt(quorum)
 	return changer.Tick(now)
 }
 
-// Written tells the result of WriteRoster: the roster with its new version.
-func (changer *Changer) Written(roster Roster, now spool.Instant) []Action {
-	return changer.Observe(roster, now)
+// Written tells the result of WriteQuorum: the quorum with its new version.
+func (changer *Changer) Written(quorum Quorum, now spool.Instant) []Action {
+	return changer.Observe(quorum, now)
 }
 
-// Failed tells that WriteRoster met another version or that its outcome, or that of ReadRoster, is unknown.
+// Failed tells that WriteQuorum met another version or that its outcome, or that of ReadQuorum, is unknown.
 func (changer *Changer) Failed(now spool.Instant) []Action {
 	changer.calling = false
 	changer.read = false
 	return changer.Tick(now)
 }
 
-// Seen tells which roster version the witness at a VM obeys, from its heartbeats or pledge answers.
+// Seen tells which quorum version the witness at a VM obeys, from its heartbeats or vote answers.
 func (changer *Changer) Seen(vm spool.VM, version spool.Version, now spool.Instant) []Action {
 	changer.seen[vm] = max(changer.seen[vm], version)
 	return changer.Tick(now)
@@ -115,7 +115,7 @@
 		return nil
 	}
 	changer.calling = true
-	return []Action{WriteRoster{Expected: changer.roster.Version, Roster: next}}
+	return []Action{WriteQuorum{Expected: changer.quorum.Version, Quorum: next}}
 }
 
 func (changer *Changer) reread(now spool.Instant) []Action {
@@ -125,71 +125,71 @@
 	changer.asked = true
 	changer.readAt = now
 	changer.calling = true
-	return []Action{ReadRoster{}}
+	return []Action{ReadQuorum{}}
 }
 
-func (changer *Changer) adopt(roster Roster) {
-	if roster.Version <= changer.roster.Version {
+func (changer *Changer) adopt(quorum Quorum) {
+	if quorum.Version <= changer.quorum.Version {
 		return
 	}
-	changer.roster = roster
+	changer.quorum = quorum
 	changer.sealed = false
 }
 
-// next returns the roster to record now, if any.
-func (changer *Changer) next(now spool.Instant) (Roster, bool) {
-	if changer.roster.Version == 0 {
+// next returns the quorum to record now, if any.
+func (changer *Changer) next(now spool.Instant) (Quorum, bool) {
+	if changer.quorum.Version == 0 {
 		return changer.first(now)
 	}
-	if changer.roster.Changing {
+	if changer.quorum.Changing {
 		return changer.complete(now)
 	}
 	wanted := changer.wanted(now)
-	if slices.Equal(wanted, changer.roster.Members) {
-		return Roster{}, false
+	if slices.Equal(wanted, changer.quorum.Members) {
+		return Quorum{}, false
 	}
-	return Roster{
-		Base:     changer.roster.Version,
-		Members:  changer.roster.Members,
+	return Quorum{
+		Base:     changer.quorum.Version,
+		Members:  changer.quorum.Members,
 		Next:     wanted,
 		Changing: true,
 	}, true
 }
 
-// first creates the roster once three failure domains are known or the wait for them is over.
-func (changer *Changer) first(now spool.Instant) (Roster, bool) {
+// first creates the quorum once three failure domains are known or the wait for them is over.
+func (changer *Changer) first(now spool.Instant) (Quorum, bool) {
 	if changer.unsettled {
-		return Roster{}, false
+		return Quorum{}, false
 	}
 	members := changer.wanted(now)
 	if len(members) == 0 {
-		return Roster{}, false
+		return Quorum{}, false
 	}
-	if changer.domains() < smallRoster && now.Sub(changer.firstAt) < changer.config.Settle {
-		return Roster{}, false
+	if changer.domains() < smallQuorum && now.Sub(changer.firstAt) < changer.config.Settle {
+		return Quorum{}, false
 	}
-	return Roster{Members: members}, true
+	return Quorum{Members: members}, true
 }
 
-// complete ends the change once no pledge under the old members can still be counted.
-func (changer *Changer) complete(now spool.Instant) (Roster, bool) {
+// complete ends the change once no vote under the old members can still be counted.
+func (changer *Changer) complete(now spool.Instant) (Quorum, bool) {
 	if !changer.sealed {
-		changer.sealed = changer.confirmations() >= changer.roster.Majority()
+		changer.sealed = changer.confirmations() >= changer.quorum.Majority()
 		changer.sealedAt = now
 	}
 	if changer.config.unsealed {
-		return Roster{Base: changer.roster.Base, Members: changer.roster.Next}, true
+		return Quorum{Base: changer.quorum.Base, Members: changer.quorum.Next}, true
 	}
 	if !changer.sealed || now.Sub(changer.sealedAt) < changer.config.waited() {
-		return Roster{}, false
+		return Quorum{}, false
 	}
-	return Roster{Base: changer.roster.Base, Members: changer.roster.Next}, true
+	return Quorum{Base: changer.quorum.Base, Members: changer.quorum.Next}, true
 }
 
 func (changer *Changer) confirmations() int {
 	count := 0
-	for _, vm := range changer.roster.Members {
-		if changer.removed[vm] || changer.seen[vm] >= changer.roster.Version {
+	for _, vm := range changer.quorum.Members {
+		if changer.removed[vm] || changer.seen[vm] >= changer.quorum.Version {
 			count++
 		}
 	}
--- a/internal/core/lease/choice.go
+++ b/internal/core/lease/choice.go
@@ -9,15 +9,15 @@
 
 // Numbers of witnesses, all odd.
 const (
-	singleRoster = 1
-	smallRoster  = 3
-	largeRoster  = 5
+	singleQuorum = 1
+	smallQuorum  = 3
+	largeQuorum  = 5
 )
 
-// wanted returns the members that the roster should have: those it has, but for the gone ones, over as many failure
+// wanted returns the members that the quorum should have: those it has, but for the gone ones, over as many failure
 // domains as possible.
 func (changer *Changer) wanted(now spool.Instant) []spool.VM {
-	size := max(changer.size(), len(changer.roster.Members))
+	size := max(changer.size(), len(changer.quorum.Members))
 	chosen := choice{size: size, domains: map[spool.Domain]bool{}}
 	kept, gone := changer.split(now)
 	spare := changer.spare()
@@ -27,9 +27,9 @@
 	chosen.add(spare)
 	chosen.add(gone)
 	slices.Sort(chosen.vms)
-	current := slices.Sorted(slices.Values(changer.roster.Members))
+	current := slices.Sorted(slices.Values(changer.quorum.Members))
 	if slices.Equal(chosen.vms, current) {
-		return changer.roster.Members
+		return changer.quorum.Members
 	}
 	return chosen.vms
 }
@@ -37,12 +37,12 @@
 // size is the number of witnesses that the live VMs allow for.
 func (changer *Changer) size() int {
 	switch {
-	case changer.domains() >= largeRoster:
-		return largeRoster
-	case len(changer.spare())+len(changer.roster.Members) >= smallRoster:
-		return smallRoster
+	case changer.domains() >= largeQuorum:
+		return largeQuorum
+	case len(changer.spare())+len(changer.quorum.Members) >= smallQuorum:
+		return smallQuorum
 	default:
-		return singleRoster
+		return singleQuorum
 	}
 }
 
@@ -56,9 +56,9 @@
 	return len(domains)
 }
 
-// split parts the roster's members into those that stay and those that are gone.
+// split parts the quorum's members into those that stay and those that are gone.
 func (changer *Changer) split(now spool.Instant) (kept, gone []spool.Member) {
-	for _, vm := range changer.roster.Members {
+	for _, vm := range changer.quorum.Members {
 		member := spool.Member{VM: vm, Domain: changer.domainOf(vm)}
 		if changer.gone(vm, now) {
 			gone = append(gone, member)
@@ -90,11 +90,11 @@
 	return changer.removed[vm] || now.Sub(last) >= changer.config.Gone
 }
 
-// spare returns the live VMs that are not in the roster, by name.
+// spare returns the live VMs that are not in the quorum, by name.
 func (changer *Changer) spare() []spool.Member {
 	var spare []spool.Member
 	for vm, member := range changer.alive {
-		if !member.Leaving && !changer.roster.Contains(vm) {
+		if !member.Leaving && !changer.quorum.Contains(vm) {
 			spare = append(spare, member)
 		}
 	}
--- a/internal/core/lease/doc.go
+++ b/internal/core/lease/doc.go
@@ -1,5 +1,5 @@
-// Package lease grants roles to one proxy at a time, backed by a majority of the witnesses in the fleet's roster.
+// Package lease grants roles to one proxy at a time, backed by a majority of the witnesses in the fleet's quorum.
 //
-// A Witness pledges, a Holder collects pledges for one role, and a Changer replaces the roster's members. All of them
+// A Witness votes, a Holder collects votes for one role, and a Changer replaces the quorum's members. All of them
 // are deterministic: instants come in, and requests to send come out.
 package lease
--- a/internal/core/lease/holder.go
+++ b/internal/core/lease/holder.go
@@ -11,7 +11,7 @@
 // Out is a request to send to the witness at VM To, which may be the sender's own.
 type Out struct {
 	To      spool.VM
-	Request *wire.PledgeRequest
+	Request *wire.VoteRequest
 }
 
 // Change tells what became of a holder's lease.
@@ -32,13 +32,13 @@
 	phaseHolding
 )
 
-// Holder collects pledges for one role at one candidate.
+// Holder collects votes for one role at one candidate.
 type Holder struct {
 	role        Role
 	incarnation uint64
 	config      Config
-	roster      Roster
-	seenRoster  spool.Version
+	quorum      Quorum
+	seenQuorum  spool.Version
 	record      *wire.TermRecord
 	newest      *wire.TermRecord
 
@@ -61,14 +61,14 @@
 	return &Holder{role: role, incarnation: incarnation, config: newConfig(options), supports: map[spool.VM]*support{}}
 }
 
-// SetRoster tells of a newer roster and ends all pledges that were counted under the old version. While a roster
+// SetQuorum tells of a newer quorum and ends all votes that were counted under the old version. While a quorum
 // changes, the old one counts: its witnesses renew until they have seen the change, and the change waits for the rest.
-func (holder *Holder) SetRoster(roster Roster, now spool.Instant) {
-	if roster.Changing || roster.Version <= holder.roster.Version {
+func (holder *Holder) SetQuorum(quorum Quorum, now spool.Instant) {
+	if quorum.Changing || quorum.Version <= holder.quorum.Version {
 		return
 	}
 	holder.drop()
-	holder.roster = roster
+	holder.quorum = quorum
 	holder.nextAt = max(now.Add(holder.stagger()), holder.yieldedTo)
 }
 
@@ -93,7 +93,7 @@
 	holder.nextAt = max(holder.nextAt, now.Add(holder.stagger()))
 }
 
-// Stop gives the role up at once and has the next Due release the pledges.
+// Stop gives the role up at once and has the next Due release the votes.
 func (holder *Holder) Stop() {
 	holder.seeking = false
 	holder.release()
@@ -106,7 +106,7 @@
 	holder.nextAt = holder.yieldedTo
 }
 
-// Freed tells that the rival has given the role up, so that the next attempt need not wait for its pledges to end.
+// Freed tells that the rival has given the role up, so that the next attempt need not wait for its votes to end.
 func (holder *Holder) Freed(now spool.Instant) {
 	if holder.phase == phaseIdle && holder.Rival(now) != "" {
 		holder.supports = map[spool.VM]*support{}
@@ -133,7 +133,7 @@
 		holder.askedAt = now
 		holder.attempts++
 	}
-	for _, vm := range holder.roster.Members {
+	for _, vm := range holder.quorum.Members {
 		if holder.support(vm).wants(now, holder.config.Renew) {
 			outs = append(outs, holder.ask(vm, now))
 		}
@@ -142,12 +142,12 @@
 }
 
 // Receive takes in the answer of the witness at VM from.
-func (holder *Holder) Receive(from spool.VM, answer *wire.PledgeAnswer, now spool.Instant) {
+func (holder *Holder) Receive(from spool.VM, answer *wire.VoteAnswer, now spool.Instant) {
 	holder.expire(now)
 	if Role(answer.Role) != holder.role || answer.Incarnation != holder.incarnation {
 		return
 	}
-	holder.seenRoster = max(holder.seenRoster, spool.Version(answer.Roster))
+	holder.seenQuorum = max(holder.seenQuorum, spool.Version(answer.Quorum))
 	support, ok := holder.supports[from]
 	if !ok {
 		return
@@ -158,7 +158,7 @@
 	}
 	delete(support.flights, answer.Sequence)
 	holder.newest = NewestRecord(holder.newest, answer.Record)
-	if !answer.Granted || spool.Version(answer.Roster) != holder.roster.Version {
+	if !answer.Granted || spool.Version(answer.Quorum) != holder.quorum.Version {
 		support.refuse(answer, now)
 		holder.abandonIfHopeless(now)
 		return
@@ -198,7 +198,7 @@
 	return holder.end()
 }
 
-// Backed tells whether a majority pledged with a record at least as new.
+// Backed tells whether a majority voted with a record at least as new.
 func (holder *Holder) Backed(record *wire.TermRecord) bool {
 	backers := 0
 	for _, support := range holder.supports {
@@ -206,20 +206,20 @@
 			backers++
 		}
 	}
-	return holder.phase == phaseHolding && backers >= holder.roster.Majority()
+	return holder.phase == phaseHolding && backers >= holder.quorum.Majority()
 }
 
 // Newest returns the newest term record that the witnesses told of, or nil.
 func (holder *Holder) Newest() *wire.TermRecord { return holder.newest }
 
-// SeenRoster returns the newest roster version that a witness told of.
-func (holder *Holder) SeenRoster() spool.Version { return holder.seenRoster }
+// SeenQuorum returns the newest quorum version that a witness told of.
+func (holder *Holder) SeenQuorum() spool.Version { return holder.seenQuorum }
 
 // Rival returns the VM that a witness named as holder; it is empty if none is known.
 func (holder *Holder) Rival(now spool.Instant) spool.VM {
 	var rival spool.VM
 	var latest spool.Instant
-	for _, vm := range holder.roster.Members {
+	for _, vm := range holder.quorum.Members {
 		support, ok := holder.supports[vm]
 		if ok && support.rivalUntil > max(now, latest) {
 			rival, latest = support.rival, support.rivalUntil
@@ -228,10 +228,10 @@
 	return rival
 }
 
-// RivalUntil returns the instant at which a majority of the witnesses could be free of a rival's pledges.
+// RivalUntil returns the instant at which a majority of the witnesses could be free of a rival's votes.
 func (holder *Holder) RivalUntil() spool.Instant {
 	var ends []spool.Instant
-	for _, vm := range holder.roster.Members {
+	for _, vm := range holder.quorum.Members {
 		var end spool.Instant
 		if support, ok := holder.supports[vm]; ok {
 			end = support.rivalUntil
@@ -242,10 +242,10 @@
 		return 0
 	}
 	slices.Sort(ends)
-	return ends[holder.roster.Majority()-1]
+	return ends[holder.quorum.Majority()-1]
 }
 
-// end is the instant up to which a majority's pledges run.
+// end is the instant up to which a majority's votes run.
 func (holder *Holder) end() spool.Instant {
 	ends := make([]spool.Instant, 0, len(holder.supports))
 	for _, support := range holder.supports {
@@ -253,7 +253,7 @@
 			ends = append(ends, support.countedAt.Add(holder.config.counted()))
 		}
 	}
-	majority := holder.roster.Majority()
+	majority := holder.quorum.Majority()
 	if len(ends) < majority {
 		return 0
 	}
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -35,7 +35,7 @@
 			t.Fatal(world.violation)
 		}
 		if world.holder() == "" {
-			t.Fatalf("no holder after the faults ended; roster %+v", world.roster)
+			t.Fatalf("no holder after the faults ended; quorum %+v", world.quorum)
 		}
 	})
 }
@@ -77,7 +77,7 @@
 		option Option
 	}{
 		{"counted from the arrival", 2, func(config *Config) { config.fromArrival = true }},
-		{"roster changed at once", 0, func(config *Config) { config.unsealed = true }},
+		{"quorum changed at once", 0, func(config *Config) { config.unsealed = true }},
 		{"no abstention after a restart", 17, func(config *Config) { config.forgetful = true }},
 	}
 	for _, test := range tests {
@@ -95,7 +95,7 @@
 	world.clock.Advance(3 * time.Second)
 	first := world.holder()
 	qt.Assert(t, first, qt.Not(qt.Equals), "")
-	witness := world.find(world.roster.Members[0])
+	witness := world.find(world.quorum.Members[0])
 	qt.Assert(t, witness.witness.Locate(worldRole, world.read(witness)).Holder, qt.Equals, string(first))
 	world.find(first).paused = true
 	started := world.clock.Now()
@@ -107,11 +107,11 @@
 	qt.Assert(t, world.clock.Now().Sub(started) < 1100*time.Millisecond, qt.IsTrue)
 }
 
-func TestRosterReplacesGoneMember(t *testing.T) {
+func TestQuorumReplacesGoneMember(t *testing.T) {
 	world := newWorld(1, 6)
 	world.clock.Advance(3 * time.Second)
-	qt.Assert(t, world.roster.Members, qt.HasLen, 3)
-	gone := world.roster.Members[1]
+	qt.Assert(t, world.quorum.Members, qt.HasLen, 3)
+	gone := world.quorum.Members[1]
 	world.find(gone).paused = true
 	var without, longest time.Duration
 	for range 6 * time.Second / worldTick {
@@ -123,13 +123,13 @@
 		longest = max(longest, without)
 	}
 	t.Logf("longest time without a holder: %v", longest)
-	qt.Assert(t, world.roster.Changing, qt.IsFalse)
-	qt.Assert(t, world.roster.Members, qt.HasLen, 3)
-	qt.Assert(t, world.roster.Contains(gone), qt.IsFalse)
+	qt.Assert(t, world.quorum.Changing, qt.IsFalse)
+	qt.Assert(t, world.quorum.Members, qt.HasLen, 3)
+	qt.Assert(t, world.quorum.Contains(gone), qt.IsFalse)
 	qt.Assert(t, world.changes, qt.Equals, 3)
 	qt.Assert(t, world.holder(), qt.Not(qt.Equals), "")
 	domains := map[string]bool{}
-	for _, vm := range world.roster.Members {
+	for _, vm := range world.quorum.Members {
 		domains[string(world.find(vm).Domain)] = true
 	}
 	qt.Assert(t, domains, qt.HasLen, 3)
@@ -137,7 +137,7 @@
 
 // TestReadyAfterChange checks who must read the terms again: whoever could form a majority without an old one's member.
 func TestReadyAfterChange(t *testing.T) {
-	old := Roster{Version: 1, Members: []spool.VM{"a", "b", "c", "d", "e"}}
+	old := Quorum{Version: 1, Members: []spool.VM{"a", "b", "c", "d", "e"}}
 	tests := []struct {
 		name   string
 		self   spool.VM
@@ -156,9 +156,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			witness := NewWitness(test.self, 0)
 			witness.Confirm(old, test.direct)
-			witness.Confirm(Roster{Version: 4, Base: test.base, Members: old.Members, Next: test.next, Changing: true}, false)
+			witness.Confirm(Quorum{Version: 4, Base: test.base, Members: old.Members, Next: test.next, Changing: true}, false)
 			qt.Assert(t, witness.Ready(spool.Instant(time.Hour)), qt.IsFalse)
-			witness.Confirm(Roster{Version: 5, Base: test.base, Members: test.next}, false)
+			witness.Confirm(Quorum{Version: 5, Base: test.base, Members: test.next}, false)
 			qt.Assert(t, witness.Ready(spool.Instant(time.Hour)), qt.Equals, test.ready)
 		})
 	}
--- a/internal/core/lease/role.go
+++ b/internal/core/lease/role.go
@@ -14,13 +14,13 @@
 	teamPrefix  = "Team/"
 )
 
-// GroupRole returns the role of a group's keeper.
+// GroupRole returns the role of a group's leader.
 func GroupRole(group spool.Group) Role { return Role(groupPrefix + string(group)) }
 
 // TeamRole returns the role of the owner of a team's rate.
 func TeamRole(team spool.Team) Role { return Role(teamPrefix + string(team)) }
 
-// Group returns the group whose keeper the role names and whether it names one.
+// Group returns the group whose leader the role names and whether it names one.
 func (role Role) Group() (spool.Group, bool) {
 	name, ok := strings.CutPrefix(string(role), groupPrefix)
 	return spool.Group(name), ok
--- a/internal/core/lease/support.go
+++ b/internal/core/lease/support.go
@@ -16,7 +16,7 @@
 	granted    bool
 	refused    bool
 	countedAt  spool.Instant    // the latest request that was granted
-	backed     *wire.TermRecord // the newest record that the witness pledged with
+	backed     *wire.TermRecord // the newest record that the witness voted with
 	rival      spool.VM
 	rivalUntil spool.Instant
 }
@@ -45,7 +45,7 @@
 	support.flights[sequence] = sent
 }
 
-// grant counts a pledge from the instant at which it was asked for.
+// grant counts a vote from the instant at which it was asked for.
 func (support *support) grant(answered flight, countedAt spool.Instant) {
 	if !support.granted || countedAt > support.countedAt {
 		support.countedAt = countedAt
@@ -55,8 +55,8 @@
 	support.backed = NewestRecord(support.backed, answered.record)
 }
 
-// refuse notes a refusal and the rival that it names; earlier pledges run on.
-func (support *support) refuse(answer *wire.PledgeAnswer, now spool.Instant) {
+// refuse notes a refusal and the rival that it names; earlier votes run on.
+func (support *support) refuse(answer *wire.VoteAnswer, now spool.Instant) {
 	support.refused = true
 	if answer.Holder == "" {
 		return
--- a/internal/core/lease/world_test.go
+++ b/internal/core/lease/world_test.go
@@ -34,14 +34,14 @@
 	random    *rand.Rand
 	proxies   []*proxy
 	options   []Option
-	roster    Roster // as the platform holds it
+	quorum    Quorum // as the platform holds it
 	down      bool
 	loss      int // per cent
 	delay     time.Duration
 	cut       map[spool.VM]bool // the VMs on the far side of a partition, which the platform is not on
 	violation string
 	gains     int
-	changes   int // rosters recorded
+	changes   int // quorums recorded
 }
 
 func newWorld(seed uint64, count int, options ...Option) *world {
@@ -135,7 +135,7 @@
 func (world *world) send(from *proxy, out Out) {
 	to := world.find(out.To)
 	world.after(from.VM, to, func() {
-		answer := to.witness.Pledge(from.VM, out.Request, world.read(to))
+		answer := to.witness.Vote(from.VM, out.Request, world.read(to))
 		world.after(to.VM, from, func() { from.holder.Receive(to.VM, answer, world.read(from)) })
 	})
 }
@@ -157,22 +157,22 @@
 		})
 	}
 	proxy.changer.SetMembers(members, world.read(proxy))
-	world.readRoster(proxy)
+	world.readQuorum(proxy)
 }
 
-// readRoster asks the platform for the roster; an answer to an earlier start of the proxy is dropped.
-func (world *world) readRoster(proxy *proxy) {
+// readQuorum asks the platform for the quorum; an answer to an earlier start of the proxy is dropped.
+func (world *world) readQuorum(proxy *proxy) {
 	incarnation := proxy.Incarnation
 	world.after(proxy.VM, proxy, func() {
 		if world.down || world.cut[proxy.VM] {
 			return
 		}
-		roster := world.roster
+		quorum := world.quorum
 		world.after(proxy.VM, proxy, func() {
 			if proxy.Incarnation == incarnation {
-				proxy.witness.Confirm(roster, true)
-				proxy.holder.SetRoster(roster, world.read(proxy))
-				world.act(proxy, proxy.changer.Observe(roster, world.read(proxy)))
+				proxy.witness.Confirm(quorum, true)
+				proxy.holder.SetQuorum(quorum, world.read(proxy))
+				world.act(proxy, proxy.changer.Observe(quorum, world.read(proxy)))
 			}
 		})
 	})
@@ -181,14 +181,14 @@
 // act carries out a changer's actions; the platform may take a write whose answer is lost.
 func (world *world) act(proxy *proxy, actions []Action) {
 	for _, action := range actions {
-		write, ok := action.(WriteRoster)
+		write, ok := action.(WriteQuorum)
 		if !ok {
 			continue
 		}
-		if !world.down && !world.cut[proxy.VM] && write.Expected == world.roster.Version {
-			version := world.roster.Version + 1
-			world.roster = write.Roster
-			world.roster.Version = version
+		if !world.down && !world.cut[proxy.VM] && write.Expected == world.quorum.Version {
+			version := world.quorum.Version + 1
+			world.quorum = write.Quorum
+			world.quorum.Version = version
 			world.changes++
 		}
 		world.after(proxy.VM, proxy, func() { proxy.changer.Failed(world.read(proxy)) })
--- a/internal/core/member/ranks_test.go
+++ b/internal/core/member/ranks_test.go
@@ -50,7 +50,7 @@
 	default:
 		incarnation := uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))
 		leaving := rapid.IntRange(0, 4).Draw(t, "leaving") == 0
-		view.Hear(vm, incarnation, beat("d1", leaving), now)
+		view.Hear(vm, incarnation, heartbeat("d1", leaving), now)
 	}
 }
 
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -76,15 +76,15 @@
 }
 
 // Hear records a direct heartbeat.
-func (view *View) Hear(from spool.VM, incarnation uint64, beat *wire.Beat, now spool.Instant) {
+func (view *View) Hear(from spool.VM, incarnation uint64, heartbeat *wire.Heartbeat, now spool.Instant) {
 	member := spool.Member{
-		VM: from, Domain: spool.Domain(beat.Domain), Address: beat.Address,
-		Incarnation: incarnation, Leaving: beat.Leaving,
+		VM: from, Domain: spool.Domain(heartbeat.Domain), Address: heartbeat.Address,
+		Incarnation: incarnation, Leaving: heartbeat.Leaving,
 	}
 	if !view.merge(member, now) {
 		return
 	}
-	for _, info := range beat.Members {
+	for _, info := range heartbeat.Members {
 		view.relayed(info, now)
 	}
 }
--- a/internal/core/member/view_test.go
+++ b/internal/core/member/view_test.go
@@ -12,8 +12,8 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-func beat(domain string, leaving bool) *wire.Beat {
-	return &wire.Beat{Domain: domain, Address: "127.0.0.1:1", Leaving: leaving}
+func heartbeat(domain string, leaving bool) *wire.Heartbeat {
+	return &wire.Heartbeat{Domain: domain, Address: "127.0.0.1:1", Leaving: leaving}
 }
 
 func TestAliveFollowsHeartbeatsNotTheList(t *testing.T) {
@@ -21,7 +21,7 @@
 	view := member.New(spool.Member{VM: "a", Domain: "d1"})
 	view.List([]spool.Member{{VM: "b", Domain: "d2"}})
 	c.Assert(view.Alive("b", 0), qt.IsFalse)
-	view.Hear("b", 1, beat("d2", false), 0)
+	view.Hear("b", 1, heartbeat("d2", false), 0)
 	c.Assert(view.Alive("b", 0), qt.IsTrue)
 	view.List(nil)
 	c.Assert(view.Alive("b", 0), qt.IsTrue)
@@ -31,12 +31,12 @@
 func TestLeavingHoldsUntilANewIncarnation(t *testing.T) {
 	c := qt.New(t)
 	view := member.New(spool.Member{VM: "a", Domain: "d1"})
-	view.Hear("b", 1, beat("d1", true), 0)
-	view.Hear("b", 1, beat("d1", false), 1)
+	view.Hear("b", 1, heartbeat("d1", true), 0)
+	view.Hear("b", 1, heartbeat("d1", false), 1)
 	c.Assert(view.Serving(1), qt.HasLen, 1)
-	view.Hear("b", 2, beat("d1", false), 2)
+	view.Hear("b", 2, heartbeat("d1", false), 2)
 	c.Assert(view.Serving(2), qt.HasLen, 2)
-	view.Hear("b", 1, beat("d1", true), 3)
+	view.Hear("b", 1, heartbeat("d1", true), 3)
 	c.Assert(view.Serving(3), qt.HasLen, 2)
 }
 
@@ -93,7 +93,7 @@
 	view := member.New(spool.Member{VM: name(self), Domain: spool.Domain(domain(self))})
 	for i := range size {
 		if i != self {
-			view.Hear(name(i), 1, beat(domain(i), false), 0)
+			view.Hear(name(i), 1, heartbeat(domain(i), false), 0)
 		}
 	}
 	return view
--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -14,11 +14,11 @@
 
 const maxDoublings = 10
 
-// rosterRole stands in requests that ask a witness for its roster's version; it is no lease.
-const rosterRole = "Roster"
+// quorumRole stands in requests that ask a witness for its quorum's version; it is no lease.
+const quorumRole = "Quorum"
 
-// bootKinds are read from the platform at the start; terms follow the roster, as the witness requires.
-var bootKinds = []string{spool.KindRoster, spool.KindTerm, spool.KindManifest, spool.KindMember}
+// bootKinds are read from the platform at the start; terms follow the quorum, as the witness requires.
+var bootKinds = []string{spool.KindQuorum, spool.KindTerm, spool.KindManifest, spool.KindMember}
 
 func (core *Core) readAll(now spool.Instant) {
 	core.reading = true
@@ -41,32 +41,32 @@
 	core.complete = true
 	core.configured = true
 	core.confirmed.raise(event.SentAt)
-	roster := lease.Roster{}
+	quorum := lease.Quorum{}
 	for _, object := range event.Objects {
 		if object.Kind == spool.KindTerm {
 			core.witness.Learn(parseTerm(object))
 		}
-		if object.Kind == spool.KindRoster {
-			roster = core.parseRoster(object)
+		if object.Kind == spool.KindQuorum {
+			quorum = core.parseQuorum(object)
 		}
 	}
-	core.witness.Confirm(roster, true)
+	core.witness.Confirm(quorum, true)
 	core.learnMembers(event.Objects, now)
 	core.learnAll(event.Objects, now)
-	if roster.Version == 0 {
-		core.changerActions(core.changer.Observe(roster, now))
+	if quorum.Version == 0 {
+		core.changerActions(core.changer.Observe(quorum, now))
 	}
 	if core.watching {
 		core.emit(WatchObjects{Watch: true, After: event.Version})
 	}
 }
 
-func (core *Core) parseRoster(object spool.Object) lease.Roster {
-	roster, err := lease.ParseRoster(object)
+func (core *Core) parseQuorum(object spool.Object) lease.Quorum {
+	quorum, err := lease.ParseQuorum(object)
 	if err != nil {
 		core.emit(Note{Topic: TopicRejected, Version: object.Version, Text: err.Error()})
 	}
-	return roster
+	return quorum
 }
 
 func (core *Core) learnMembers(objects []spool.Object, now spool.Instant) {
@@ -82,7 +82,7 @@
 		return
 	}
 	core.view.List(members)
-	for _, witness := range core.roster.Members {
+	for _, witness := range core.quorum.Members {
 		if !listed[witness] {
 			core.remove(witness, now)
 		}
@@ -118,8 +118,8 @@
 	switch object.Kind {
 	case spool.KindManifest:
 		core.learnManifest(object, now)
-	case spool.KindRoster:
-		core.learnRoster(object, now)
+	case spool.KindQuorum:
+		core.learnQuorum(object, now)
 	case spool.KindTerm:
 		core.witness.Learn(parseTerm(object))
 	case spool.KindMember:
@@ -173,7 +173,7 @@
 	}
 	core.reassign = true
 	core.nextAssign = now
-	core.nextBeat = now
+	core.nextHeartbeat = now
 }
 
 func (core *Core) noteWithdrawn(change policy.Change, keys []string, text string) {
@@ -184,23 +184,23 @@
 	}
 }
 
-func (core *Core) learnRoster(object spool.Object, now spool.Instant) {
-	if object.Version <= core.copies[spool.KindRoster].Version {
+func (core *Core) learnQuorum(object spool.Object, now spool.Instant) {
+	if object.Version <= core.copies[spool.KindQuorum].Version {
 		return
 	}
-	core.copies[spool.KindRoster] = object
-	core.roster = core.parseRoster(object)
+	core.copies[spool.KindQuorum] = object
+	core.quorum = core.parseQuorum(object)
 	core.ownVersions = nil
-	core.witness.Confirm(core.roster, false)
+	core.witness.Confirm(core.quorum, false)
 	for _, role := range core.roles.sorted {
-		role.holder.SetRoster(core.roster, now)
+		role.holder.SetQuorum(core.quorum, now)
 	}
 	for _, group := range core.groups.sorted {
 		core.groupEvent(group.name, core.witnesses(), now)
 	}
-	core.changerActions(core.changer.Observe(core.roster, now))
-	core.emit(Note{Topic: TopicRoster, Version: object.Version})
-	core.nextBeat = now
+	core.changerActions(core.changer.Observe(core.quorum, now))
+	core.emit(Note{Topic: TopicQuorum, Version: object.Version})
+	core.nextHeartbeat = now
 }
 
 func (core *Core) objectRead(object spool.Object, now spool.Instant) {
@@ -210,15 +210,15 @@
 		core.groupEvent(spool.Group(object.Name), terms.TermRead{Record: record}, now)
 		return
 	}
-	if object.Kind != spool.KindRoster {
+	if object.Kind != spool.KindQuorum {
 		return
 	}
 	if object.Version == 0 {
-		core.changerActions(core.changer.Observe(lease.Roster{}, now))
+		core.changerActions(core.changer.Observe(lease.Quorum{}, now))
 		return
 	}
 	core.learn(object, now)
-	core.changerActions(core.changer.Observe(core.roster, now))
+	core.changerActions(core.changer.Observe(core.quorum, now))
 }
 
 func (core *Core) objectFailed(kind, name string, now spool.Instant) {
@@ -239,7 +239,7 @@
 		return
 	}
 	core.learn(event.Object, now)
-	core.changerActions(core.changer.Written(core.parseRoster(event.Object), now))
+	core.changerActions(core.changer.Written(core.parseQuorum(event.Object), now))
 }
 
 func (core *Core) termWritten(event ObjectWritten, now spool.Instant) {
@@ -271,9 +271,9 @@
 	core.readAll(now)
 }
 
-// tendRoster has the proxies that watch the platform replace witnesses that are gone; only they learn which VMs the
+// tendQuorum has the proxies that watch the platform replace witnesses that are gone; only they learn which VMs the
 // platform removed, and the conditional update lets one of them succeed.
-func (core *Core) tendRoster(now spool.Instant) {
+func (core *Core) tendQuorum(now spool.Instant) {
 	if !core.watching || !core.settled(now) {
 		return
 	}
@@ -283,8 +283,8 @@
 		core.changer.SetRemoved(core.destroyed(now))
 	}
 	core.changerActions(core.changer.Tick(now))
-	if core.roster.Changing {
-		core.seek(rosterRole, now)
+	if core.quorum.Changing {
+		core.seek(quorumRole, now)
 	}
 }
 
@@ -303,10 +303,10 @@
 func (core *Core) changerActions(actions []lease.Action) {
 	for _, action := range actions {
 		switch action := action.(type) {
-		case lease.ReadRoster:
-			core.emit(ReadObject{Kind: spool.KindRoster, Name: lease.RosterName})
-		case lease.WriteRoster:
-			core.emit(WriteObject{Object: action.Roster.Object(action.Expected), Nonce: core.nonce()})
+		case lease.ReadQuorum:
+			core.emit(ReadObject{Kind: spool.KindQuorum, Name: lease.QuorumName})
+		case lease.WriteQuorum:
+			core.emit(WriteObject{Object: action.Quorum.Object(action.Expected), Nonce: core.nonce()})
 		}
 	}
 }
--- a/internal/core/policy/check.go
+++ b/internal/core/policy/check.go
@@ -9,7 +9,7 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// controlConnections is the number of a server's connections for the polls of two keepers and the probes of witnesses.
+// controlConnections is the number of a server's connections for the polls of two leaders and the probes of witnesses.
 const controlConnections = 6
 
 // Limits of a route's durations.
@@ -83,7 +83,7 @@
 func (check *check) server(path string, server spool.ServerSpec) {
 	check.name(check.servers, path+".Name", string(server.Name))
 	if needed := 2*server.Slots + controlConnections; server.Connections < needed {
-		check.fault(path+".Connections", "%d slots need %d connections, so that a new keeper gets its own beside those "+
+		check.fault(path+".Connections", "%d slots need %d connections, so that a new leader gets its own beside those "+
 			"of a frozen one", server.Slots, needed)
 	}
 	address, err := strict.ParsePeerAddress(server.Address)
--- a/internal/core/roster_test.go
+++ b/internal/core/quorum_test.go
@@ -21,11 +21,11 @@
 	return owners
 }
 
-// witnesses returns the roster that most live VMs know.
+// witnesses returns the quorum that most live VMs know.
 func (world *world) witnesses() []spool.VM {
 	for _, vm := range world.vms {
-		if !vm.dead && !vm.core.Roster().Changing {
-			return vm.core.Roster().Members
+		if !vm.dead && !vm.core.Quorum().Changing {
+			return vm.core.Quorum().Members
 		}
 	}
 	return nil
@@ -57,8 +57,8 @@
 	return 0
 }
 
-// TestRosterReplacesWitnesses kills one witness after the other, and the owner of a rate, under loss of messages.
-func TestRosterReplacesWitnesses(t *testing.T) {
+// TestQuorumReplacesWitnesses kills one witness after the other, and the owner of a rate, under loss of messages.
+func TestQuorumReplacesWitnesses(t *testing.T) {
 	eachSeed(t, 9, 3, func(c *qt.C, world *world) {
 		world.push(manifest("kyushu", 5, false))
 		world.loss = 10
--- a/internal/core/roles.go
+++ b/internal/core/roles.go
@@ -15,7 +15,7 @@
 	held    bool
 	seeking bool
 	rank    int
-	backing *wire.TermRecord // a record whose majority the keeper waits for
+	backing *wire.TermRecord // a record whose majority the leader waits for
 }
 
 // assign seeks the roles for which this proxy is among the first candidates, if any of that may have changed.
@@ -76,7 +76,7 @@
 // addRole begins to take part in a role; roles are never dropped, because a holder's requests are numbered.
 func (core *Core) addRole(name lease.Role) *role {
 	holder := lease.NewHolder(name, core.self.Incarnation, core.leaseOptions...)
-	holder.SetRoster(core.roster, core.started)
+	holder.SetQuorum(core.quorum, core.started)
 	created := &role{name: name, holder: holder}
 	core.roles.add(name, created)
 	return created
@@ -98,24 +98,24 @@
 	}
 }
 
-// ask sends the pledge requests that are due; the own witness answers at once.
+// ask sends the vote requests that are due; the own witness answers at once.
 func (core *Core) ask(role *role, now spool.Instant) {
 	for _, out := range role.holder.Due(now) {
 		if out.To != core.self.VM {
-			core.send(out.To, &wire.Envelope{Body: &wire.Envelope_PledgeRequest{PledgeRequest: out.Request}})
+			core.send(out.To, &wire.Envelope{Body: &wire.Envelope_VoteRequest{VoteRequest: out.Request}})
 			continue
 		}
-		role.holder.Receive(core.self.VM, core.witness.Pledge(core.self.VM, out.Request, now), now)
+		role.holder.Receive(core.self.VM, core.witness.Vote(core.self.VM, out.Request, now), now)
 	}
 }
 
-func (core *Core) pledged(from spool.VM, answer *wire.PledgeAnswer, now spool.Instant) {
+func (core *Core) voted(from spool.VM, answer *wire.VoteAnswer, now spool.Instant) {
 	role := core.roles.get(lease.Role(answer.Role))
 	if role == nil {
 		return
 	}
 	role.holder.Receive(from, answer, now)
-	core.changerActions(core.changer.Seen(from, spool.Version(answer.Roster), now))
+	core.changerActions(core.changer.Seen(from, spool.Version(answer.Quorum), now))
 }
 
 // settle carries on what the event changed in the leases.
@@ -146,7 +146,7 @@
 	if team, isTeam := role.name.Team(); isTeam {
 		core.turnTeam(team, role, now)
 	}
-	core.nextBeat = now
+	core.nextHeartbeat = now
 }
 
 func (core *Core) turnTeam(team spool.Team, role *role, now spool.Instant) {
--- a/internal/core/route/pick.go
+++ b/internal/core/route/pick.go
@@ -30,7 +30,7 @@
 	if choice := table.judge(need.Token); choice != Found {
 		return 0, choice
 	}
-	if need.Read && table.Reign.Term > 0 {
+	if need.Read && table.Current.Term > 0 {
 		if set := table.replicas(need, now); set != 0 {
 			return set, Found
 		}
@@ -66,7 +66,7 @@
 		if i == table.Primary || !server.Up || server.Leaving {
 			continue
 		}
-		if server.Term != table.Reign.Term || server.Position < floor {
+		if server.Term != table.Current.Term || server.Position < floor {
 			continue
 		}
 		if need.MaxAge > 0 && !table.younger(server.Position, need.MaxAge, now) {
@@ -85,9 +85,9 @@
 // judge tells whether what a token has seen is part of the open term's log.
 func (table *Table) judge(token spool.Token) Choice {
 	switch {
-	case token.Term > table.Reign.Term:
+	case token.Term > table.Current.Term:
 		return Behind
-	case token.Term == table.Reign.Term || token.Term == 0:
+	case token.Term == table.Current.Term || token.Term == 0:
 		return Found
 	}
 	if token.Position > table.end(token.Term) {
@@ -98,10 +98,10 @@
 
 // end returns the last position of a term that later terms kept.
 func (table *Table) end(term spool.Term) spool.Position {
-	end := table.Reign.Start
-	for _, reign := range table.History {
-		if reign.Term > term {
-			end = min(end, reign.Start)
+	end := table.Current.Start
+	for _, start := range table.History {
+		if start.Term > term {
+			end = min(end, start.Start)
 		}
 	}
 	return end
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -20,8 +20,8 @@
 	Leaving  bool
 }
 
-// Reign is the position at which a term began.
-type Reign struct {
+// TermStart is the position at which a term began.
+type TermStart struct {
 	Term  spool.Term
 	Start spool.Position
 }
@@ -39,8 +39,8 @@
 type Table struct {
 	Servers []Server
 	Primary int // index of the primary, negative while no term is open
-	Reign   Reign
-	History []Reign // earlier terms, oldest first
+	Current TermStart
+	History []TermStart // earlier terms, oldest first
 	Acked   spool.Position
 
 	samples [sampleCount]sample
@@ -90,15 +90,15 @@
 }
 
 // Open begins a term on a primary.
-func (table *Table) Open(primary spool.Server, reign Reign) {
-	if reign.Term > table.Reign.Term {
-		if table.Reign.Term > 0 {
-			table.History = append(table.History, table.Reign)
+func (table *Table) Open(primary spool.Server, start TermStart) {
+	if start.Term > table.Current.Term {
+		if table.Current.Term > 0 {
+			table.History = append(table.History, table.Current)
 		}
 		table.samples = [sampleCount]sample{}
-		table.Acked = reign.Start
+		table.Acked = start.Start
 	}
-	table.Reign = reign
+	table.Current = start
 	table.Primary = table.Index(primary)
 }
 
@@ -121,7 +121,7 @@
 		server.Position = status.Position
 	}
 	server.Position = max(server.Position, status.Position)
-	if index == table.Primary && status.Term == table.Reign.Term {
+	if index == table.Primary && status.Term == table.Current.Term {
 		table.sample(sentAt, status.Position)
 	}
 }
@@ -135,7 +135,7 @@
 
 // Acknowledge records a position that a write of the open term was acknowledged with.
 func (table *Table) Acknowledge(term spool.Term, position spool.Position) {
-	if term != table.Reign.Term {
+	if term != table.Current.Term {
 		return
 	}
 	table.Acked = max(table.Acked, position)
@@ -184,5 +184,5 @@
 
 // Survived tells whether the open term's log holds a position of an earlier term, and whether a term is open.
 func (table *Table) Survived(term spool.Term, position spool.Position) (survived, open bool) {
-	return position <= table.end(term) || term == table.Reign.Term, table.Primary >= 0
+	return position <= table.end(term) || term == table.Current.Term, table.Primary >= 0
 }
--- a/internal/core/route/table_test.go
+++ b/internal/core/route/table_test.go
@@ -15,7 +15,7 @@
 
 func newTable() *route.Table {
 	table := route.New(specs)
-	table.Open("s1", route.Reign{Term: 1})
+	table.Open("s1", route.TermStart{Term: 1})
 	return table
 }
 
@@ -65,12 +65,12 @@
 func TestPickReportsLostWrites(t *testing.T) {
 	c := qt.New(t)
 	table := newTable()
-	table.Open("s2", route.Reign{Term: 2, Start: 8})
+	table.Open("s2", route.TermStart{Term: 2, Start: 8})
 	_, choice := table.Pick(route.Need{Read: true, Token: spool.Token{Term: 1, Position: 9}}, 0)
 	c.Assert(choice, qt.Equals, route.LostWrite)
 	_, choice = table.Pick(route.Need{Read: true, Token: spool.Token{Term: 1, Position: 8}}, 0)
 	c.Assert(choice, qt.Equals, route.Found)
-	table.Open("s3", route.Reign{Term: 3, Start: 20})
+	table.Open("s3", route.TermStart{Term: 3, Start: 20})
 	_, choice = table.Pick(route.Need{Read: true, Token: spool.Token{Term: 1, Position: 9}}, 0)
 	c.Assert(choice, qt.Equals, route.LostWrite)
 	_, choice = table.Pick(route.Need{Token: spool.Token{Term: 4, Position: 1}}, 0)
@@ -113,7 +113,7 @@
 						lost[i] = true
 					}
 				}
-				table.Open(primary, route.Reign{Term: term, Start: start})
+				table.Open(primary, route.TermStart{Term: term, Start: start})
 			},
 			"read": func(t *rapid.T) {
 				if len(tokens) == 0 {
--- a/internal/core/share/asking.go
+++ b/internal/core/share/asking.go
@@ -27,10 +27,10 @@
 	float := client.float()
 	if client.queue.Len() == 0 {
 		retiring := now.Add(client.timing.Life / retiringShares)
-		client.purse.closeEnded(retiring, &client.ledger, now)
-		client.purse.closeSurplus(surplusFactor*float, &client.ledger, now)
+		client.limiter.closeEnded(retiring, &client.ledger, now)
+		client.limiter.closeSurplus(surplusFactor*float, &client.ledger, now)
 	}
-	want := client.queue.Len() + float - client.purse.total
+	want := client.queue.Len() + float - client.limiter.total
 	if !client.worthAsking(want, float, now) {
 		return nil
 	}
@@ -47,7 +47,7 @@
 	if client.queue.Len() > 0 && want > 0 {
 		return true
 	}
-	if want > 0 && 2*client.purse.total <= float {
+	if want > 0 && 2*client.limiter.total <= float {
 		return true
 	}
 	closed, found := client.ledger.oldestUnsent()
--- a/internal/core/share/client.go
+++ b/internal/core/share/client.go
@@ -20,7 +20,7 @@
 type Client struct {
 	timing   Timing
 	team     spool.Team
-	purse    purse
+	limiter  limiter
 	ledger   ledger
 	queue    fifo.Queue[waiting]
 	demand   demand
@@ -46,7 +46,7 @@
 // Ask admits a request, queues it until its deadline or refuses it; after Queued the caller steps the client at once.
 func (client *Client) Ask(id uint64, deadline, now spool.Instant) Answer {
 	client.demand.asked++
-	if client.queue.Len() == 0 && client.purse.take(now) {
+	if client.queue.Len() == 0 && client.limiter.take(now) {
 		return Answer{Verdict: Admitted}
 	}
 	wait := client.forecast.wait(client.queue.Len()+1, &client.timing, now)
@@ -71,7 +71,7 @@
 	client.ledger.forget(now.Add(-2 * client.timing.ownerLife()))
 	client.admit(now)
 	client.refuse(now)
-	client.purse.closeEnded(now, &client.ledger, now)
+	client.limiter.closeEnded(now, &client.ledger, now)
 	outcome := Outcome{Admitted: client.admitted, Refused: client.refused}
 	if client.mayAsk(now) {
 		outcome.Request = client.request(now)
@@ -81,7 +81,7 @@
 
 // Due returns the instant at which the client wants to be stepped next.
 func (client *Client) Due() spool.Instant {
-	if client.queue.Len() > 0 || client.purse.total > 0 || client.asking || len(client.ledger.uses) > 0 {
+	if client.queue.Len() > 0 || client.limiter.total > 0 || client.asking || len(client.ledger.uses) > 0 {
 		return client.stepped.Add(client.timing.Poll)
 	}
 	return client.stepped.Add(time.Second)
@@ -108,7 +108,7 @@
 	if client.timing.faults.lifeFromArrival {
 		starts = now
 	}
-	client.purse.put(holding{
+	client.limiter.put(holding{
 		grant: answer.GetGrant(),
 		left:  int(answer.GetTokens()),
 		ends:  starts.Add(time.Duration(answer.GetLifeNanos())),
@@ -124,12 +124,12 @@
 }
 
 // Tokens returns the number of tokens that are left of the grants.
-func (client *Client) Tokens() int { return client.purse.total }
+func (client *Client) Tokens() int { return client.limiter.total }
 
 func (client *Client) admit(now spool.Instant) {
 	client.admitted = client.admitted[:0]
 	for client.queue.Len() > 0 {
-		if client.queue.First().deadline <= now || !client.purse.take(now) {
+		if client.queue.First().deadline <= now || !client.limiter.take(now) {
 			return
 		}
 		client.admitted = append(client.admitted, client.queue.Pop().id)
--- a/internal/core/share/client_test.go
+++ b/internal/core/share/client_test.go
@@ -106,7 +106,7 @@
 	client.Receive(answer, 1e6)
 	client.Receive(answer, 1e6)
 	c.Assert(client.Step(1e6).Admitted, qt.DeepEquals, []uint64{1})
-	c.Assert(client.purse.total, qt.Equals, 8)
+	c.Assert(client.limiter.total, qt.Equals, 8)
 	c.Assert(client.Ask(2, 2*second, 2e6).Verdict, qt.Equals, Admitted)
 	c.Assert(client.Ask(3, 2*second, spool.Instant(defaultLife)).Verdict, qt.Equals, Queued)
 }
@@ -126,6 +126,6 @@
 
 func stocked() *Client {
 	client := NewClient("a", 1, 0)
-	client.purse.put(holding{grant: 1, left: 1 << 40, ends: second})
+	client.limiter.put(holding{grant: 1, left: 1 << 40, ends: second})
 	return client
 }
--- a/internal/core/slots/team.go
+++ b/internal/core/slots/team.go
@@ -10,16 +10,16 @@
 
 // team holds what one team uses and waits for.
 type team struct {
-	name    spool.Team
-	used    float64 // slot time used lately in seconds, with exponential decay
-	charged spool.Instant
-	running int
-	waiting int
-	lanes   []lane
+	name      spool.Team
+	used      float64 // slot time used lately in seconds, with exponential decay
+	charged   spool.Instant
+	running   int
+	waiting   int
+	executors []executor
 }
 
-// lane holds the waiting items that are eligible for the same servers.
-type lane struct {
+// executor holds the waiting items that are eligible for the same servers.
+type executor struct {
 	servers Servers
 	entries fifo.Queue[entry]
 }
@@ -54,39 +54,39 @@
 
 func (team *team) push(entry entry, servers Servers) {
 	team.waiting++
-	for i := range team.lanes {
-		if team.lanes[i].servers == servers {
-			team.lanes[i].entries.Push(entry)
+	for i := range team.executors {
+		if team.executors[i].servers == servers {
+			team.executors[i].entries.Push(entry)
 			return
 		}
 	}
-	added := lane{servers: servers}
+	added := executor{servers: servers}
 	added.entries.Push(entry)
-	team.lanes = append(team.lanes, added)
+	team.executors = append(team.executors, added)
 }
 
-// oldest returns the lane with the oldest item that is eligible for one of the servers, or nil.
-func (team *team) oldest(servers Servers) *lane {
-	var chosen *lane
-	for i := range team.lanes {
-		lane := &team.lanes[i]
-		if lane.servers&servers == 0 || lane.entries.Len() == 0 {
+// oldest returns the executor with the oldest item that is eligible for one of the servers, or nil.
+func (team *team) oldest(servers Servers) *executor {
+	var chosen *executor
+	for i := range team.executors {
+		executor := &team.executors[i]
+		if executor.servers&servers == 0 || executor.entries.Len() == 0 {
 			continue
 		}
-		if chosen == nil || lane.entries.First().arrival < chosen.entries.First().arrival {
-			chosen = lane
+		if chosen == nil || executor.entries.First().arrival < chosen.entries.First().arrival {
+			chosen = executor
 		}
 	}
 	return chosen
 }
 
 // drop drops the items for which doomed returns true.
-func (team *team) drop(doomed func(lane *lane, entry entry) bool) (dropped int) {
-	for i := range team.lanes {
-		lane := &team.lanes[i]
-		before := lane.entries.Len()
-		lane.entries.Filter(func(entry entry) bool { return !doomed(lane, entry) })
-		dropped += before - lane.entries.Len()
+func (team *team) drop(doomed func(executor *executor, entry entry) bool) (dropped int) {
+	for i := range team.executors {
+		executor := &team.executors[i]
+		before := executor.entries.Len()
+		executor.entries.Filter(func(entry entry) bool { return !doomed(executor, entry) })
+		dropped += before - executor.entries.Len()
 	}
 	team.waiting -= dropped
 	return dropped
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -31,13 +31,13 @@
 // Term returns the newest term record known of a group, or nil.
 func (core *Core) Term(group spool.Group) *wire.TermRecord { return core.witness.Record(group) }
 
-// Keeps tells whether this proxy is the group's keeper, and returns the open term or zero.
+// Keeps tells whether this proxy is the group's leader, and returns the open term or zero.
 func (core *Core) Keeps(name spool.Group) (open spool.Term, keeps bool) {
 	role, group := core.roles.get(lease.GroupRole(name)), core.groups.get(name)
 	if role == nil || !role.held || group == nil {
 		return 0, false
 	}
-	return group.keeper.OpenTerm(), true
+	return group.leader.OpenTerm(), true
 }
 
 // Held counts the leases of groups and of teams that this proxy holds.
@@ -55,8 +55,8 @@
 	return groups, teams
 }
 
-// Roster returns the witnesses of all leases.
-func (core *Core) Roster() lease.Roster { return core.roster }
+// Quorum returns the witnesses of all leases.
+func (core *Core) Quorum() lease.Quorum { return core.quorum }
 
 // Store returns the manifests in force.
 func (core *Core) Store() *policy.Store { return core.store }
--- a/internal/core/terms/choose.go
+++ b/internal/core/terms/choose.go
@@ -19,55 +19,55 @@
 }
 
 // lineage counts what a server wrote in a term that was never opened for nothing.
-func (keeper *Keeper) lineage(status spool.ServerStatus) lineage {
-	opened := keeper.openedTerm()
-	if !status.Primary || status.Term <= opened || keeper.servers.followed(status.Term) {
+func (leader *Leader) lineage(status spool.ServerStatus) lineage {
+	opened := leader.openedTerm()
+	if !status.Primary || status.Term <= opened || leader.servers.followed(status.Term) {
 		return lineage{term: status.Term, position: status.Position}
 	}
 	return lineage{term: opened, position: min(status.Position, status.Start), orphan: true}
 }
 
 // openedTerm returns the newest term that is known to have been opened.
-func (keeper *Keeper) openedTerm() spool.Term {
+func (leader *Leader) openedTerm() spool.Term {
 	var opened spool.Term
-	for _, start := range historyOf(keeper.record) {
+	for _, start := range historyOf(leader.record) {
 		opened = max(opened, spool.Term(start.Term))
 	}
 	return opened
 }
 
 // choose promotes the most advanced server once all that answer have answered.
-func (keeper *Keeper) choose(now spool.Instant) {
-	if !keeper.servers.heard(keeper.sealedAt, keeper.doubted) && now.Sub(keeper.sealedAt) < keeper.config.Fresh {
+func (leader *Leader) choose(now spool.Instant) {
+	if !leader.servers.heard(leader.sealedAt, leader.doubted) && now.Sub(leader.sealedAt) < leader.config.Fresh {
 		return
 	}
-	status, ok := keeper.candidate(now)
+	status, ok := leader.candidate(now)
 	if !ok {
-		keeper.noteNoCandidate()
+		leader.noteNoCandidate()
 		return
 	}
-	if keeper.record.GetOpened() && keeper.shows(now) && !keeper.handsOver(status, now) {
+	if leader.record.GetOpened() && leader.shows(now) && !leader.handsOver(status, now) {
 		return
 	}
-	keeper.claim(status, now)
+	leader.claim(status, now)
 }
 
-func (keeper *Keeper) noteNoCandidate() {
-	if !keeper.noted {
-		keeper.noted = true
-		keeper.note(ReasonNoCandidate)
+func (leader *Leader) noteNoCandidate() {
+	if !leader.noted {
+		leader.noted = true
+		leader.note(ReasonNoCandidate)
 	}
 }
 
 // candidate returns the most advanced server; one that leaves or failed before comes last.
-func (keeper *Keeper) candidate(now spool.Instant) (spool.ServerStatus, bool) {
+func (leader *Leader) candidate(now spool.Instant) (spool.ServerStatus, bool) {
 	var best *view
-	for _, name := range keeper.servers.names() {
-		view := keeper.servers[name]
-		if !view.fresh(now, keeper.config.Fresh) || view.sentAt < keeper.sealedAt {
+	for _, name := range leader.servers.names() {
+		view := leader.servers[name]
+		if !view.fresh(now, leader.config.Fresh) || view.sentAt < leader.sealedAt {
 			continue
 		}
-		if best == nil || keeper.better(view, best, now) {
+		if best == nil || leader.better(view, best, now) {
 			best = view
 		}
 	}
@@ -77,12 +77,12 @@
 	return best.status, true
 }
 
-func (keeper *Keeper) better(view, best *view, now spool.Instant) bool {
+func (leader *Leader) better(view, best *view, now spool.Instant) bool {
 	last, bestLast := view.lastChoice(now), best.lastChoice(now)
 	if last != bestLast {
 		return bestLast
 	}
-	return keeper.lineage(view.status).compare(keeper.lineage(best.status)) > 0
+	return leader.lineage(view.status).compare(leader.lineage(best.status)) > 0
 }
 
 func (view *view) lastChoice(now spool.Instant) bool {
@@ -90,26 +90,26 @@
 }
 
 // claim records a term for the candidate, or goes on with the recorded one if it names the same server.
-func (keeper *Keeper) claim(status spool.ServerStatus, now spool.Instant) {
-	if keeper.claimed(status) {
-		keeper.startOrder(now)
+func (leader *Leader) claim(status spool.ServerStatus, now spool.Instant) {
+	if leader.claimed(status) {
+		leader.startOrder(now)
 		return
 	}
-	term := 1 + max(keeper.record.GetTerm(), keeper.store.record.GetTerm(), uint64(keeper.servers.highestTerm()))
-	keeper.phase = phaseClaiming
-	keeper.write(writeClaim, &wire.TermRecord{
-		Group:   string(keeper.group),
+	term := 1 + max(leader.record.GetTerm(), leader.store.record.GetTerm(), uint64(leader.servers.highestTerm()))
+	leader.phase = phaseClaiming
+	leader.write(writeClaim, &wire.TermRecord{
+		Group:   string(leader.group),
 		Term:    term,
 		Primary: string(status.Server),
-		History: branch(historyOf(keeper.record), keeper.lineage(status), term),
+		History: branch(historyOf(leader.record), leader.lineage(status), term),
 	}, now)
 }
 
 // claimed tells whether the newest record is that of a promotion of the same server that was not completed.
-func (keeper *Keeper) claimed(status spool.ServerStatus) bool {
-	record := keeper.record
+func (leader *Leader) claimed(status spool.ServerStatus) bool {
+	record := leader.record
 	if record == nil || record.Opened || spool.Server(record.Primary) != status.Server {
 		return false
 	}
-	return record.Term >= keeper.store.record.GetTerm() && spool.Term(record.Term) >= keeper.servers.highestTerm()
+	return record.Term >= leader.store.record.GetTerm() && spool.Term(record.Term) >= leader.servers.highestTerm()
 }
--- a/internal/core/terms/config.go
+++ b/internal/core/terms/config.go
@@ -24,7 +24,7 @@
 	DefaultCatchUp       = time.Second
 )
 
-// Config holds the times of a Keeper.
+// Config holds the times of a Leader.
 type Config struct {
 	SuspectAfter  time.Duration // silence of the primary after which it is suspected
 	Refusals      int           // consecutive refused polls after which the primary is suspected
@@ -45,7 +45,7 @@
 	CatchUp       time.Duration // for which a replica may catch up with a leaving primary
 	PauseGap      time.Duration // time without any event after which the proxy counts as having been paused
 
-	noPledge bool // for tests: opens a term without a round of pledges
+	noVote   bool // for tests: opens a term without a round of votes
 	noProbes bool // for tests: replaces a primary on this proxy's view alone
 }
 
--- a/internal/core/terms/effect.go
+++ b/internal/core/terms/effect.go
@@ -7,7 +7,7 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// Effect is something that a Keeper asks its shell to do.
+// Effect is something that a Leader asks its shell to do.
 type Effect interface{ effect() }
 
 // Poll asks for every server's status at once, besides the regular polls.
@@ -41,8 +41,8 @@
 	Primary spool.Server
 }
 
-// Pledge asks for a round of pledges with the record at once; the event Backed answers it.
-type Pledge struct{ Record *wire.TermRecord }
+// Vote asks for a round of votes with the record at once; the event Backed answers it.
+type Vote struct{ Record *wire.TermRecord }
 
 // Open tells that acknowledgements of the term may be given; History holds every term that is known to have been opened.
 type Open struct {
@@ -74,7 +74,7 @@
 func (Probe) effect()     {}
 func (Promote) effect()   {}
 func (Follow) effect()    {}
-func (Pledge) effect()    {}
+func (Vote) effect()      {}
 func (Open) effect()      {}
 func (Drain) effect()     {}
 func (Closed) effect()    {}
--- a/internal/core/terms/event.go
+++ b/internal/core/terms/event.go
@@ -5,7 +5,7 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// Event is something that a Keeper has to know.
+// Event is something that a Leader has to know.
 type Event interface{ event() }
 
 // LeaseGained tells that the proxy holds the group's lease; Record is the newest that the witnesses told of, or nil.
@@ -17,8 +17,8 @@
 // ServersChanged tells of the group's backend servers.
 type ServersChanged struct{ Servers []spool.ServerSpec }
 
-// RosterChanged tells which VMs are the witnesses, and of the failure domains of all VMs.
-type RosterChanged struct {
+// QuorumChanged tells which VMs are the witnesses, and of the failure domains of all VMs.
+type QuorumChanged struct {
 	Members []spool.VM
 	Domains map[spool.VM]spool.Domain
 }
@@ -89,7 +89,7 @@
 	Term   spool.Term
 }
 
-// Backed tells that a majority of the witnesses pledged with the record.
+// Backed tells that a majority of the witnesses voted with the record.
 type Backed struct{ Record *wire.TermRecord }
 
 // Tick lets waits end; the shell ticks at least every 10 ms.
@@ -98,7 +98,7 @@
 func (LeaseGained) event()    {}
 func (LeaseLost) event()      {}
 func (ServersChanged) event() {}
-func (RosterChanged) event()  {}
+func (QuorumChanged) event()  {}
 func (StatusSeen) event()     {}
 func (StatusFailed) event()   {}
 func (ProbeSeen) event()      {}
--- a/internal/core/terms/fakes_test.go
+++ b/internal/core/terms/fakes_test.go
@@ -60,7 +60,7 @@
 // fakePlatform holds the group's record.
 type fakePlatform struct {
 	record    *wire.TermRecord
-	roster    lease.Roster
+	quorum    lease.Quorum
 	down      bool
 	loses     bool // every third answer of a conditional update, after it took effect
 	writes    int
@@ -91,10 +91,10 @@
 	return WriteDone, spool.Version(record.Version)
 }
 
-func (platform *fakePlatform) writeRoster(write lease.WriteRoster) {
-	if write.Expected == platform.roster.Version {
-		platform.roster = write.Roster
-		platform.roster.Version = write.Expected + 1
+func (platform *fakePlatform) writeQuorum(write lease.WriteQuorum) {
+	if write.Expected == platform.quorum.Version {
+		platform.quorum = write.Quorum
+		platform.quorum.Version = write.Expected + 1
 	}
 }
 
--- a/internal/core/terms/gap_test.go
+++ b/internal/core/terms/gap_test.go
@@ -14,7 +14,7 @@
 	gapTarget = 2 * time.Second
 )
 
-// gapCase is a way to lose the primary, its keeper or both.
+// gapCase is a way to lose the primary, its leader or both.
 type gapCase struct {
 	name     string
 	strike   func(*world)
@@ -26,29 +26,29 @@
 	{name: "primary killed", strike: killPrimary, platform: 4 * time.Millisecond, newTerm: true},
 	{name: "primary killed, platform 100 ms", strike: killPrimary, platform: 100 * time.Millisecond, newTerm: true},
 	{name: "primary's domain cut off", strike: cutDomain, platform: 4 * time.Millisecond, newTerm: true},
-	{name: "primary and keeper killed", strike: killBoth, platform: 4 * time.Millisecond, newTerm: true},
-	{name: "keeper frozen", strike: freezeKeeper, platform: 4 * time.Millisecond},
-	{name: "keeper frozen, platform 100 ms", strike: freezeKeeper, platform: 100 * time.Millisecond},
-	{name: "keeper frozen, platform down", strike: freezeInOutage, platform: 4 * time.Millisecond},
+	{name: "primary and leader killed", strike: killBoth, platform: 4 * time.Millisecond, newTerm: true},
+	{name: "leader frozen", strike: freezeLeader, platform: 4 * time.Millisecond},
+	{name: "leader frozen, platform 100 ms", strike: freezeLeader, platform: 100 * time.Millisecond},
+	{name: "leader frozen, platform down", strike: freezeInOutage, platform: 4 * time.Millisecond},
 }
 
 func killPrimary(world *world) { world.servers[0].dead = true }
 func cutDomain(world *world)   { world.isolated["d0"] = true }
 
-func freezeKeeper(world *world) {
+func freezeLeader(world *world) {
 	for _, proxy := range world.proxies {
-		proxy.paused = proxy.keeper.OpenTerm() != 0
+		proxy.paused = proxy.leader.OpenTerm() != 0
 	}
 }
 
 func killBoth(world *world) {
-	freezeKeeper(world)
+	freezeLeader(world)
 	killPrimary(world)
 }
 
 func freezeInOutage(world *world) {
 	world.platform.down = true
-	freezeKeeper(world)
+	freezeLeader(world)
 }
 
 // gapSteps end the terms of the sum in order; what follows the last is the first answer.
@@ -77,7 +77,7 @@
 	return append(sum, milliseconds(first.Sub(last)))
 }
 
-// notesAfter returns the last instant of each reason that a keeper noted in the gap.
+// notesAfter returns the last instant of each reason that a leader noted in the gap.
 func (world *world) notesAfter(last, first spool.Instant) map[Reason]spool.Instant {
 	found := map[Reason]spool.Instant{}
 	for _, proxy := range world.proxies {
--- a/internal/core/terms/handover.go
+++ b/internal/core/terms/handover.go
@@ -11,22 +11,22 @@
 }
 
 // handOver drains a leaving primary and then waits for a replica that has all of its log.
-func (keeper *Keeper) handOver(now spool.Instant) {
-	handover := &keeper.handover
-	if !keeper.servers[spool.Server(keeper.record.Primary)].leaving() || now < handover.retryAt {
+func (leader *Leader) handOver(now spool.Instant) {
+	handover := &leader.handover
+	if !leader.servers[spool.Server(leader.record.Primary)].leaving() || now < handover.retryAt {
 		return
 	}
 	if !handover.draining {
-		if keeper.successor(now) {
+		if leader.successor(now) {
 			handover.draining = true
 			handover.since = now
-			keeper.emit(Drain{Term: spool.Term(keeper.record.Term)})
+			leader.emit(Drain{Term: spool.Term(leader.record.Term)})
 		}
 		return
 	}
-	if now.Sub(handover.since) >= keeper.config.Drain {
-		keeper.replace(ReasonLeaving, now)
-		keeper.handover = handoverSince(now)
+	if now.Sub(handover.since) >= leader.config.Drain {
+		leader.replace(ReasonLeaving, now)
+		leader.handover = handoverSince(now)
 	}
 }
 
@@ -34,28 +34,28 @@
 
 // handsOver tells whether to promote the candidate although the primary of the recorded term answers; if not, that
 // term is opened again, at the latest once the candidate had its time to catch up.
-func (keeper *Keeper) handsOver(candidate spool.ServerStatus, now spool.Instant) bool {
-	handover := &keeper.handover
-	primary := keeper.servers[spool.Server(keeper.record.Primary)].status
+func (leader *Leader) handsOver(candidate spool.ServerStatus, now spool.Instant) bool {
+	handover := &leader.handover
+	primary := leader.servers[spool.Server(leader.record.Primary)].status
 	if handover.active && candidate.Server != primary.Server {
 		if candidate.Term == primary.Term && candidate.Position >= primary.Position {
 			return true
 		}
-		if now.Sub(handover.since) < keeper.config.CatchUp {
+		if now.Sub(handover.since) < leader.config.CatchUp {
 			return false
 		}
-		handover.retryAt = now.Add(keeper.config.CatchUp)
+		handover.retryAt = now.Add(leader.config.CatchUp)
 	}
 	handover.active = false
-	keeper.note(ReasonReturned)
-	keeper.pledge()
+	leader.note(ReasonReturned)
+	leader.vote()
 	return false
 }
 
 // successor tells whether a server that stays could be promoted.
-func (keeper *Keeper) successor(now spool.Instant) bool {
-	for _, view := range keeper.servers {
-		if view.fresh(now, keeper.config.Fresh) && !view.lastChoice(now) && uint64(view.status.Term) == keeper.record.Term {
+func (leader *Leader) successor(now spool.Instant) bool {
+	for _, view := range leader.servers {
+		if view.fresh(now, leader.config.Fresh) && !view.lastChoice(now) && uint64(view.status.Term) == leader.record.Term {
 			return true
 		}
 	}
--- a/internal/core/terms/isolated_test.go
+++ b/internal/core/terms/isolated_test.go
@@ -9,17 +9,17 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// TestKeeperCutFromPlatformGivesWay gives the lease of a group without a record to a proxy that the platform never
+// TestLeaderCutFromPlatformGivesWay gives the lease of a group without a record to a proxy that the platform never
 // answers, and expects it to let another one try.
-func TestKeeperCutFromPlatformGivesWay(t *testing.T) {
-	keeper := NewKeeper("g", "vm0", 1)
+func TestLeaderCutFromPlatformGivesWay(t *testing.T) {
+	leader := NewLeader("g", "vm0", 1)
 	now := spool.Instant(time.Hour)
 	yields := 0
 	handle := func(event Event) {
-		for _, effect := range keeper.Handle(event, now) {
+		for _, effect := range leader.Handle(event, now) {
 			switch effect := effect.(type) {
 			case ReadTerm:
-				defer keeper.Handle(TermReadFailed{}, now)
+				defer leader.Handle(TermReadFailed{}, now)
 			case Yield:
 				yields++
 				qt.Assert(t, effect.BackOff, qt.Equals, DefaultBackOff)
--- a/internal/core/terms/promote.go
+++ b/internal/core/terms/promote.go
@@ -15,75 +15,75 @@
 	failures  int
 }
 
-func (keeper *Keeper) startOrder(now spool.Instant) {
-	keeper.phase = phasePromoting
-	keeper.order = order{startedAt: now}
-	keeper.note(ReasonPromoting)
-	keeper.promote(now)
+func (leader *Leader) startOrder(now spool.Instant) {
+	leader.phase = phasePromoting
+	leader.order = order{startedAt: now}
+	leader.note(ReasonPromoting)
+	leader.promote(now)
 }
 
 // promote repeats the order, which is idempotent, and turns to another candidate after too many failures.
-func (keeper *Keeper) promote(now spool.Instant) {
-	order := &keeper.order
-	if order.waiting && now.Sub(order.sentAt) >= keeper.config.OrderTimeout {
+func (leader *Leader) promote(now spool.Instant) {
+	order := &leader.order
+	if order.waiting && now.Sub(order.sentAt) >= leader.config.OrderTimeout {
 		order.waiting = false
 		order.failures++
 	}
-	if order.failures >= keeper.config.OrderFailures {
-		if view := keeper.servers[spool.Server(keeper.record.Primary)]; view != nil {
-			view.shunnedUntil = now.Add(keeper.config.Shun)
+	if order.failures >= leader.config.OrderFailures {
+		if view := leader.servers[spool.Server(leader.record.Primary)]; view != nil {
+			view.shunnedUntil = now.Add(leader.config.Shun)
 		}
-		keeper.replace(ReasonCandidateGone, now)
+		leader.replace(ReasonCandidateGone, now)
 		return
 	}
-	if order.waiting || (order.sent && now.Sub(order.sentAt) < keeper.config.OrderRetry) {
+	if order.waiting || (order.sent && now.Sub(order.sentAt) < leader.config.OrderRetry) {
 		return
 	}
 	order.sent = true
 	order.waiting = true
 	order.sentAt = now
-	keeper.emit(Promote{Server: spool.Server(keeper.record.Primary), Term: spool.Term(keeper.record.Term)})
+	leader.emit(Promote{Server: spool.Server(leader.record.Primary), Term: spool.Term(leader.record.Term)})
 }
 
-func (keeper *Keeper) promoteFailed(event PromoteFailed) {
-	if keeper.phase != phasePromoting || uint64(event.Term) != keeper.record.Term {
+func (leader *Leader) promoteFailed(event PromoteFailed) {
+	if leader.phase != phasePromoting || uint64(event.Term) != leader.record.Term {
 		return
 	}
-	if event.Server != spool.Server(keeper.record.Primary) || !keeper.order.waiting {
+	if event.Server != spool.Server(leader.record.Primary) || !leader.order.waiting {
 		return
 	}
-	keeper.order.waiting = false
-	keeper.order.failures++
+	leader.order.waiting = false
+	leader.order.failures++
 }
 
 // relent opens the recorded term again if its primary is back while the platform does not confirm the promotion.
-func (keeper *Keeper) relent(now spool.Instant) {
-	pending := keeper.store.pending
-	if pending == nil || pending.waiting || !keeper.record.GetOpened() || !keeper.shows(now) {
+func (leader *Leader) relent(now spool.Instant) {
+	pending := leader.store.pending
+	if pending == nil || pending.waiting || !leader.record.GetOpened() || !leader.shows(now) {
 		return
 	}
-	keeper.store.abort()
-	keeper.store.wanted = true
-	keeper.note(ReasonReturned)
-	keeper.pledge()
+	leader.store.abort()
+	leader.store.wanted = true
+	leader.note(ReasonReturned)
+	leader.vote()
 }
 
 // promotedBy goes on once the candidate's status shows it as the primary of the recorded term.
-func (keeper *Keeper) promotedBy(status spool.ServerStatus, sentAt, now spool.Instant) {
-	if keeper.phase != phasePromoting || sentAt < keeper.order.startedAt {
+func (leader *Leader) promotedBy(status spool.ServerStatus, sentAt, now spool.Instant) {
+	if leader.phase != phasePromoting || sentAt < leader.order.startedAt {
 		return
 	}
-	if status.Server != spool.Server(keeper.record.Primary) || uint64(status.Term) != keeper.record.Term || !status.Primary {
+	if status.Server != spool.Server(leader.record.Primary) || uint64(status.Term) != leader.record.Term || !status.Primary {
 		return
 	}
-	record := proto.Clone(keeper.record).(*wire.TermRecord)
+	record := proto.Clone(leader.record).(*wire.TermRecord)
 	record.Start = uint64(status.Start)
 	record.Opened = true
-	keeper.record = record
-	keeper.checkedAt = now
-	if keeper.config.noPledge {
-		keeper.open(now)
+	leader.record = record
+	leader.checkedAt = now
+	if leader.config.noVote {
+		leader.open(now)
 		return
 	}
-	keeper.pledge()
+	leader.vote()
 }
--- a/internal/core/terms/reason.go
+++ b/internal/core/terms/reason.go
@@ -1,9 +1,9 @@
 package terms
 
-// Reason says why a keeper took a step.
+// Reason says why a leader took a step.
 type Reason string
 
-// Reasons of a keeper's steps.
+// Reasons of a leader's steps.
 const (
 	ReasonLeaseGained   Reason = "lease gained"
 	ReasonLeaseLost     Reason = "lease lost"
--- a/internal/core/terms/scenario_test.go
+++ b/internal/core/terms/scenario_test.go
@@ -15,11 +15,11 @@
 func started(t *testing.T, options ...Option) *world {
 	world := newWorld(5, scenarioLatency, options...)
 	world.clock.Advance(3 * time.Second)
-	qt.Assert(t, world.proxies[0].keeper.OpenTerm(), qt.Equals, spool.Term(1))
+	qt.Assert(t, world.proxies[0].leader.OpenTerm(), qt.Equals, spool.Term(1))
 	return world
 }
 
-// lostPromotion has the keeper open term 2 elsewhere and die at once, with the platform down and the old primary back.
+// lostPromotion has the leader open term 2 elsewhere and die at once, with the platform down and the old primary back.
 func lostPromotion(t *testing.T, options ...Option) *world {
 	world := started(t, options...)
 	world.isolated["d0"] = true
@@ -28,15 +28,15 @@
 	}
 	world.platform.down = true
 	for _, proxy := range world.proxies {
-		proxy.paused = proxy.paused || proxy.keeper.OpenTerm() == 2
+		proxy.paused = proxy.paused || proxy.leader.OpenTerm() == 2
 	}
 	world.isolated = map[string]bool{}
 	world.clock.Advance(5 * time.Second)
 	return world
 }
 
-// frozenKeeper freezes the keeper while the primary dies and wakes it after another keeper has opened term 2.
-func frozenKeeper(t *testing.T, naive bool) *world {
+// frozenLeader freezes the leader while the primary dies and wakes it after another leader has opened term 2.
+func frozenLeader(t *testing.T, naive bool) *world {
 	world := started(t)
 	world.naive = naive
 	for writes := world.writes; world.writes == writes; {
@@ -52,8 +52,8 @@
 	return world
 }
 
-// cutKeeper keeps the keeper from the primary, which all others reach.
-func cutKeeper(t *testing.T, options ...Option) *world {
+// cutLeader keeps the leader from the primary, which all others reach.
+func cutLeader(t *testing.T, options ...Option) *world {
 	world := started(t, options...)
 	world.cut["vm0s0"] = true
 	world.clock.Advance(4 * time.Second)
@@ -62,25 +62,25 @@
 
 // TestMechanismsMatter shows for seed 5 that each mechanism, turned off, breaks what it is for.
 func TestMechanismsMatter(t *testing.T) {
-	noPledge := func(config *Config) { config.noPledge = true }
+	noVote := func(config *Config) { config.noVote = true }
 	noProbes := func(config *Config) { config.noProbes = true }
-	t.Run("pledges", func(t *testing.T) {
+	t.Run("votes", func(t *testing.T) {
 		qt.Assert(t, lostPromotion(t).violations, qt.HasLen, 0)
-		world := lostPromotion(t, noPledge)
+		world := lostPromotion(t, noVote)
 		qt.Assert(t, len(world.violations) > 0, qt.IsTrue)
 		t.Log(world.violations[0])
 	})
 	t.Run("fence", func(t *testing.T) {
-		qt.Assert(t, frozenKeeper(t, false).violations, qt.HasLen, 0)
-		world := frozenKeeper(t, true)
+		qt.Assert(t, frozenLeader(t, false).violations, qt.HasLen, 0)
+		world := frozenLeader(t, true)
 		qt.Assert(t, len(world.violations) > 0, qt.IsTrue)
 		t.Log(world.violations[0])
 	})
 	t.Run("probes", func(t *testing.T) {
-		world := cutKeeper(t)
+		world := cutLeader(t)
 		world.requireProgress(t)
 		qt.Assert(t, world.highest, qt.Equals, spool.Term(1))
-		qt.Assert(t, cutKeeper(t, noProbes).highest > 1, qt.IsTrue)
+		qt.Assert(t, cutLeader(t, noProbes).highest > 1, qt.IsTrue)
 	})
 }
 
@@ -96,7 +96,7 @@
 	qt.Assert(t, world.platform.owners, qt.HasLen, 2)
 }
 
-// TestRacingClaims has the claim of a frozen keeper take effect at some time around its successor's.
+// TestRacingClaims has the claim of a frozen leader take effect at some time around its successor's.
 func TestRacingClaims(t *testing.T) {
 	conflicts := 0
 	for late := 800 * time.Millisecond; late < 900*time.Millisecond; late += 2 * time.Millisecond {
@@ -104,7 +104,7 @@
 		world.platform.delay = 2 * late
 		world.servers[0].dead = true
 		world.servers[1].log = world.servers[0].log
-		for world.proxies[0].keeper.phase != phaseClaiming {
+		for world.proxies[0].leader.phase != phaseClaiming {
 			world.clock.Advance(time.Millisecond)
 		}
 		world.proxies[0].paused = true
@@ -122,7 +122,7 @@
 	qt.Assert(t, conflicts > 0, qt.IsTrue)
 }
 
-// TestPlatformOutage has the platform down for 60 s, and the keeper's VM frozen in the meantime.
+// TestPlatformOutage has the platform down for 60 s, and the leader's VM frozen in the meantime.
 func TestPlatformOutage(t *testing.T) {
 	world := started(t)
 	world.platform.down = true
@@ -143,7 +143,7 @@
 	world.platform.down = true
 	world.servers[0].dead = true
 	world.clock.Advance(3 * time.Second)
-	qt.Assert(t, world.proxies[0].keeper.OpenTerm(), qt.Equals, spool.Term(0))
+	qt.Assert(t, world.proxies[0].leader.OpenTerm(), qt.Equals, spool.Term(0))
 	world.servers[0].dead = false
 	world.clock.Advance(time.Second)
 	world.requireProgress(t)
@@ -166,7 +166,7 @@
 	t.Logf("longest time without an acknowledgement: %v", first.Sub(last))
 }
 
-// TestLatePromotion has an order of a dead keeper reach a replica long after; its term is passed over.
+// TestLatePromotion has an order of a dead leader reach a replica long after; its term is passed over.
 func TestLatePromotion(t *testing.T) {
 	world := started(t)
 	world.servers[2].promote(2)
--- a/internal/core/terms/shell_test.go
+++ b/internal/core/terms/shell_test.go
@@ -8,7 +8,7 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// tick sends what the holder owes and tells the keeper of the lease and the time.
+// tick sends what the holder owes and tells the leader of the lease and the time.
 func (world *world) tick(proxy *proxy) {
 	now := world.clock.Now()
 	for _, out := range proxy.holder.Due(now) {
@@ -39,17 +39,17 @@
 func (world *world) request(from *proxy, out lease.Out) {
 	to := world.proxy(out.To)
 	world.message(from, to, func() {
-		answer := to.witness.Pledge(from.vm, out.Request, world.clock.Now())
+		answer := to.witness.Vote(from.vm, out.Request, world.clock.Now())
 		world.message(to, from, func() { world.receive(from, to.vm, answer) })
 	})
 }
 
-func (world *world) receive(proxy *proxy, from spool.VM, answer *wire.PledgeAnswer) {
+func (world *world) receive(proxy *proxy, from spool.VM, answer *wire.VoteAnswer) {
 	proxy.holder.Receive(from, answer, world.clock.Now())
 	world.report(proxy)
 }
 
-// report tells the keeper once a majority has pledged with the record that it asked for.
+// report tells the leader once a majority has voted with the record that it asked for.
 func (world *world) report(proxy *proxy) {
 	if proxy.awaited != nil && proxy.holder.Backed(proxy.awaited) {
 		record := proxy.awaited
@@ -58,18 +58,18 @@
 	}
 }
 
-// gossip tells the proxy of the roster and the term as the platform has them, and others of the roster it has seen.
+// gossip tells the proxy of the quorum and the term as the platform has them, and others of the quorum it has seen.
 func (world *world) gossip(proxy *proxy) {
-	world.read(proxy, func(record *wire.TermRecord, roster lease.Roster) {
+	world.read(proxy, func(record *wire.TermRecord, quorum lease.Quorum) {
 		now := world.clock.Now()
-		proxy.witness.Confirm(roster, false)
+		proxy.witness.Confirm(quorum, false)
 		if proxy.witness.Uninformed() {
 			proxy.witness.Learn(record)
-			proxy.witness.Confirm(roster, true)
+			proxy.witness.Confirm(quorum, true)
 		}
-		proxy.holder.SetRoster(roster, now)
-		world.handle(proxy, RosterChanged{Members: roster.Members, Domains: world.domains()})
-		world.act(proxy, proxy.changer.Observe(roster, now))
+		proxy.holder.SetQuorum(quorum, now)
+		world.handle(proxy, QuorumChanged{Members: quorum.Members, Domains: world.domains()})
+		world.act(proxy, proxy.changer.Observe(quorum, now))
 	}, func() {})
 	var alive []spool.Member
 	for _, other := range world.proxies {
@@ -89,8 +89,8 @@
 // act carries out a changer's actions; it is never told that a write was done.
 func (world *world) act(proxy *proxy, actions []lease.Action) {
 	for _, action := range actions {
-		if write, ok := action.(lease.WriteRoster); ok && world.reachesPlatform(proxy) {
-			world.platform.writeRoster(write)
+		if write, ok := action.(lease.WriteQuorum); ok && world.reachesPlatform(proxy) {
+			world.platform.writeQuorum(write)
 		}
 		world.arrive(proxy, world.platform.delay, func() {
 			world.act(proxy, proxy.changer.Failed(world.clock.Now()))
@@ -102,15 +102,15 @@
 	return !world.platform.down && !world.isolated[string(proxy.vm)] && !world.isolated[string(proxy.domain)]
 }
 
-func (world *world) read(proxy *proxy, do func(*wire.TermRecord, lease.Roster), failed func()) {
+func (world *world) read(proxy *proxy, do func(*wire.TermRecord, lease.Quorum), failed func()) {
 	delay := world.platform.delay / 2
 	world.clock.After(delay, spool.TimerFunc(func(spool.Instant) {
 		if !world.reachesPlatform(proxy) {
 			world.arrive(proxy, delay, failed)
 			return
 		}
-		record, roster := world.platform.record, world.platform.roster
-		world.arrive(proxy, delay, func() { do(record, roster) })
+		record, quorum := world.platform.record, world.platform.quorum
+		world.arrive(proxy, delay, func() { do(record, quorum) })
 	}))
 }
 
@@ -125,9 +125,9 @@
 	}))
 }
 
-// handle passes an event to the keeper and carries its effects out.
+// handle passes an event to the leader and carries its effects out.
 func (world *world) handle(proxy *proxy, event Event) {
-	for _, effect := range proxy.keeper.Handle(event, world.clock.Now()) {
+	for _, effect := range proxy.leader.Handle(event, world.clock.Now()) {
 		world.carryOut(proxy, effect)
 	}
 }
@@ -138,7 +138,7 @@
 		world.pollAll(proxy)
 	case ReadTerm:
 		world.read(proxy,
-			func(record *wire.TermRecord, _ lease.Roster) { world.handle(proxy, TermRead{Record: record}) },
+			func(record *wire.TermRecord, _ lease.Quorum) { world.handle(proxy, TermRead{Record: record}) },
 			func() { world.handle(proxy, TermReadFailed{}) })
 	case WriteTerm:
 		world.writeTerm(proxy, effect)
@@ -148,7 +148,7 @@
 		world.promote(proxy, effect)
 	case Follow:
 		world.follow(proxy, effect)
-	case Pledge:
+	case Vote:
 		proxy.awaited = effect.Record
 		proxy.holder.SetRecord(effect.Record)
 		for _, out := range proxy.holder.Due(world.clock.Now()) {
--- a/internal/core/terms/store.go
+++ b/internal/core/terms/store.go
@@ -57,72 +57,72 @@
 }
 
 // write asks for a conditional update with a nonce of its own.
-func (keeper *Keeper) write(kind writeKind, record *wire.TermRecord, now spool.Instant) {
-	keeper.nonce++
-	record.Holder = string(keeper.self)
-	record.Nonce = keeper.nonce
-	expected := max(keeper.store.record.GetVersion(), keeper.record.GetVersion())
-	keeper.store.pending = &write{kind: kind, record: record, expected: spool.Version(expected)}
-	keeper.send(now)
+func (leader *Leader) write(kind writeKind, record *wire.TermRecord, now spool.Instant) {
+	leader.nonce++
+	record.Holder = string(leader.self)
+	record.Nonce = leader.nonce
+	expected := max(leader.store.record.GetVersion(), leader.record.GetVersion())
+	leader.store.pending = &write{kind: kind, record: record, expected: spool.Version(expected)}
+	leader.send(now)
 }
 
-func (keeper *Keeper) send(now spool.Instant) {
-	pending := keeper.store.pending
+func (leader *Leader) send(now spool.Instant) {
+	pending := leader.store.pending
 	pending.sentAt = now
 	pending.waiting = true
-	keeper.emit(WriteTerm{Expected: pending.expected, Record: pending.record})
+	leader.emit(WriteTerm{Expected: pending.expected, Record: pending.record})
 }
 
-func (keeper *Keeper) applyPlatform(event Event, now spool.Instant) {
+func (leader *Leader) applyPlatform(event Event, now spool.Instant) {
 	switch event := event.(type) {
 	case TermRead:
-		keeper.termRead(event.Record, now)
+		leader.termRead(event.Record, now)
 	case TermReadFailed:
-		keeper.readFailed(now)
+		leader.readFailed(now)
 	case TermWritten:
-		keeper.termWritten(event, now)
+		leader.termWritten(event, now)
 	}
 }
 
-func (keeper *Keeper) readFailed(now spool.Instant) {
-	store := &keeper.store
+func (leader *Leader) readFailed(now spool.Instant) {
+	store := &leader.store
 	if !store.reading {
 		return
 	}
 	store.reading = false
 	store.answered = true
 	store.wanted = true
-	store.retryAt = now.Add(keeper.config.PlatformRetry)
+	store.retryAt = now.Add(leader.config.PlatformRetry)
 }
 
-func (keeper *Keeper) termRead(record *wire.TermRecord, now spool.Instant) {
-	store := &keeper.store
+func (leader *Leader) termRead(record *wire.TermRecord, now spool.Instant) {
+	store := &leader.store
 	store.heardAt = now
 	store.reading = false
 	store.wanted = false
 	store.answered = true
 	store.absent = record == nil && store.record == nil
 	store.learn(record)
-	if keeper.phase == phaseIdle {
+	if leader.phase == phaseIdle {
 		return
 	}
 	pending := store.pending
 	if pending == nil {
-		keeper.adopt(now)
+		leader.adopt(now)
 		return
 	}
 	if pending.isIn(store.record) {
-		keeper.written(spool.Version(store.record.Version), now)
+		leader.written(spool.Version(store.record.Version), now)
 		return
 	}
 	if spool.Version(store.record.GetVersion()) <= pending.expected {
 		if !pending.waiting {
-			keeper.send(now)
+			leader.send(now)
 		}
 		return
 	}
 	store.pending = nil
-	keeper.adopt(now)
+	leader.adopt(now)
 }
 
 // isIn tells whether the platform's record is the one that was to be written.
@@ -130,100 +130,100 @@
 	return record != nil && record.Holder == write.record.Holder && record.Nonce == write.record.Nonce
 }
 
-// adopt goes on from a record of the platform that may be another keeper's.
-func (keeper *Keeper) adopt(now spool.Instant) {
-	stored := keeper.store.record
-	switch keeper.phase {
+// adopt goes on from a record of the platform that may be another leader's.
+func (leader *Leader) adopt(now spool.Instant) {
+	stored := leader.store.record
+	switch leader.phase {
 	case phaseFinding, phaseChoosing:
-		keeper.record = lease.NewestRecord(keeper.record, stored)
+		leader.record = lease.NewestRecord(leader.record, stored)
 	case phaseClaiming:
-		keeper.record = lease.NewestRecord(keeper.record, stored)
-		keeper.phase = phaseChoosing
-	case phaseIdle, phaseResuming, phasePromoting, phasePledging, phaseOpen:
-		if stored.GetTerm() > keeper.record.GetTerm() && stored.Opened {
-			keeper.record = stored
-			keeper.replace(ReasonReplaced, now)
+		leader.record = lease.NewestRecord(leader.record, stored)
+		leader.phase = phaseChoosing
+	case phaseIdle, phaseResuming, phasePromoting, phaseVoting, phaseOpen:
+		if stored.GetTerm() > leader.record.GetTerm() && stored.Opened {
+			leader.record = stored
+			leader.replace(ReasonReplaced, now)
 		}
 	}
 }
 
-func (keeper *Keeper) termWritten(event TermWritten, now spool.Instant) {
-	pending := keeper.store.pending
+func (leader *Leader) termWritten(event TermWritten, now spool.Instant) {
+	pending := leader.store.pending
 	if pending == nil || pending.record.Nonce != event.Nonce {
 		return
 	}
 	if event.Result != WriteUnknown {
-		keeper.store.heardAt = now
+		leader.store.heardAt = now
 	}
 	if event.Result == WriteDone {
-		keeper.written(event.Version, now)
+		leader.written(event.Version, now)
 		return
 	}
 	pending.waiting = false
-	keeper.store.wanted = true
+	leader.store.wanted = true
 	if event.Result == WriteUnknown {
-		keeper.note(ReasonWriteUnknown)
+		leader.note(ReasonWriteUnknown)
 	}
 }
 
 // written goes on after a conditional update that took effect.
-func (keeper *Keeper) written(version spool.Version, now spool.Instant) {
-	pending := keeper.store.pending
+func (leader *Leader) written(version spool.Version, now spool.Instant) {
+	pending := leader.store.pending
 	record := proto.Clone(pending.record).(*wire.TermRecord)
 	record.Version = uint64(version)
-	keeper.store.pending = nil
-	keeper.store.absent = false
-	keeper.store.learn(record)
+	leader.store.pending = nil
+	leader.store.absent = false
+	leader.store.learn(record)
 	switch pending.kind {
 	case writeOpened:
-		if record.Term == keeper.record.Term {
-			keeper.record = lease.NewestRecord(keeper.record, record)
+		if record.Term == leader.record.Term {
+			leader.record = lease.NewestRecord(leader.record, record)
 		}
 	case writeFirst:
-		keeper.record = record
-		keeper.checkedAt = keeper.gainedAt
-		keeper.phase = phaseResuming
+		leader.record = record
+		leader.checkedAt = leader.gainedAt
+		leader.phase = phaseResuming
 	case writeClaim:
-		keeper.record = record
-		keeper.startOrder(now)
+		leader.record = record
+		leader.startOrder(now)
 	case writeRaise:
-		keeper.shut(ReasonRaised)
-		keeper.record = record
-		keeper.startOrder(now)
+		leader.shut(ReasonRaised)
+		leader.record = record
+		leader.startOrder(now)
 	}
 }
 
 // stepPlatform asks for reads that are due and gives up on calls without an answer.
-func (keeper *Keeper) stepPlatform(now spool.Instant) {
-	store := &keeper.store
-	wait := keeper.config.PlatformWait
+func (leader *Leader) stepPlatform(now spool.Instant) {
+	store := &leader.store
+	wait := leader.config.PlatformWait
 	if store.reading && now.Sub(store.readAt) >= wait {
-		keeper.readFailed(now)
+		leader.readFailed(now)
 	}
 	if pending := store.pending; pending != nil && pending.waiting && now.Sub(pending.sentAt) >= wait {
 		pending.waiting = false
 		store.wanted = true
-		keeper.note(ReasonWriteUnknown)
+		leader.note(ReasonWriteUnknown)
 	}
-	if keeper.phase == phaseIdle || !store.wanted || store.reading || now < store.retryAt {
+	if leader.phase == phaseIdle || !store.wanted || store.reading || now < store.retryAt {
 		return
 	}
-	if keeper.needsPlatform() && now.Sub(store.heardAt) >= keeper.config.PlatformGone {
+	if leader.needsPlatform() && now.Sub(store.heardAt) >= leader.config.PlatformGone {
 		store.heardAt = now
-		keeper.note(ReasonPlatformGone)
-		keeper.emit(Yield{BackOff: keeper.config.BackOff})
+		leader.note(ReasonPlatformGone)
+		leader.emit(Yield{BackOff: leader.config.BackOff})
 	}
 	store.reading = true
 	store.readAt = now
-	keeper.emit(ReadTerm{Group: keeper.group})
+	leader.emit(ReadTerm{Group: leader.group})
 }
 
 // needsPlatform tells whether no term can be opened before the platform answers; another proxy may reach it.
-func (keeper *Keeper) needsPlatform() bool {
-	switch keeper.phase {
+func (leader *Leader) needsPlatform() bool {
+	switch leader.phase {
 	case phaseFinding, phaseChoosing, phaseClaiming:
 		return true
-	case phaseIdle, phaseResuming, phasePromoting, phasePledging, phaseOpen:
+	case phaseIdle, phaseResuming, phasePromoting, phaseVoting, phaseOpen:
 	}
 	return false
 }
--- a/internal/core/terms/supervise.go
+++ b/internal/core/terms/supervise.go
@@ -7,33 +7,33 @@
 )
 
 // supervise keeps the platform's record and the replicas in step with the open term.
-func (keeper *Keeper) supervise(now spool.Instant) {
-	keeper.follow(now)
-	keeper.handOver(now)
-	if keeper.phase != phaseOpen {
+func (leader *Leader) supervise(now spool.Instant) {
+	leader.follow(now)
+	leader.handOver(now)
+	if leader.phase != phaseOpen {
 		return
 	}
-	store := &keeper.store
+	store := &leader.store
 	if store.pending != nil || store.wanted || store.reading || now < store.retryAt {
 		return
 	}
-	if keeper.outrun(now) {
-		keeper.raise(now)
+	if leader.outrun(now) {
+		leader.raise(now)
 		return
 	}
-	if store.record.GetTerm() == keeper.record.Term && store.record.Opened {
+	if store.record.GetTerm() == leader.record.Term && store.record.Opened {
 		return
 	}
-	keeper.write(writeOpened, proto.Clone(keeper.record).(*wire.TermRecord), now)
+	leader.write(writeOpened, proto.Clone(leader.record).(*wire.TermRecord), now)
 }
 
 // outrun tells whether the platform or a server shows a later term, which was never opened.
-func (keeper *Keeper) outrun(now spool.Instant) bool {
-	if keeper.store.record.GetTerm() > keeper.record.Term {
+func (leader *Leader) outrun(now spool.Instant) bool {
+	if leader.store.record.GetTerm() > leader.record.Term {
 		return true
 	}
-	for _, view := range keeper.servers {
-		if view.fresh(now, keeper.config.Fresh) && uint64(view.status.Term) > keeper.record.Term {
+	for _, view := range leader.servers {
+		if view.fresh(now, leader.config.Fresh) && uint64(view.status.Term) > leader.record.Term {
 			return true
 		}
 	}
@@ -41,35 +41,35 @@
 }
 
 // raise records a term above all that were seen for the same primary, so that every server can follow it.
-func (keeper *Keeper) raise(now spool.Instant) {
-	highest := max(keeper.record.Term, keeper.store.record.GetTerm(), uint64(keeper.servers.highestTerm()))
-	keeper.write(writeRaise, &wire.TermRecord{
-		Group:   string(keeper.group),
+func (leader *Leader) raise(now spool.Instant) {
+	highest := max(leader.record.Term, leader.store.record.GetTerm(), uint64(leader.servers.highestTerm()))
+	leader.write(writeRaise, &wire.TermRecord{
+		Group:   string(leader.group),
 		Term:    highest + 1,
-		Primary: keeper.record.Primary,
-		History: historyOf(keeper.record),
+		Primary: leader.record.Primary,
+		History: historyOf(leader.record),
 	}, now)
 }
 
 // follow orders servers whose status shows a lower term to replicate from the primary.
-func (keeper *Keeper) follow(now spool.Instant) {
-	for _, name := range keeper.servers.names() {
-		view := keeper.servers[name]
-		if name == spool.Server(keeper.record.Primary) || !view.fresh(now, keeper.config.Fresh) {
+func (leader *Leader) follow(now spool.Instant) {
+	for _, name := range leader.servers.names() {
+		view := leader.servers[name]
+		if name == spool.Server(leader.record.Primary) || !view.fresh(now, leader.config.Fresh) {
 			continue
 		}
-		if uint64(view.status.Term) >= keeper.record.Term {
+		if uint64(view.status.Term) >= leader.record.Term {
 			continue
 		}
-		if view.ordered && now.Sub(view.orderedAt) < keeper.config.FollowEvery {
+		if view.ordered && now.Sub(view.orderedAt) < leader.config.FollowEvery {
 			continue
 		}
 		view.ordered = true
 		view.orderedAt = now
-		keeper.emit(Follow{
+		leader.emit(Follow{
 			Server:  name,
-			Term:    spool.Term(keeper.record.Term),
-			Primary: spool.Server(keeper.record.Primary),
+			Term:    spool.Term(leader.record.Term),
+			Primary: spool.Server(leader.record.Primary),
 		})
 	}
 }
--- a/internal/core/terms/suspect.go
+++ b/internal/core/terms/suspect.go
@@ -30,130 +30,130 @@
 }
 
 // watch suspects the recorded primary and replaces it once a majority of the witnesses does not reach it.
-func (keeper *Keeper) watch(now spool.Instant) {
-	if keeper.phase != phaseResuming && keeper.phase != phasePledging && keeper.phase != phaseOpen {
+func (leader *Leader) watch(now spool.Instant) {
+	if leader.phase != phaseResuming && leader.phase != phaseVoting && leader.phase != phaseOpen {
 		return
 	}
-	if keeper.misplaced(now) {
-		keeper.replace(ReasonMisplaced, now)
+	if leader.misplaced(now) {
+		leader.replace(ReasonMisplaced, now)
 		return
 	}
-	if !keeper.silent(now) {
-		keeper.trust()
+	if !leader.silent(now) {
+		leader.trust()
 		return
 	}
-	keeper.suspect(now)
-	keeper.probe(now)
-	keeper.judge(now)
+	leader.suspect(now)
+	leader.probe(now)
+	leader.judge(now)
 }
 
 // shows tells whether the primary's own status shows it in the recorded term.
-func (keeper *Keeper) shows(now spool.Instant) bool {
-	view := keeper.servers[spool.Server(keeper.record.Primary)]
-	if view == nil || !view.fresh(now, keeper.config.Fresh) || view.sentAt < keeper.checkedAt {
+func (leader *Leader) shows(now spool.Instant) bool {
+	view := leader.servers[spool.Server(leader.record.Primary)]
+	if view == nil || !view.fresh(now, leader.config.Fresh) || view.sentAt < leader.checkedAt {
 		return false
 	}
-	return view.status.Primary && view.status.Term == spool.Term(keeper.record.Term)
+	return view.status.Primary && view.status.Term == spool.Term(leader.record.Term)
 }
 
 // misplaced tells whether the primary answers, but not as the primary of the recorded term, or is no server any more.
-func (keeper *Keeper) misplaced(now spool.Instant) bool {
-	view := keeper.servers[spool.Server(keeper.record.Primary)]
+func (leader *Leader) misplaced(now spool.Instant) bool {
+	view := leader.servers[spool.Server(leader.record.Primary)]
 	if view == nil {
-		return len(keeper.servers) > 0
+		return len(leader.servers) > 0
 	}
-	if view.sentAt < keeper.checkedAt || !view.fresh(now, keeper.config.Fresh) {
+	if view.sentAt < leader.checkedAt || !view.fresh(now, leader.config.Fresh) {
 		return false
 	}
-	return !keeper.shows(now)
+	return !leader.shows(now)
 }
 
 // silent tells whether the primary has not answered for too long or refuses.
-func (keeper *Keeper) silent(now spool.Instant) bool {
-	view := keeper.servers[spool.Server(keeper.record.Primary)]
+func (leader *Leader) silent(now spool.Instant) bool {
+	view := leader.servers[spool.Server(leader.record.Primary)]
 	if view == nil {
 		return false
 	}
-	if view.refusals >= keeper.config.Refusals {
+	if view.refusals >= leader.config.Refusals {
 		return true
 	}
-	last := max(view.sentAt, keeper.gainedAt, keeper.wokenAt, keeper.checkedAt)
-	return now.Sub(last) >= keeper.config.SuspectAfter
+	last := max(view.sentAt, leader.gainedAt, leader.wokenAt, leader.checkedAt)
+	return now.Sub(last) >= leader.config.SuspectAfter
 }
 
-func (keeper *Keeper) trust() {
-	if keeper.suspicion.active {
-		keeper.suspicion = suspicion{}
-		keeper.note(ReasonReturned)
+func (leader *Leader) trust() {
+	if leader.suspicion.active {
+		leader.suspicion = suspicion{}
+		leader.note(ReasonReturned)
 	}
 }
 
-func (keeper *Keeper) suspect(now spool.Instant) {
-	if keeper.suspicion.active {
+func (leader *Leader) suspect(now spool.Instant) {
+	if leader.suspicion.active {
 		return
 	}
-	keeper.suspicion = suspicion{
+	leader.suspicion = suspicion{
 		active: true,
 		since:  now,
 		sent:   map[uint64]spool.Instant{},
 		views:  map[spool.VM]probeView{},
 	}
-	keeper.note(ReasonSuspected)
+	leader.note(ReasonSuspected)
 }
 
 // probe asks the other witnesses whether they reach the primary.
-func (keeper *Keeper) probe(now spool.Instant) {
-	suspicion := &keeper.suspicion
-	if len(suspicion.sent) > 0 && now.Sub(suspicion.probedAt) < keeper.config.ProbeEvery {
+func (leader *Leader) probe(now spool.Instant) {
+	suspicion := &leader.suspicion
+	if len(suspicion.sent) > 0 && now.Sub(suspicion.probedAt) < leader.config.ProbeEvery {
 		return
 	}
 	suspicion.probedAt = now
 	for sequence, sentAt := range suspicion.sent {
-		if now.Sub(sentAt) >= keeper.config.ProbeTimeout {
+		if now.Sub(sentAt) >= leader.config.ProbeTimeout {
 			delete(suspicion.sent, sequence)
 		}
 	}
-	for _, vm := range keeper.witnesses {
-		if vm == keeper.self {
+	for _, vm := range leader.witnesses {
+		if vm == leader.self {
 			continue
 		}
-		keeper.nonce++
-		suspicion.sent[keeper.nonce] = now
-		keeper.emit(Probe{To: vm, Request: &wire.ProbeRequest{
-			Group:    string(keeper.group),
-			Server:   keeper.record.Primary,
-			Sequence: keeper.nonce,
+		leader.nonce++
+		suspicion.sent[leader.nonce] = now
+		leader.emit(Probe{To: vm, Request: &wire.ProbeRequest{
+			Group:    string(leader.group),
+			Server:   leader.record.Primary,
+			Sequence: leader.nonce,
 		}})
 	}
 }
 
 // judge acts on the witnesses' views once a majority agrees.
-func (keeper *Keeper) judge(now spool.Instant) {
-	reached, unreached, elsewhere := keeper.views(now)
-	majority := len(keeper.witnesses)/2 + 1
-	if keeper.config.noProbes || (unreached >= majority && elsewhere) {
-		keeper.replace(ReasonConfirmed, now)
+func (leader *Leader) judge(now spool.Instant) {
+	reached, unreached, elsewhere := leader.views(now)
+	majority := len(leader.witnesses)/2 + 1
+	if leader.config.noProbes || (unreached >= majority && elsewhere) {
+		leader.replace(ReasonConfirmed, now)
 		return
 	}
-	if reached < majority || now.Sub(keeper.suspicion.since) < keeper.config.YieldAfter {
+	if reached < majority || now.Sub(leader.suspicion.since) < leader.config.YieldAfter {
 		return
 	}
-	keeper.note(ReasonContradicted)
-	keeper.lose(ReasonContradicted)
-	keeper.emit(Yield{BackOff: keeper.config.BackOff})
+	leader.note(ReasonContradicted)
+	leader.lose(ReasonContradicted)
+	leader.emit(Yield{BackOff: leader.config.BackOff})
 }
 
 // views counts the witnesses that reach the primary and that do not, this proxy among them; elsewhere tells whether one
 // of the latter is in another failure domain, if there is any other.
-func (keeper *Keeper) views(now spool.Instant) (reached, unreached int, elsewhere bool) {
-	elsewhere = !slices.ContainsFunc(keeper.witnesses, keeper.isElsewhere)
-	for _, vm := range keeper.witnesses {
-		if vm == keeper.self {
+func (leader *Leader) views(now spool.Instant) (reached, unreached int, elsewhere bool) {
+	elsewhere = !slices.ContainsFunc(leader.witnesses, leader.isElsewhere)
+	for _, vm := range leader.witnesses {
+		if vm == leader.self {
 			unreached++
 			continue
 		}
-		view, ok := keeper.suspicion.views[vm]
-		if !ok || now.Sub(view.sentAt) >= keeper.config.ProbeTimeout {
+		view, ok := leader.suspicion.views[vm]
+		if !ok || now.Sub(view.sentAt) >= leader.config.ProbeTimeout {
 			continue
 		}
 		if view.reached {
@@ -161,11 +161,11 @@
 			continue
 		}
 		unreached++
-		elsewhere = elsewhere || keeper.isElsewhere(vm)
+		elsewhere = elsewhere || leader.isElsewhere(vm)
 	}
 	return reached, unreached, elsewhere
 }
 
-func (keeper *Keeper) isElsewhere(vm spool.VM) bool {
-	return keeper.domains[vm] != keeper.domains[keeper.self]
+func (leader *Leader) isElsewhere(vm spool.VM) bool {
+	return leader.domains[vm] != leader.domains[leader.self]
 }
--- a/internal/core/terms/terms_test.go
+++ b/internal/core/terms/terms_test.go
@@ -32,7 +32,7 @@
 
 func (world *world) isolate(name string) { world.isolated[name] = !world.isolated[name] }
 
-// strike brings about a fault; an index beyond the proxies strikes the keeper and the primary.
+// strike brings about a fault; an index beyond the proxies strikes the leader and the primary.
 func (world *world) strike(kind, index int) {
 	proxy := world.proxies[index%len(world.proxies)]
 	server := world.servers[index%len(world.servers)]
@@ -42,11 +42,11 @@
 	faults[kind](world, proxy, server)
 }
 
-// struck returns the keeper and the primary of an open term, if there is one.
+// struck returns the leader and the primary of an open term, if there is one.
 func (world *world) struck(other *proxy, server *fakeServer) (*proxy, *fakeServer) {
-	for _, keeper := range world.proxies {
-		if keeper.keeper.OpenTerm() == world.highest {
-			return keeper, world.server(keeper.keeper.Primary())
+	for _, leader := range world.proxies {
+		if leader.leader.OpenTerm() == world.highest {
+			return leader, world.server(leader.leader.Primary())
 		}
 	}
 	return other, server
--- a/internal/core/terms/world_test.go
+++ b/internal/core/terms/world_test.go
@@ -21,7 +21,7 @@
 	promoteTakes = 20 * time.Millisecond
 )
 
-// proxy is the shell round one VM's witness, holder and keeper.
+// proxy is the shell round one VM's witness, holder and leader.
 type proxy struct {
 	vm          spool.VM
 	domain      spool.Domain
@@ -29,8 +29,8 @@
 	witness     *lease.Witness
 	holder      *lease.Holder
 	changer     *lease.Changer
-	keeper      *Keeper
-	awaited     *wire.TermRecord // waits for a majority's pledges
+	leader      *Leader
+	awaited     *wire.TermRecord // waits for a majority's votes
 	paused      bool
 	inbox       []func()
 	notes       []timedNote
@@ -107,7 +107,7 @@
 	proxy.witness = lease.NewWitness(proxy.vm, now)
 	proxy.holder = lease.NewHolder(lease.GroupRole(worldGroup), proxy.incarnation)
 	proxy.changer = lease.NewChanger(func(config *lease.Config) { config.Gone = 2 * time.Second })
-	proxy.keeper = NewKeeper(worldGroup, proxy.vm, world.random.Uint64(), world.options...)
+	proxy.leader = NewLeader(worldGroup, proxy.vm, world.random.Uint64(), world.options...)
 	proxy.paused, proxy.inbox, proxy.awaited = false, nil, nil
 	proxy.holder.Seek(slices.Index(world.proxies, proxy), now)
 	world.setServers(proxy)
@@ -217,11 +217,11 @@
 
 // write sends one write to the primary of the open term and acknowledges it if the fence allows.
 func (world *world) write(proxy *proxy) {
-	term := proxy.keeper.OpenTerm()
+	term := proxy.leader.OpenTerm()
 	if term == 0 || !world.allows(proxy, term) {
 		return
 	}
-	server := world.server(proxy.keeper.Primary())
+	server := world.server(proxy.leader.Primary())
 	world.ask(proxy, server, 0, func() func() {
 		if !server.status.Primary {
 			return func() {}
@@ -240,9 +240,9 @@
 
 func (world *world) allows(proxy *proxy, term spool.Term) bool {
 	if world.naive {
-		return proxy.keeper.OpenTerm() == term
+		return proxy.leader.OpenTerm() == term
 	}
-	fence := Fence{Until: proxy.holder.Until(), Term: proxy.keeper.OpenTerm()}
+	fence := Fence{Until: proxy.holder.Until(), Term: proxy.leader.OpenTerm()}
 	return fence.Allows(term, world.clock.Now())
 }
 
--- a/internal/core/trust.go
+++ b/internal/core/trust.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	trustLimit = 3 * time.Second
-	beatDelay  = 200 * time.Millisecond
+	trustLimit     = 3 * time.Second
+	heartbeatDelay = 200 * time.Millisecond
 )
 
 // mechanism names a part of the core that a test can turn off.
@@ -53,10 +53,10 @@
 
 func (core *Core) reachesMajority(now spool.Instant) bool {
 	reached := 0
-	for _, witness := range core.roster.Members {
+	for _, witness := range core.quorum.Members {
 		if core.view.Alive(witness, now) {
 			reached++
 		}
 	}
-	return len(core.roster.Members) > 0 && reached >= core.roster.Majority()
+	return len(core.quorum.Members) > 0 && reached >= core.quorum.Majority()
 }
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -35,7 +35,7 @@
 	return !known || version.Version > own
 }
 
-// own returns the versions of the manifests and the roster in force.
+// own returns the versions of the manifests and the quorum in force.
 func (core *Core) own() *versions {
 	if core.ownVersions == nil {
 		core.ownVersions = newVersions(core.listVersions())
@@ -50,9 +50,9 @@
 			Kind: spool.KindManifest, Name: string(partner), Version: uint64(version),
 		})
 	}
-	if core.roster.Version > 0 {
+	if core.quorum.Version > 0 {
 		list = append(list, &wire.ObjectVersion{
-			Kind: spool.KindRoster, Name: lease.RosterName, Version: uint64(core.roster.Version),
+			Kind: spool.KindQuorum, Name: lease.QuorumName, Version: uint64(core.quorum.Version),
 		})
 	}
 	slices.SortFunc(list, func(a, b *wire.ObjectVersion) int {
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -30,14 +30,14 @@
 	ServerLost     Number = 301
 	ServerBack     Number = 302
 	ServerDemoted  Number = 303
-	KeeperTaken    Number = 401
-	KeeperLost     Number = 402
+	LeaderTaken    Number = 401
+	LeaderLost     Number = 402
 	TermSuspected  Number = 403
 	TermPromoting  Number = 404
 	TermOpened     Number = 405
 	OwnerTaken     Number = 406
 	OwnerLost      Number = 407
-	RosterChanged  Number = 408
+	QuorumChanged  Number = 408
 	TermCleared    Number = 409
 	TermStuck      Number = 410
 	TermOrdered    Number = 411
@@ -62,14 +62,14 @@
 	ServerLost:     {Level: zapcore.WarnLevel, Text: "backend server out of reach"},
 	ServerBack:     {Level: zapcore.InfoLevel, Text: "backend server in reach again"},
 	ServerDemoted:  {Level: zapcore.InfoLevel, Text: "backend server follows the new primary"},
-	KeeperTaken:    {Level: zapcore.InfoLevel, Text: "group lease taken"},
-	KeeperLost:     {Level: zapcore.WarnLevel, Text: "group lease lost"},
+	LeaderTaken:    {Level: zapcore.InfoLevel, Text: "group lease taken"},
+	LeaderLost:     {Level: zapcore.WarnLevel, Text: "group lease lost"},
 	TermSuspected:  {Level: zapcore.WarnLevel, Text: "primary suspected"},
 	TermPromoting:  {Level: zapcore.WarnLevel, Text: "promotion begun"},
 	TermOpened:     {Level: zapcore.InfoLevel, Text: "term opened"},
 	OwnerTaken:     {Level: zapcore.InfoLevel, Text: "team lease taken"},
 	OwnerLost:      {Level: zapcore.WarnLevel, Text: "team lease lost"},
-	RosterChanged:  {Level: zapcore.InfoLevel, Text: "roster of witnesses changed"},
+	QuorumChanged:  {Level: zapcore.InfoLevel, Text: "quorum of witnesses changed"},
 	TermCleared:    {Level: zapcore.InfoLevel, Text: "primary not replaced"},
 	TermStuck:      {Level: zapcore.WarnLevel, Text: "no server can be promoted"},
 	TermOrdered:    {Level: zapcore.InfoLevel, Text: "promotion ordered"},
--- a/internal/fake/demo/run.go
+++ b/internal/fake/demo/run.go
@@ -138,8 +138,8 @@
 	return run.withdraw()
 }
 
-// keeper returns the proxy that the platform's term record of the group names, else the first one.
-func (run *run) keeper() Process {
+// leader returns the proxy that the platform's term record of the group names, else the first one.
+func (run *run) leader() Process {
 	object, err := run.client.Get(context.Background(), spool.KindTerm, group)
 	if err != nil {
 		return run.plan.Proxies[0]
@@ -155,8 +155,8 @@
 }
 
 func (run *run) loseProxy() error {
-	victim := run.keeper()
-	run.say("Killing proxy %s, the group's keeper, under load.", victim.Name)
+	victim := run.leader()
+	run.say("Killing proxy %s, the group's leader, under load.", victim.Name)
 	killed := time.Now()
 	if err := run.fleet.kill(victim); err != nil {
 		return err
--- a/internal/fake/objsrv/server_test.go
+++ b/internal/fake/objsrv/server_test.go
@@ -68,7 +68,7 @@
 	c.Assert(objects, qt.HasLen, 0)
 	c.Assert(version, qt.Equals, spool.Version(0))
 	time.AfterFunc(20*time.Millisecond, func() { _, _ = impatient.Put(ctx, term(`{"Term":1}`, 0)) })
-	objects, version, err = client.Watch(ctx, []string{spool.KindRoster, spool.KindTerm}, 0)
+	objects, version, err = client.Watch(ctx, []string{spool.KindQuorum, spool.KindTerm}, 0)
 	c.Assert(err, qt.IsNil)
 	c.Assert(objects, qt.HasLen, 1)
 	c.Assert(version, qt.Equals, spool.Version(1))
@@ -137,7 +137,7 @@
 	ctx := context.Background()
 	server := start(c, objsrv.WithTokens(map[string][]string{
 		"kyushu-token": {"Manifest/kyushu"},
-		"proxy-token":  {"Term/*", "Roster/*"},
+		"proxy-token":  {"Term/*", "Quorum/*"},
 	}))
 	manifest := func(name string) spool.Object {
 		return spool.Object{Kind: spool.KindManifest, Name: name, Body: json.RawMessage(`{}`)}
--- a/internal/fake/plain/gate.go
+++ b/internal/fake/plain/gate.go
@@ -12,15 +12,15 @@
 type Gate struct {
 	Server      spool.ServerSpec
 	Credentials back.Credentials
-	Logins      map[string]spool.Login               // by key name
-	Refuse      func(work spool.Work) *spool.Refusal // nil refuses nothing
-	Wrap        func(lane spool.Lane) spool.Lane     // nil wraps nothing
-
-	mutex    sync.Mutex
-	idle     []*back.Conn
-	works    []spool.Work
-	sessions map[chan spool.Ending]struct{}
-	lanes    int
+	Logins      map[string]spool.Login                       // by key name
+	Refuse      func(work spool.Work) *spool.Refusal         // nil refuses nothing
+	Wrap        func(executor spool.Executor) spool.Executor // nil wraps nothing
+
+	mutex     sync.Mutex
+	idle      []*back.Conn
+	works     []spool.Work
+	sessions  map[chan spool.Ending]struct{}
+	executors int
 }
 
 var _ spool.Gate = (*Gate)(nil)
@@ -73,11 +73,11 @@
 	return append([]spool.Work(nil), gate.works...)
 }
 
-// Lanes returns the number of open lanes.
-func (gate *Gate) Lanes() int {
+// Executors returns the number of open executors.
+func (gate *Gate) Executors() int {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	return gate.lanes
+	return gate.executors
 }
 
 // Idle returns the number of connections that wait for work.
@@ -87,8 +87,8 @@
 	return len(gate.idle)
 }
 
-// Begin opens a lane over an idle or a new connection.
-func (gate *Gate) Begin(ctx context.Context, work spool.Work) (spool.Lane, error) {
+// Begin opens an executor over an idle or a new connection.
+func (gate *Gate) Begin(ctx context.Context, work spool.Work) (spool.Executor, error) {
 	gate.mutex.Lock()
 	if len(gate.works) < maxWorks {
 		gate.works = append(gate.works, work)
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, &spool.Refusal{Verdict: spool.NotRun, Code: spool.CodeNoPrimary, Message: err.Error()}
 	}
-	opened := &lane{Conn: conn, gate: gate}
+	opened := &executor{Conn: conn, gate: gate}
 	if gate.Wrap != nil {
 		return gate.Wrap(opened), nil
 	}
@@ -114,7 +114,7 @@
 
 func (gate *Gate) take(ctx context.Context) (*back.Conn, error) {
 	gate.mutex.Lock()
-	gate.lanes++
+	gate.executors++
 	if last := len(gate.idle) - 1; last >= 0 {
 		conn := gate.idle[last]
 		gate.idle = gate.idle[:last]
@@ -132,23 +132,23 @@
 func (gate *Gate) give(conn *back.Conn) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	gate.lanes--
+	gate.executors--
 	if conn != nil {
 		gate.idle = append(gate.idle, conn)
 	}
 }
 
-type lane struct {
+type executor struct {
 	*back.Conn
 	gate *Gate
 }
 
 // Close resets the connection and keeps it unless it is broken.
-func (lane *lane) Close() {
-	if lane.Broken() || lane.Reset(context.Background()) != nil {
-		lane.Conn.Close()
-		lane.gate.give(nil)
+func (executor *executor) Close() {
+	if executor.Broken() || executor.Reset(context.Background()) != nil {
+		executor.Conn.Close()
+		executor.gate.give(nil)
 		return
 	}
-	lane.gate.give(lane.Conn)
+	executor.gate.give(executor.Conn)
 }
--- a/internal/front/assembly.go
+++ b/internal/front/assembly.go
@@ -17,7 +17,7 @@
 	analyst     analyst
 	definitions definitions
 	lost        bool // the transaction's server is gone
-	open        bool // a lane is open
+	open        bool // an executor is open
 	unsynced    bool // Flush sent a part of an extended query, and its Sync is due
 	skipping    bool // an error was reported; messages up to Sync are skipped
 
--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -23,7 +23,7 @@
 		_, err := running.Exec(ctx, "SLEEP 100")
 		answered <- err
 	}()
-	bed.eventually(func() bool { return bed.gate.Lanes() == 2 })
+	bed.eventually(func() bool { return bed.gate.Executors() == 2 })
 	drained := make(chan error, 1)
 	go func() { drained <- bed.front.Drain(ctx) }()
 	bed.Assert(failure(idle.PgConn().WaitForNotification(ctx)).Code, qt.Equals, spool.CodeShutdown)
@@ -46,7 +46,7 @@
 	defer cancel()
 	bed.Assert(bed.front.Drain(ctx), qt.ErrorIs, context.DeadlineExceeded)
 	bed.Assert(failure(client.PgConn().WaitForNotification(bed.context())).Code, qt.Equals, spool.CodeShutdown)
-	bed.eventually(func() bool { return bed.gate.Lanes() == 0 })
+	bed.eventually(func() bool { return bed.gate.Executors() == 0 })
 }
 
 func TestEndingAtOnceCutsARunningStatement(t *testing.T) {
@@ -62,7 +62,7 @@
 	bed.gate.End(spool.Ending{AtOnce: true, Refusal: withdrawn})
 	bed.Assert(failure(<-failed).Code, qt.Equals, spool.CodeNotAllowed)
 	bed.Assert(failure(idle.PgConn().WaitForNotification(ctx)).Code, qt.Equals, spool.CodeNotAllowed)
-	bed.eventually(func() bool { return bed.server.Seen().Executing == 0 && bed.gate.Lanes() == 0 })
+	bed.eventually(func() bool { return bed.server.Seen().Executing == 0 && bed.gate.Executors() == 0 })
 	bed.Assert(bed.gate.Idle(), qt.Equals, 0)
 }
 
--- a/internal/front/perform.go
+++ b/internal/front/perform.go
@@ -73,16 +73,16 @@
 func (session *session) exchange() {
 	ctx := session.beginRun()
 	defer session.endRun()
-	if session.lane == nil {
-		lane, err := session.front.gate.Begin(ctx, session.work())
+	if session.executor == nil {
+		executor, err := session.front.gate.Begin(ctx, session.work())
 		if err != nil {
 			session.fail(asRefusal(err, spool.NotRun))
 			return
 		}
-		session.lane = lane
+		session.executor = executor
 	}
 	session.output.sawError()
-	result, err := session.lane.Exchange(ctx, &session.cycle, session.output)
+	result, err := session.executor.Exchange(ctx, &session.cycle, session.output)
 	if err != nil {
 		session.fail(session.judge(asRefusal(err, spool.Unknown)))
 		return
@@ -97,12 +97,12 @@
 	session.ready()
 }
 
-// settle takes the transaction state that a server reported and gives the lane back when it is idle.
+// settle takes the transaction state that a server reported and gives the executor back when it is idle.
 func (session *session) settle(status byte) {
 	session.unsynced = false
 	session.status = status
 	if status == txIdle {
-		session.closeLane()
+		session.closeExecutor()
 	}
 }
 
@@ -162,10 +162,10 @@
 	}
 }
 
-// fail answers the cycle with a refusal; an open transaction is lost with its lane.
+// fail answers the cycle with a refusal; an open transaction is lost with its executor.
 func (session *session) fail(refusal *spool.Refusal) {
 	wasOpen := session.status != txIdle
-	session.closeLane()
+	session.closeExecutor()
 	session.status = txIdle
 	session.lost = session.lost || wasOpen && !session.finishes()
 	if session.output.between() {
@@ -205,7 +205,7 @@
 		return
 	}
 	session.skipping = false
-	if session.lane == nil {
+	if session.executor == nil {
 		session.ready()
 		return
 	}
--- a/internal/front/refusal_test.go
+++ b/internal/front/refusal_test.go
@@ -95,7 +95,7 @@
 
 // severed loses its server on one statement.
 type severed struct {
-	spool.Lane
+	spool.Executor
 	bed  *bed
 	text string
 }
@@ -106,14 +106,14 @@
 		cut := true
 		time.AfterFunc(20*time.Millisecond, func() { severed.bed.server.Control(regsrv.Control{CutClients: &cut}) })
 	}
-	return severed.Lane.Exchange(ctx, cycle, sink)
+	return severed.Executor.Exchange(ctx, cycle, sink)
 }
 
 func TestServerLostInATransaction(t *testing.T) {
 	bed := newBed(t)
 	ctx := bed.context()
 	client := bed.connect()
-	bed.gate.Wrap = func(lane spool.Lane) spool.Lane { return severed{lane, bed, "SLEEP"} }
+	bed.gate.Wrap = func(executor spool.Executor) spool.Executor { return severed{executor, bed, "SLEEP"} }
 	tx, err := client.Begin(ctx)
 	bed.Assert(err, qt.IsNil)
 	_, err = tx.Exec(ctx, "SLEEP 60000")
@@ -133,9 +133,9 @@
 		bed := newBed(t)
 		ctx := bed.context()
 		client := bed.connect()
-		bed.gate.Wrap = func(lane spool.Lane) spool.Lane { return severed{lane, bed, "SLEEP"} }
+		bed.gate.Wrap = func(executor spool.Executor) spool.Executor { return severed{executor, bed, "SLEEP"} }
 		if mode == pgx.QueryExecModeCacheStatement {
-			bed.gate.Wrap = func(lane spool.Lane) spool.Lane { return severed{lane, bed, "\x00\x0560000"} }
+			bed.gate.Wrap = func(executor spool.Executor) spool.Executor { return severed{executor, bed, "\x00\x0560000"} }
 		}
 		_, err := client.Exec(ctx, "SLEEP $1", mode, "60000")
 		bed.Assert(failure(err).Code, qt.Equals, spool.CodeOutcomeUnknown, qt.Commentf(mode.String()))
@@ -149,7 +149,7 @@
 		bed := newBed(t)
 		ctx := bed.context()
 		client := bed.connect()
-		bed.gate.Wrap = func(lane spool.Lane) spool.Lane { return severed{lane, bed, "commit"} }
+		bed.gate.Wrap = func(executor spool.Executor) spool.Executor { return severed{executor, bed, "commit"} }
 		_, err := client.Exec(ctx, "begin", mode)
 		bed.Assert(err, qt.IsNil)
 		frozen := spool.Duration(100 * time.Millisecond)
@@ -187,5 +187,5 @@
 	_, err := client.Begin(bed.context())
 	bed.Assert(err, qt.IsNil)
 	bed.Assert(failure(client.PgConn().WaitForNotification(bed.context())).Code, qt.Equals, "25P03")
-	bed.eventually(func() bool { return bed.gate.Lanes() == 0 })
+	bed.eventually(func() bool { return bed.gate.Executors() == 0 })
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -33,13 +33,13 @@
 	token       spool.Token
 	maxAge      time.Duration
 	application string
-	lane        spool.Lane
+	executor    spool.Executor
 	status      byte
 
 	mutex   sync.Mutex
 	ctx     context.Context // of the running cycle; kept for the next one unless it was canceled
 	cancel  context.CancelFunc
-	running bool // a gate or a lane works on a cycle
+	running bool // a gate or an executor works on a cycle
 	ending  *spool.Ending
 	endBy   time.Time // instant after which an ending session reads no further cycle
 	idle    bool      // waits for a cycle outside of a transaction
@@ -66,13 +66,13 @@
 	done := make(chan struct{})
 	defer close(done)
 	go session.watch(endings, done)
-	defer session.closeLane()
+	defer session.closeExecutor()
 	for {
 		more, refusal := session.serveCycle()
 		if refusal != nil {
 			session.reportEnd(refusal)
 			session.output.farewell(errorResponse(refusal, severityFatal))
-			session.closeLane()
+			session.closeExecutor()
 			session.linger()
 			return
 		}
@@ -86,7 +86,7 @@
 // serveCycle reads and answers one cycle; a refusal is the reason for which the session ends.
 func (session *session) serveCycle() (more bool, refusal *spool.Refusal) {
 	session.reset()
-	session.open = session.lane != nil
+	session.open = session.executor != nil
 	for {
 		message, refusal := session.receive()
 		if message == nil || refusal != nil || message[0] == 'X' {
@@ -100,7 +100,7 @@
 			break
 		}
 	}
-	if session.lane == nil && session.status == txIdle && !session.unsynced && !session.skipping {
+	if session.executor == nil && session.status == txIdle && !session.unsynced && !session.skipping {
 		clear(session.definitions.portals)
 	}
 	session.perform()
@@ -132,7 +132,7 @@
 
 // overdue returns why an ending session whose caller never pauses ends between two transactions.
 func (session *session) overdue() *spool.Refusal {
-	if session.lane != nil || session.started() || session.skipping {
+	if session.executor != nil || session.started() || session.skipping {
 		return nil
 	}
 	session.mutex.Lock()
@@ -150,7 +150,7 @@
 		session.mutex.Unlock()
 		return session.ending.Refusal, false
 	}
-	session.idle = session.lane == nil && !session.started() && !session.skipping
+	session.idle = session.executor == nil && !session.started() && !session.skipping
 	switch {
 	case !session.idle:
 		session.bounded = true
@@ -248,7 +248,7 @@
 // leave ends a session whose caller left or was told to end.
 func (session *session) leave() {
 	refusal := session.toldToEnd()
-	session.closeLane()
+	session.closeExecutor()
 	if refusal != nil {
 		session.reportEnd(refusal)
 		session.linger()
@@ -264,12 +264,12 @@
 	_, _ = io.Copy(io.Discard, session.input)
 }
 
-func (session *session) closeLane() {
-	if session.lane == nil {
+func (session *session) closeExecutor() {
+	if session.executor == nil {
 		return
 	}
-	session.lane.Close()
-	session.lane = nil
+	session.executor.Close()
+	session.executor = nil
 }
 
 // ready queues ReadyForQuery with the state of the transaction.
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -79,7 +79,7 @@
 	})
 	bed.Assert(peak < maxHeap, qt.IsTrue, qt.Commentf("%d bytes of heap in use", peak))
 	bed.Assert(slow.PgConn().Conn().Close(), qt.IsNil)
-	bed.eventually(func() bool { return bed.gate.Lanes() == 0 })
+	bed.eventually(func() bool { return bed.gate.Executors() == 0 })
 }
 
 // constant is a server that answers each cycle with the same bytes.
--- a/internal/keeper/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package keeper runs a database group on the proxy that holds its lease: connections, slots and acknowledgements.
-package keeper
--- a/internal/keeper/acquire.go
+++ b/internal/leader/acquire.go
@@ -1,4 +1,4 @@
-package keeper
+package leader
 
 import (
 	"context"
@@ -59,7 +59,7 @@
 			group.mutex.Unlock()
 			return place{}, lostWrite()
 		case route.Behind:
-			held := group.allows(group.table.Reign.Term)
+			held := group.allows(group.table.Current.Term)
 			group.mutex.Unlock()
 			if held {
 				return place{}, lostWrite()
@@ -71,7 +71,7 @@
 
 // pick chooses servers; a need without a token also needs the lease, since only its holder knows what was acknowledged.
 func (group *Group) pick(need route.Need) (route.Set, route.Choice) {
-	if need.Tokenless && !group.allows(group.table.Reign.Term) {
+	if need.Tokenless && !group.allows(group.table.Current.Term) {
 		return 0, route.NoPrimary
 	}
 	return group.table.Pick(need, group.timers.Now())
@@ -144,7 +144,7 @@
 		defer group.mutex.Unlock()
 		return place{
 			server: server, primary: server == group.table.Primary,
-			term: group.table.Reign.Term, floor: group.table.Floor(need),
+			term: group.table.Current.Term, floor: group.table.Floor(need),
 		}, true
 	}
 	group.mutex.Unlock()
--- /dev/null
+++ b/internal/leader/doc.go
@@ -0,0 +1,2 @@
+// Package leader runs a database group on the proxy that holds its lease: connections, slots and acknowledgements.
+package leader
--- a/internal/keeper/lane_test.go
+++ b/internal/leader/executor_test.go
@@ -1,4 +1,4 @@
-package keeper_test
+package leader_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"corianderspool.example/spool/internal/clock"
 	"corianderspool.example/spool/internal/core/terms"
-	"corianderspool.example/spool/internal/keeper"
+	"corianderspool.example/spool/internal/leader"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -19,7 +19,7 @@
 	text   string // passed on
 	err    error
 	result spool.Result
-	during func() // runs after the server's answer and before the keeper sees it
+	during func() // runs after the server's answer and before the leader sees it
 }
 
 // script is what each server does with the cycles that it gets, in order.
@@ -29,7 +29,7 @@
 type bench struct {
 	*qt.C
 	clock clock.Simulated
-	group *keeper.Group
+	group *leader.Group
 	plan  script
 	ran   []spool.Server
 }
@@ -83,15 +83,15 @@
 	return len(messages), nil
 }
 
-func newBench(t *testing.T, plan script, options ...keeper.Option) *bench {
+func newBench(t *testing.T, plan script, options ...leader.Option) *bench {
 	bench := &bench{C: qt.New(t), plan: plan}
 	spec := spool.GroupSpec{Name: "g", Servers: []spool.ServerSpec{
 		{Name: "primary", Slots: 1, Connections: 4}, {Name: "replica", Slots: 1, Connections: 4},
 	}}
-	dial := func(_ context.Context, server spool.ServerSpec) (keeper.Conn, error) {
+	dial := func(_ context.Context, server spool.ServerSpec) (leader.Conn, error) {
 		return &conn{bench: bench, server: server.Name}, nil
 	}
-	bench.group = keeper.New(spec, &bench.clock, dial, options...)
+	bench.group = leader.New(spec, &bench.clock, dial, options...)
 	bench.group.Open(terms.Open{Term: 1, Primary: "primary"})
 	bench.group.See(spool.ServerStatus{Server: "primary", Term: 1, Position: 10, Primary: true}, 0)
 	bench.group.See(spool.ServerStatus{Server: "replica", Term: 1, Position: 10}, 0)
@@ -100,7 +100,7 @@
 }
 
 // run sends one cycle and returns what the caller got, the verdict and the number of servers that ran it.
-func (bench *bench) run(request keeper.Request) (string, spool.Verdict, int) {
+func (bench *bench) run(request leader.Request) (string, spool.Verdict, int) {
 	request.Team, request.Deadline = "team", spool.Instant(time.Minute)
 	output := &output{}
 	_, err := bench.group.Start(request).Exchange(context.Background(), &spool.Cycle{}, output)
@@ -119,17 +119,17 @@
 	cases := []struct {
 		name    string
 		plan    script
-		request keeper.Request
+		request leader.Request
 		verdict spool.Verdict
 		ran     int
 	}{
-		{"a write that was lost is not repeated", script{"primary": {lost, good}}, keeper.Request{}, spool.Unknown, 1},
-		{"a write that was never sent is", script{"primary": {unsent, good}}, keeper.Request{}, spool.Answered, 2},
-		{"an idempotent write is", script{"primary": {lost, good}}, keeper.Request{Idempotent: true}, spool.Answered, 2},
-		{"a read that a replica lost is", script{"replica": {lost, good}, "primary": {good}}, keeper.Request{Read: true}, spool.Answered, 2},
-		{"a write taken for a read goes to the primary", script{"replica": {readOnly}, "primary": {good}}, keeper.Request{Read: true}, spool.Answered, 2},
-		{"and is not repeated there", script{"replica": {readOnly}, "primary": {lost, good}}, keeper.Request{Read: true}, spool.Unknown, 2},
-		{"a read that was answered in part is not", script{"replica": {partial, good}, "primary": {good}}, keeper.Request{Read: true}, spool.Unknown, 1},
+		{"a write that was lost is not repeated", script{"primary": {lost, good}}, leader.Request{}, spool.Unknown, 1},
+		{"a write that was never sent is", script{"primary": {unsent, good}}, leader.Request{}, spool.Answered, 2},
+		{"an idempotent write is", script{"primary": {lost, good}}, leader.Request{Idempotent: true}, spool.Answered, 2},
+		{"a read that a replica lost is", script{"replica": {lost, good}, "primary": {good}}, leader.Request{Read: true}, spool.Answered, 2},
+		{"a write taken for a read goes to the primary", script{"replica": {readOnly}, "primary": {good}}, leader.Request{Read: true}, spool.Answered, 2},
+		{"and is not repeated there", script{"replica": {readOnly}, "primary": {lost, good}}, leader.Request{Read: true}, spool.Unknown, 2},
+		{"a read that was answered in part is not", script{"replica": {partial, good}, "primary": {good}}, leader.Request{Read: true}, spool.Unknown, 1},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -162,7 +162,7 @@
 			var bench *bench
 			step := answer{text: "done", result: written, during: func() { test.end(bench) }}
 			bench = newBench(t, script{"primary": {step}})
-			text, verdict, ran := bench.run(keeper.Request{})
+			text, verdict, ran := bench.run(leader.Request{})
 			bench.Check(text, qt.Equals, "")
 			bench.Check(verdict, qt.Equals, spool.Unknown)
 			bench.Check(ran, qt.Equals, 1)
@@ -173,8 +173,8 @@
 func TestAcknowledgementAfterTheLeaseWithoutFence(t *testing.T) {
 	var bench *bench
 	step := answer{text: "done", result: written, during: func() { bench.clock.Advance(2 * time.Second) }}
-	bench = newBench(t, script{"primary": {step}}, keeper.WithoutFence())
-	text, verdict, _ := bench.run(keeper.Request{})
+	bench = newBench(t, script{"primary": {step}}, leader.WithoutFence())
+	text, verdict, _ := bench.run(leader.Request{})
 	bench.Assert(text, qt.Equals, "done")
 	bench.Assert(verdict, qt.Equals, spool.Answered)
 }
@@ -194,7 +194,7 @@
 		}
 		step := answer{text: "done", result: written, during: func() { go promote() }}
 		bench = newBench(t, script{"primary": {step}})
-		_, verdict, _ := bench.run(keeper.Request{Durable: true})
+		_, verdict, _ := bench.run(leader.Request{Durable: true})
 		bench.Check(verdict, qt.Equals, test.verdict, qt.Commentf("start %d", test.start))
 	}
 }
@@ -203,12 +203,12 @@
 func TestQueuedRequestsFollowThePrimary(t *testing.T) {
 	open := answer{text: "held", result: spool.Result{TxStatus: 'T'}}
 	bench := newBench(t, script{"primary": {open}, "replica": {{text: "good"}}})
-	holder := bench.group.Start(keeper.Request{Team: "team", Deadline: spool.Instant(time.Minute)})
+	holder := bench.group.Start(leader.Request{Team: "team", Deadline: spool.Instant(time.Minute)})
 	_, err := holder.Exchange(context.Background(), &spool.Cycle{}, &output{})
 	bench.Assert(err, qt.IsNil)
 	done := make(chan string)
 	go func() {
-		text, _, _ := bench.run(keeper.Request{})
+		text, _, _ := bench.run(leader.Request{})
 		done <- text
 	}()
 	time.Sleep(20 * time.Millisecond)
@@ -229,7 +229,7 @@
 	bench := newBench(t, script{"replica": {{text: "read"}}})
 	bench.group.Open(terms.Open{Term: 2, Primary: "replica", Start: 10})
 	bench.group.SetFence(terms.Fence{Term: 2, Until: spool.Instant(time.Minute)})
-	request := keeper.Request{
+	request := leader.Request{
 		Team: "team", Deadline: spool.Instant(time.Minute), Read: true,
 		Token: spool.Token{Group: "g", Term: 1, Position: 12},
 	}
--- a/internal/keeper/export_test.go
+++ b/internal/leader/export_test.go
@@ -1,4 +1,4 @@
-package keeper
+package leader
 
 // WithoutFence has a group pass on every answer, so that the proof of the acknowledgement rule fails.
 func WithoutFence() Option {
--- a/internal/keeper/group.go
+++ b/internal/leader/group.go
@@ -1,4 +1,4 @@
-package keeper
+package leader
 
 import (
 	"context"
@@ -192,12 +192,12 @@
 func (group *Group) Open(open terms.Open) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	history := make([]route.Reign, 0, len(open.History))
+	history := make([]route.TermStart, 0, len(open.History))
 	for _, start := range open.History {
-		history = append(history, route.Reign{Term: spool.Term(start.Term), Start: spool.Position(start.Start)})
+		history = append(history, route.TermStart{Term: spool.Term(start.Term), Start: spool.Position(start.Start)})
 	}
 	group.table.History = history
-	group.table.Open(open.Primary, route.Reign{Term: open.Term, Start: open.Start})
+	group.table.Open(open.Primary, route.TermStart{Term: open.Term, Start: open.Start})
 	group.closedAt = 0
 	group.cut(open.Term)
 	group.restart()
@@ -324,7 +324,7 @@
 	if group.table.Primary >= 0 {
 		primary = servers[group.table.Primary].Name
 	}
-	return servers, primary, group.table.Reign.Term
+	return servers, primary, group.table.Current.Term
 }
 
 type silent struct{}
--- a/internal/keeper/guard.go
+++ b/internal/leader/guard.go
@@ -1,4 +1,4 @@
-package keeper
+package leader
 
 import (
 	"github.com/rotisserie/eris"
--- a/internal/keeper/pool.go
+++ b/internal/leader/pool.go
@@ -1,4 +1,4 @@
-package keeper
+package leader
 
 import (
 	"context"
@@ -71,7 +71,7 @@
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	group.links[link] = term
-	if group.dropped || group.table.Reign.Term > term {
+	if group.dropped || group.table.Current.Term > term {
 		link.Close()
 	}
 }
--- a/internal/metric/sample.go
+++ b/internal/metric/sample.go
@@ -9,7 +9,7 @@
 // Sample is the proxy's state at the moment of a scrape.
 type Sample struct {
 	Sessions    int // connected callers
-	GroupLeases int // groups whose keeper this proxy is
+	GroupLeases int // groups whose leader this proxy is
 	TeamLeases  int // teams whose tokens this proxy hands out
 	AuditLost   uint64
 	Versions    map[spool.Partner]spool.Version // manifests in force
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -24,8 +24,8 @@
 	handedOver := make(chan struct{})
 	go func() {
 		defer close(handedOver)
-		for name, kept := range node.groups.all() {
-			node.handOver(ctx, name, kept)
+		for name, hosted := range node.groups.all() {
+			node.handOver(ctx, name, hosted)
 		}
 	}()
 	if err := node.front.Drain(ctx); err != nil {
@@ -38,9 +38,9 @@
 }
 
 // handOver lets the group's running requests end and releases its lease.
-func (node *Node) handOver(ctx context.Context, name spool.Group, kept *kept) {
+func (node *Node) handOver(ctx context.Context, name spool.Group, hosted *hosted) {
 	select {
-	case <-kept.Drain():
+	case <-hosted.Drain():
 	case <-ctx.Done():
 	}
 	node.handle(core.Drained{Group: name})
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -36,7 +36,7 @@
 	case core.FollowServer:
 		go node.follow(effect)
 	case core.GiveTokens:
-		node.purse(spool.Team(effect.Answer.Team)).give(effect.Answer)
+		node.limiter(spool.Team(effect.Answer.Team)).give(effect.Answer)
 	case core.MoveRole:
 		node.moveRole(effect)
 	case core.Trust:
@@ -58,20 +58,20 @@
 	case core.DropGroup:
 		node.drop(effect.Group)
 	case core.OpenGroup:
-		if kept, known := node.groups.get(effect.Group); known {
-			kept.Open(effect.Open)
+		if hosted, known := node.groups.get(effect.Group); known {
+			hosted.Open(effect.Open)
 		}
 	case core.DrainGroup:
-		if kept, known := node.groups.get(effect.Group); known {
-			kept.Close()
+		if hosted, known := node.groups.get(effect.Group); known {
+			hosted.Close()
 		}
 	case core.CloseGroup:
-		if kept, known := node.groups.get(effect.Group); known {
-			kept.Close()
+		if hosted, known := node.groups.get(effect.Group); known {
+			hosted.Close()
 		}
 	case core.FenceGroup:
-		if kept, known := node.groups.get(effect.Group); known {
-			kept.SetFence(effect.Fence)
+		if hosted, known := node.groups.get(effect.Group); known {
+			hosted.SetFence(effect.Fence)
 		}
 	}
 }
@@ -84,16 +84,16 @@
 	}
 	node.holders.Store(effect.Role, effect.VM)
 	if team, isTeam := effect.Role.Team(); isTeam {
-		node.purse(team).ownerChanged()
+		node.limiter(team).ownerChanged()
 	}
 }
 
 func (node *Node) applyPolicy(effect core.ApplyPolicy) {
 	node.snapshot.Store(effect.Snapshot)
 	go node.sessions.check(effect.Snapshot)
-	for name, kept := range node.groups.all() {
+	for name, hosted := range node.groups.all() {
 		if spec, known := effect.Snapshot.Group(name); known {
-			kept.update(spec)
+			hosted.update(spec)
 		}
 	}
 }
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"corianderspool.example/spool/internal/core/lease"
-	"corianderspool.example/spool/internal/keeper"
+	"corianderspool.example/spool/internal/leader"
 	"corianderspool.example/spool/internal/peer"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
@@ -35,7 +35,7 @@
 	return err
 }
 
-// cancel asks the keeper to cancel the running cycle and bounds the wait for its answer.
+// cancel asks the leader to cancel the running cycle and bounds the wait for its answer.
 func (stream *stream) cancel() {
 	_ = stream.SetReadDeadline(time.Now().Add(cancelWait))
 	_ = stream.send(&wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{}}})
@@ -71,25 +71,25 @@
 	streams.idle[vm] = append(streams.idle[vm], unused)
 }
 
-// forward is a lane to the keeper on another proxy.
+// forward is an executor to the leader on another proxy.
 type forward struct {
 	node    *Node
 	vm      spool.VM
 	group   spool.Group
-	request keeper.Request
+	request leader.Request
 	stream  *stream
-	opened  bool // the keeper was told of the work
+	opened  bool // the leader was told of the work
 	clean   bool // the stream may carry another transaction
 }
 
-func newForward(node *Node, vm spool.VM, group spool.Group, request keeper.Request) *forward {
+func newForward(node *Node, vm spool.VM, group spool.Group, request leader.Request) *forward {
 	return &forward{node: node, vm: vm, group: group, request: request}
 }
 
-// Exchange sends one cycle to the keeper; ErrMoved says that nothing ran there.
+// Exchange sends one cycle to the leader; ErrMoved says that nothing ran there.
 func (forward *forward) Exchange(ctx context.Context, cycle *spool.Cycle, sink spool.Sink) (spool.Result, error) {
 	if err := forward.connect(ctx); err != nil {
-		return spool.Result{TxStatus: 'I'}, keeper.ErrMoved
+		return spool.Result{TxStatus: 'I'}, leader.ErrMoved
 	}
 	forward.clean = false
 	sentAt := forward.node.timers.Now()
@@ -187,7 +187,7 @@
 	}
 	if done.Moved {
 		forward.clean = true
-		return result, keeper.ErrMoved
+		return result, leader.ErrMoved
 	}
 	if done.Code != "" {
 		return result, &spool.Refusal{
@@ -202,7 +202,7 @@
 	return result, nil
 }
 
-// lost says that the keeper's answer did not come.
+// lost says that the leader's answer did not come.
 func (forward *forward) lost(err error) (spool.Result, error) {
 	return spool.Result{TxStatus: 'I', Sent: true}, &spool.Refusal{
 		Verdict: spool.Unknown, Code: spool.CodeOutcomeUnknown, RetryAfter: movedRetryAfter,
@@ -210,7 +210,7 @@
 	}
 }
 
-// Close gives the stream back; the keeper rolls back what is open when a stream closes.
+// Close gives the stream back; the leader rolls back what is open when a stream closes.
 func (forward *forward) Close() {
 	if forward.stream == nil {
 		return
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"corianderspool.example/spool/internal/core/policy"
-	"corianderspool.example/spool/internal/keeper"
+	"corianderspool.example/spool/internal/leader"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -55,7 +55,7 @@
 }
 
 // admit admits work against its team's rate.
-func (node *Node) admit(ctx context.Context, work spool.Work) (spool.Lane, error) {
+func (node *Node) admit(ctx context.Context, work spool.Work) (spool.Executor, error) {
 	snapshot := node.snapshot.Load()
 	if refusal := snapshot.Check(work.Session.Login); refusal != nil {
 		return nil, refusal
@@ -67,10 +67,10 @@
 	timeout := node.timeout(route, work)
 	deadline := node.timers.Now().Add(timeout)
 	admitBy := deadline.Add(-min(runReserve, timeout/2))
-	if refusal := node.purse(work.Session.Login.Team).admit(ctx, admitBy); refusal != nil {
+	if refusal := node.limiter(work.Session.Login.Team).admit(ctx, admitBy); refusal != nil {
 		return nil, refusal
 	}
-	return &lane{node: node, group: route.Group, request: request(route, work, deadline), timeout: timeout}, nil
+	return &executor{node: node, group: route.Group, request: request(route, work, deadline), timeout: timeout}, nil
 }
 
 func (node *Node) timeout(route spool.RouteSpec, work spool.Work) time.Duration {
@@ -84,13 +84,13 @@
 	return timeout
 }
 
-func request(route spool.RouteSpec, work spool.Work, deadline spool.Instant) keeper.Request {
+func request(route spool.RouteSpec, work spool.Work, deadline spool.Instant) leader.Request {
 	session := work.Session
 	maxAge := time.Duration(route.MaxAge)
 	if session.MaxAge > 0 {
 		maxAge = session.MaxAge
 	}
-	return keeper.Request{
+	return leader.Request{
 		Team: session.Login.Team, Token: session.Token, Tokenless: session.Token.Term == 0,
 		Read: work.Read, Idempotent: work.Idempotent, Durable: route.Durable,
 		MaxAge: maxAge, Deadline: deadline,
--- a/internal/node/kept.go
+++ b/internal/node/hosted.go
@@ -10,7 +10,7 @@
 	"corianderspool.example/spool/internal/back"
 	"corianderspool.example/spool/internal/core"
 	"corianderspool.example/spool/internal/core/terms"
-	"corianderspool.example/spool/internal/keeper"
+	"corianderspool.example/spool/internal/leader"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -19,9 +19,9 @@
 	pollTimeout  = 300 * time.Millisecond
 )
 
-// kept is a group whose keeper this proxy is, with the polls of its servers.
-type kept struct {
-	*keeper.Group
+// hosted is a group whose leader this proxy is, with the polls of its servers.
+type hosted struct {
+	*leader.Group
 	node  *Node
 	name  spool.Group
 	ctx   context.Context
@@ -37,8 +37,8 @@
 
 func (node *Node) keep(spec spool.GroupSpec) {
 	ctx, stop := context.WithCancel(node.ctx)
-	group := &kept{
-		Group: keeper.New(spec, node.timers, node.dial, keeper.WithObserver(node)),
+	group := &hosted{
+		Group: leader.New(spec, node.timers, node.dial, leader.WithObserver(node)),
 		node:  node, name: spec.Name, ctx: ctx, stop: stop, polls: map[spool.Server]poll{},
 	}
 	node.groups.set(spec.Name, group)
@@ -53,50 +53,50 @@
 	}
 }
 
-func (node *Node) dial(ctx context.Context, server spool.ServerSpec) (keeper.Conn, error) {
+func (node *Node) dial(ctx context.Context, server spool.ServerSpec) (leader.Conn, error) {
 	return back.Dial(ctx, server, node.credentials)
 }
 
 // update takes over a changed list of servers; calls come one at a time.
-func (kept *kept) update(spec spool.GroupSpec) {
-	kept.SetServers(spec.Servers)
+func (hosted *hosted) update(spec spool.GroupSpec) {
+	hosted.SetServers(spec.Servers)
 	listed := map[spool.Server]bool{}
 	for _, server := range spec.Servers {
 		listed[server.Name] = true
-		running, known := kept.polls[server.Name]
+		running, known := hosted.polls[server.Name]
 		if known && running.address == server.Address {
 			continue
 		}
 		if known {
 			running.stop()
 		}
-		ctx, stop := context.WithCancel(kept.ctx)
-		kept.polls[server.Name] = poll{address: server.Address, stop: stop}
-		go kept.poll(ctx, server, spec.Dialect)
+		ctx, stop := context.WithCancel(hosted.ctx)
+		hosted.polls[server.Name] = poll{address: server.Address, stop: stop}
+		go hosted.poll(ctx, server, spec.Dialect)
 	}
-	for name, running := range kept.polls {
+	for name, running := range hosted.polls {
 		if !listed[name] {
 			running.stop()
-			delete(kept.polls, name)
+			delete(hosted.polls, name)
 		}
 	}
 }
 
 // poll asks a server for its status until the context ends.
-func (kept *kept) poll(ctx context.Context, server spool.ServerSpec, dialect string) {
-	admin, err := kept.node.admin(dialect)
+func (hosted *hosted) poll(ctx context.Context, server spool.ServerSpec, dialect string) {
+	admin, err := hosted.node.admin(dialect)
 	if err != nil {
 		return
 	}
-	reach := newReach(serverPatience, kept.node.timers.Now())
+	reach := newReach(serverPatience, hosted.node.timers.Now())
 	for ctx.Err() == nil {
-		sentAt := kept.node.timers.Now()
-		kept.ask(ctx, admin, server, sentAt, reach)
-		pause(ctx, pollInterval-kept.node.timers.Now().Sub(sentAt))
+		sentAt := hosted.node.timers.Now()
+		hosted.ask(ctx, admin, server, sentAt, reach)
+		pause(ctx, pollInterval-hosted.node.timers.Now().Sub(sentAt))
 	}
 }
 
-func (kept *kept) ask(
+func (hosted *hosted) ask(
 	ctx context.Context, admin spool.Admin, server spool.ServerSpec, sentAt spool.Instant, reach *reach,
 ) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
@@ -105,19 +105,19 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	kept.serverCalled(reach, server.Name, err)
+	hosted.serverCalled(reach, server.Name, err)
 	if err != nil {
-		kept.Miss(server.Name)
-		kept.tell(terms.StatusFailed{Server: server.Name, SentAt: sentAt, Refused: refused(err)})
+		hosted.Miss(server.Name)
+		hosted.tell(terms.StatusFailed{Server: server.Name, SentAt: sentAt, Refused: refused(err)})
 		return
 	}
 	status.Server = server.Name
-	kept.See(status, sentAt)
-	kept.tell(terms.StatusSeen{Status: status, SentAt: sentAt})
+	hosted.See(status, sentAt)
+	hosted.tell(terms.StatusSeen{Status: status, SentAt: sentAt})
 }
 
-func (kept *kept) tell(event terms.Event) {
-	kept.node.handle(core.GroupEvent{Group: kept.name, Event: event})
+func (hosted *hosted) tell(event terms.Event) {
+	hosted.node.handle(core.GroupEvent{Group: hosted.name, Event: event})
 }
 
 // refused tells whether an error shows that nobody listens at an address any more.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -37,20 +37,20 @@
 }
 
 // Begin admits work and measures it until its transaction ends.
-func (node *Node) Begin(ctx context.Context, work spool.Work) (spool.Lane, error) {
+func (node *Node) Begin(ctx context.Context, work spool.Work) (spool.Executor, error) {
 	measured := &measured{node: node, team: work.Session.Login.Team, begun: node.timers.Now()}
-	lane, err := node.admit(ctx, work)
+	executor, err := node.admit(ctx, work)
 	if err != nil {
 		measured.fail(err)
 		return nil, err
 	}
-	measured.Lane = lane
+	measured.Executor = executor
 	return measured, nil
 }
 
-// measured is a lane whose verdict and duration are counted once.
+// measured is an executor whose verdict and duration are counted once.
 type measured struct {
-	spool.Lane
+	spool.Executor
 	node  *Node
 	team  spool.Team
 	begun spool.Instant
@@ -61,7 +61,7 @@
 // Exchange runs one cycle.
 func (measured *measured) Exchange(ctx context.Context, cycle *spool.Cycle, sink spool.Sink) (spool.Result, error) {
 	measured.asked = true
-	result, err := measured.Lane.Exchange(ctx, cycle, sink)
+	result, err := measured.Executor.Exchange(ctx, cycle, sink)
 	switch {
 	case err != nil:
 		measured.fail(err)
@@ -71,9 +71,9 @@
 	return result, err
 }
 
-// Close gives the lane back; what its caller left open counts as answered.
+// Close gives the executor back; what its caller left open counts as answered.
 func (measured *measured) Close() {
-	measured.Lane.Close()
+	measured.Executor.Close()
 	if measured.asked {
 		measured.end(spool.Answered)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,8 +52,8 @@
 
 	snapshot atomic.Pointer[policy.Snapshot]
 	holders  sync.Map // lease.Role to spool.VM
-	groups   registry[spool.Group, *kept]
-	purses   registry[spool.Team, *purse]
+	groups   registry[spool.Group, *hosted]
+	limiters registry[spool.Team, *limiter]
 	admins   registry[string, spool.Admin]
 	sessions sessions
 	streams  streams
--- a/internal/node/note.go
+++ b/internal/node/note.go
@@ -10,18 +10,18 @@
 )
 
 var noteEvents = map[core.Topic]event.Number{
-	core.TopicKeeperTaken: event.KeeperTaken,
-	core.TopicKeeperLost:  event.KeeperLost,
+	core.TopicLeaderTaken: event.LeaderTaken,
+	core.TopicLeaderLost:  event.LeaderLost,
 	core.TopicOwnerTaken:  event.OwnerTaken,
 	core.TopicOwnerLost:   event.OwnerLost,
 	core.TopicTermOpened:  event.TermOpened,
-	core.TopicRoster:      event.RosterChanged,
+	core.TopicQuorum:      event.QuorumChanged,
 	core.TopicAccepted:    event.ConfigAccepted,
 	core.TopicRejected:    event.ConfigRejected,
 	core.TopicWithdrawn:   event.KeyWithdrawn,
 }
 
-// termEvents are the events of a keeper's steps; the gain of the lease and an opened term have notes of their own.
+// termEvents are the events of a leader's steps; the gain of the lease and an opened term have notes of their own.
 var termEvents = map[terms.Reason]event.Number{
 	terms.ReasonSuspected:     event.TermSuspected,
 	terms.ReasonReturned:      event.TermCleared,
@@ -53,14 +53,14 @@
 		}
 	case core.TopicTermOpened:
 		node.termOpened(note)
-	case core.TopicRoster:
-		node.trail.rosterChanged(note.Version, node.core.Roster())
+	case core.TopicQuorum:
+		node.trail.quorumChanged(note.Version, node.core.Quorum())
 	case core.TopicRejected:
 		node.trail.rejected(note)
 	}
 }
 
-// termOpened counts and records a term that a promotion brought about, unlike one that a new keeper goes on with.
+// termOpened counts and records a term that a promotion brought about, unlike one that a new leader goes on with.
 func (node *Node) termOpened(note core.Note) {
 	if node.promotions[note.Group] != note.Term {
 		return
--- a/internal/node/objects.go
+++ b/internal/node/objects.go
@@ -119,7 +119,7 @@
 	}
 }
 
-var watchedKinds = []string{spool.KindManifest, spool.KindRoster, spool.KindTerm, spool.KindMember}
+var watchedKinds = []string{spool.KindManifest, spool.KindQuorum, spool.KindTerm, spool.KindMember}
 
 func (node *Node) watch(ctx context.Context, after spool.Version) {
 	for ctx.Err() == nil {
--- a/internal/node/operator_test.go
+++ b/internal/node/operator_test.go
@@ -68,18 +68,18 @@
 		_, err := conn.Exec(context.Background(), "GET nothing")
 		c.Assert(err, qt.IsNil)
 	}
-	fleet.eventually("all proxies show the whole fleet and one of them is the keeper", func() bool {
-		keepers := 0
+	fleet.eventually("all proxies show the whole fleet and one of them is the leader", func() bool {
+		leaders := 0
 		for i := range fleet.proxies {
 			status := fleet.status(i)
 			if !whole(status) {
 				return false
 			}
-			if status.Groups[0].Keeper == status.VM && status.Groups[0].Open && len(status.Groups[0].Servers) == 3 {
-				keepers++
+			if status.Groups[0].Leader == status.VM && status.Groups[0].Open && len(status.Groups[0].Servers) == 3 {
+				leaders++
 			}
 		}
-		return keepers == 1
+		return leaders == 1
 	})
 	for i := range fleet.proxies {
 		code, body := fleet.ask(i, "/readyz")
@@ -106,7 +106,7 @@
 			reached++
 		}
 	}
-	return reached == 3 && status.PlatformInReach && len(status.Roster.Members) == 3 &&
+	return reached == 3 && status.PlatformInReach && len(status.Quorum.Members) == 3 &&
 		status.Manifests[0].Version > 0 && status.Teams[0].Owner != "" && status.Groups[0].Primary == "kyushu.s1"
 }
 
@@ -202,7 +202,7 @@
 
 func TestCutOffProxyIsNotReady(t *testing.T) {
 	fleet := newFleet(t, nil)
-	fleet.eventually("all three are witnesses", func() bool { return len(fleet.status(0).Roster.Members) == 3 })
+	fleet.eventually("all three are witnesses", func() bool { return len(fleet.status(0).Quorum.Members) == 3 })
 	fleet.platform.SetFaults(objsrv.Faults{DownFor: spool.Duration(time.Hour)})
 	for _, proxy := range fleet.proxies[1:] {
 		proxy.stop()
@@ -227,7 +227,7 @@
 	fleet.eventually("all changes are in the trail", func() bool {
 		counts := fleet.trail()
 		return counts[audit.ActionAccept] >= 2 && counts[audit.ActionReject] > 0 && counts[audit.ActionEndKeys] > 0 &&
-			counts[audit.ActionPromote] > 0 && counts[audit.ActionRoster] > 0
+			counts[audit.ActionPromote] > 0 && counts[audit.ActionQuorum] > 0
 	})
 	time.Sleep(time.Second)
 	counts := fleet.trail()
