--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -59,14 +59,14 @@
 	}
 }
 
-// serverCalled logs when a server of a kept group gets out of reach and when it is back.
-func (kept *kept) serverCalled(reach *reach, server spool.Server, err error) {
-	changed, lost := reach.called(err == nil, kept.node.timers.Now())
-	fields := []zap.Field{zap.String("Group", string(kept.name)), zap.String("Server", string(server))}
+// serverCalled logs when a server of a hosted group gets out of reach and when it is back.
+func (hosted *hosted) serverCalled(reach *reach, server spool.Server, err error) {
+	changed, lost := reach.called(err == nil, hosted.node.timers.Now())
+	fields := []zap.Field{zap.String("Group", string(hosted.name)), zap.String("Server", string(server))}
 	switch {
 	case changed && lost:
-		event.Log(kept.node.logger, event.ServerLost, append(fields, zap.Error(err))...)
+		event.Log(hosted.node.logger, event.ServerLost, append(fields, zap.Error(err))...)
 	case changed:
-		event.Log(kept.node.logger, event.ServerBack, fields...)
+		event.Log(hosted.node.logger, event.ServerBack, fields...)
 	}
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -6,19 +6,19 @@
 	"net"
 	"time"
 
-	"corianderspool.example/spool/internal/keeper"
+	"corianderspool.example/spool/internal/leader"
 	"corianderspool.example/spool/internal/peer"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// served is the keeper's end of a stream of forwarded transactions.
+// served is the leader's end of a stream of forwarded transactions.
 type served struct {
-	node    *Node
-	writer  *peer.Writer[wire.Frame, *wire.Frame]
-	group   *kept
-	lane    *keeper.Lane
-	timeout time.Duration
+	node     *Node
+	writer   *peer.Writer[wire.Frame, *wire.Frame]
+	group    *hosted
+	executor *leader.Executor
+	timeout  time.Duration
 
 	receivedAt spool.Instant
 }
@@ -51,7 +51,7 @@
 		return
 	}
 	served.group = group
-	served.lane = group.Start(keeper.Request{
+	served.executor = group.Start(leader.Request{
 		Team: spool.Team(work.Team),
 		Token: spool.Token{
 			Group: spool.Group(work.Group), Term: spool.Term(work.Term), Position: spool.Position(work.Position),
@@ -63,15 +63,15 @@
 }
 
 func (served *served) close() {
-	if served.lane != nil {
-		served.lane.Close()
-		served.lane = nil
+	if served.executor != nil {
+		served.executor.Close()
+		served.executor = nil
 	}
 }
 
 // exchange runs one cycle and answers it; it fails when the stream broke.
 func (served *served) exchange(inbox *inbox, chunk *wire.Chunk) error {
-	if served.lane == nil {
+	if served.executor == nil {
 		return served.send(&wire.Frame{Body: &wire.Frame_Done{Done: &wire.Done{Moved: true, TxStatus: 'I'}}})
 	}
 	ctx, cancel := context.WithTimeout(inbox.ctx, served.timeout)
@@ -83,7 +83,7 @@
 	for _, reply := range chunk.Replies {
 		cycle.Replies = append(cycle.Replies, spool.Reply(reply))
 	}
-	result, err := served.lane.Exchange(ctx, cycle, served)
+	result, err := served.executor.Exchange(ctx, cycle, served)
 	return served.send(&wire.Frame{Body: &wire.Frame_Done{Done: served.done(result, err)}})
 }
 
@@ -96,7 +96,7 @@
 	switch {
 	case err == nil:
 		done.ValidNanos = served.validNanos()
-	case errors.Is(err, keeper.ErrMoved):
+	case errors.Is(err, leader.ErrMoved):
 		done.Moved = true
 	case errors.As(err, &refusal):
 		done.Verdict, done.Code, done.Message = int32(refusal.Verdict), refusal.Code, refusal.Message
@@ -109,7 +109,7 @@
 
 // validNanos is the rest of the lease, counted from the receipt of the cycle; zero sets no bound.
 func (served *served) validNanos() int64 {
-	until, bounded := served.lane.Valid()
+	until, bounded := served.executor.Valid()
 	if !bounded {
 		return 0
 	}
--- a/internal/node/session_test.go
+++ b/internal/node/session_test.go
@@ -130,7 +130,7 @@
 	})
 }
 
-// TestSessionsReadTheirWrites lets sessions roam with and without a token through the death of primary and keeper.
+// TestSessionsReadTheirWrites lets sessions roam with and without a token through the death of primary and leader.
 func TestSessionsReadTheirWrites(t *testing.T) {
 	fleet := newFleet(t, func(manifest *spool.Manifest) {
 		durable(manifest)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -31,8 +31,8 @@
 	for _, spec := range snapshot.Teams() {
 		status.Teams = append(status.Teams, node.teamStatus(spec))
 	}
-	roster := node.core.Roster()
-	status.Roster = spool.RosterStatus{Members: roster.Members, Next: roster.Next, Changing: roster.Changing}
+	quorum := node.core.Quorum()
+	status.Quorum = spool.QuorumStatus{Members: quorum.Members, Next: quorum.Next, Changing: quorum.Changing}
 	return status
 }
 
@@ -47,19 +47,19 @@
 	return vms
 }
 
-// groupStatus shows the term that was recorded last; whether it is open, and the servers, only their keeper knows.
+// groupStatus shows the term that was recorded last; whether it is open, and the servers, only their leader knows.
 func (node *Node) groupStatus(spec spool.GroupSpec) spool.GroupStatus {
 	record := node.core.Term(spec.Name)
 	status := spool.GroupStatus{
 		Group: spec.Name, Term: spool.Term(record.GetTerm()), Primary: spool.Server(record.GetPrimary()),
 	}
-	status.Keeper, _ = node.holder(lease.GroupRole(spec.Name))
+	status.Leader, _ = node.holder(lease.GroupRole(spec.Name))
 	open, _ := node.core.Keeps(spec.Name)
-	kept, here := node.groups.get(spec.Name)
+	hosted, here := node.groups.get(spec.Name)
 	if !here {
 		return status
 	}
-	servers, primary, _ := kept.Snapshot()
+	servers, primary, _ := hosted.Snapshot()
 	if open > 0 {
 		status.Open = true
 		status.Term = open
@@ -77,16 +77,16 @@
 func (node *Node) teamStatus(spec spool.TeamSpec) spool.TeamStatus {
 	status := spool.TeamStatus{Team: spec.Name, RatePerSecond: spec.RatePerSecond, Burst: spec.Burst}
 	status.Owner, _ = node.holder(lease.TeamRole(spec.Name))
-	if purse, known := node.purses.get(spec.Name); known {
-		status.Granted = purse.tokens()
+	if limiter, known := node.limiters.get(spec.Name); known {
+		status.Granted = limiter.tokens()
 	}
 	return status
 }
 
-func (purse *purse) tokens() float64 {
-	purse.mutex.Lock()
-	defer purse.mutex.Unlock()
-	return float64(purse.client.Tokens())
+func (limiter *limiter) tokens() float64 {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	return float64(limiter.client.Tokens())
 }
 
 // manifestStatus lists the partners with a manifest in force or a refused one.
--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -92,16 +92,16 @@
 func (trail *trail) forget(confirmed bool, now spool.Instant) {
 	trail.mutex.Lock()
 	defer trail.mutex.Unlock()
-	kept := trail.held[:0]
+	hosted := trail.held[:0]
 	for _, held := range trail.held {
 		if !confirmed {
 			held.since = now
 		}
 		if now.Sub(held.since) < trailHold {
-			kept = append(kept, held)
+			hosted = append(hosted, held)
 		}
 	}
-	trail.held = kept
+	trail.held = hosted
 }
 
 func (trail *trail) hold(name string, entry audit.Entry) {
@@ -153,13 +153,13 @@
 	})
 }
 
-func (trail *trail) rosterChanged(version spool.Version, roster lease.Roster) {
-	detail := fmt.Sprintf("witnesses %v", roster.Members)
-	if roster.Changing {
-		detail += fmt.Sprintf(", to become %v", roster.Next)
+func (trail *trail) quorumChanged(version spool.Version, quorum lease.Quorum) {
+	detail := fmt.Sprintf("witnesses %v", quorum.Members)
+	if quorum.Changing {
+		detail += fmt.Sprintf(", to become %v", quorum.Next)
 	}
-	trail.hold(versionedName(audit.ActionRoster, lease.RosterName, version), audit.Entry{
-		Action: audit.ActionRoster, Object: spool.KindRoster + "/" + lease.RosterName, Version: version, Detail: detail,
+	trail.hold(versionedName(audit.ActionQuorum, lease.QuorumName, version), audit.Entry{
+		Action: audit.ActionQuorum, Object: spool.KindQuorum + "/" + lease.QuorumName, Version: version, Detail: detail,
 	})
 }
 
@@ -168,7 +168,7 @@
 	name := fmt.Sprintf("%s-%s-%d", audit.ActionPromote, note.Group, note.Term)
 	trail.writer.RecordOnce(name, audit.Entry{
 		Action: audit.ActionPromote, Object: spool.KindTerm + "/" + string(note.Group),
-		Detail: fmt.Sprintf("term %d opened on %s, kept by %s", note.Term, note.Server, trail.node.settings.VM),
+		Detail: fmt.Sprintf("term %d opened on %s, hosted by %s", note.Term, note.Server, trail.node.settings.VM),
 	})
 }
 
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -50,7 +50,7 @@
 
 // connect sends until the connection breaks.
 func (outbox *outbox) connect() error {
-	session, err := outbox.transport.dial(outbox.transport.ctx, outbox.to, laneControl)
+	session, err := outbox.transport.dial(outbox.transport.ctx, outbox.to, kindControl)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -29,10 +29,10 @@
 	streamWindow     = 1 << 20
 )
 
-// Lane types of a connection: control messages have a connection of their own, so that bulk data never delays them.
+// Kinds of connections: control messages have a connection of their own, so that bulk data never delays them.
 const (
-	laneControl = 'C'
-	laneData    = 'D'
+	kindControl = 'C'
+	kindData    = 'D'
 )
 
 // Handler receives what other proxies send.
@@ -116,7 +116,7 @@
 }
 
 func (transport *Transport) accept(conn *tls.Conn) {
-	from, lane, err := greet(conn)
+	from, kind, err := greet(conn)
 	if err != nil {
 		transport.logger.Debug("peer refused", zap.Error(err))
 		_ = conn.Close()
@@ -136,7 +136,7 @@
 		if err != nil {
 			return
 		}
-		if lane == laneControl {
+		if kind == kindControl {
 			go transport.receive(from, stream)
 		} else {
 			go transport.handler.Serve(from, stream)
@@ -144,7 +144,7 @@
 	}
 }
 
-func greet(conn *tls.Conn) (from spool.VM, lane byte, err error) {
+func greet(conn *tls.Conn) (from spool.VM, kind byte, err error) {
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	if err := conn.Handshake(); err != nil {
 		return "", 0, err
@@ -218,7 +218,7 @@
 			return stream, nil
 		}
 	}
-	session, err := transport.dial(ctx, to, laneData)
+	session, err := transport.dial(ctx, to, kindData)
 	if err != nil {
 		return nil, err
 	}
@@ -236,7 +236,7 @@
 	return stream, nil
 }
 
-func (transport *Transport) dial(ctx context.Context, to spool.VM, lane byte) (*yamux.Session, error) {
+func (transport *Transport) dial(ctx context.Context, to spool.VM, kind byte) (*yamux.Session, error) {
 	address, known := transport.resolve(to)
 	if !known {
 		return nil, eris.Errorf("the address of %s is not known", to)
@@ -248,7 +248,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", to)
 	}
-	if _, err := conn.Write([]byte{lane}); err != nil {
+	if _, err := conn.Write([]byte{kind}); err != nil {
 		_ = conn.Close()
 		return nil, eris.Wrapf(err, "greet %s", to)
 	}
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -274,18 +274,18 @@
 	return lines
 }
 
-// keeper returns the running proxy that was the last to take the group's lease, and when.
-func (fleet *fleet) keeper() (demo.Process, time.Time) {
-	keeper, latest := demo.Process{}, time.Time{}
+// leader returns the running proxy that was the last to take the group's lease, and when.
+func (fleet *fleet) leader() (demo.Process, time.Time) {
+	leader, latest := demo.Process{}, time.Time{}
 	for _, proxy := range fleet.running(fleet.plan.Proxies) {
 		for _, line := range fleet.events(proxy) {
-			if line.Event == event.KeeperTaken && line.Time.After(latest) {
-				keeper, latest = proxy, line.Time
+			if line.Event == event.LeaderTaken && line.Time.After(latest) {
+				leader, latest = proxy, line.Time
 			}
 		}
 	}
-	fleet.Assert(keeper.Name, qt.Not(qt.Equals), "")
-	return keeper, latest
+	fleet.Assert(leader.Name, qt.Not(qt.Equals), "")
+	return leader, latest
 }
 
 // others returns all proxies but one.
--- a/internal/procs/kill_test.go
+++ b/internal/procs/kill_test.go
@@ -40,22 +40,22 @@
 	return found
 }
 
-// TestKeeperAndPrimaryKilledTogether: when the group's keeper and the primary die at once, the other proxies acknowledge
+// TestLeaderAndPrimaryKilledTogether: when the group's leader and the primary die at once, the other proxies acknowledge
 // writes again; no acknowledged write is missing, none ran twice, and what was refused as "not run" did not run.
-func TestKeeperAndPrimaryKilledTogether(t *testing.T) {
+func TestLeaderAndPrimaryKilledTogether(t *testing.T) {
 	fleet := newFleet(t, nil)
 	load := fleet.startLoad()
-	keeper, _ := fleet.keeper()
+	leader, _ := fleet.leader()
 	victim, state := fleet.primary()
 	killed := time.Now()
-	fleet.kill(keeper.Name)
+	fleet.kill(leader.Name)
 	fleet.kill(victim.Name)
 	fleet.awaitTerm(state.Term + 1)
 	reopened := time.Now()
-	for _, proxy := range fleet.others(keeper) {
+	for _, proxy := range fleet.others(leader) {
 		load.awaitWrites(proxy, reopened, workersPerProxy)
 	}
-	_, shown := load.gaps(fleet.others(keeper), killed)
+	_, shown := load.gaps(fleet.others(leader), killed)
 	load.check(time.Time{})
-	t.Logf("keeper %s and primary %s killed; gaps %s; %s", keeper.Name, victim.Name, shown, load.figures())
+	t.Logf("leader %s and primary %s killed; gaps %s; %s", leader.Name, victim.Name, shown, load.figures())
 }
--- a/internal/procs/large_test.go
+++ b/internal/procs/large_test.go
@@ -24,27 +24,27 @@
 	largeTimeout  = 10 * time.Minute
 )
 
-// TestLargeResultToSlowReader: a large result that a slow reader takes through a proxy that is not the keeper leaves the
+// TestLargeResultToSlowReader: a large result that a slow reader takes through a proxy that is not the leader leaves the
 // resident size of both proxies below 64 MB.
 func TestLargeResultToSlowReader(t *testing.T) {
 	size := scaled(t, 200*megabyte, 1000*megabyte)
 	fleet := newFleet(t, func(fleet *fleet) {
 		fleet.manifest.Routes[0].Timeout = spool.Duration(largeTimeout)
 	})
-	keeper, _ := fleet.keeper()
-	entry := fleet.others(keeper)[0]
+	leader, _ := fleet.leader()
+	entry := fleet.others(leader)[0]
 	begun := time.Now()
 	received := fleet.readSlowly(entry, size/rowBytes)
 	took := time.Since(begun)
 	fleet.Check(received, qt.Equals, size)
-	for _, proxy := range []demo.Process{entry, keeper} {
+	for _, proxy := range []demo.Process{entry, leader} {
 		peak := fleet.peakResident(proxy)
 		t.Logf("%s: at most %.1f MB resident", proxy.Name, float64(peak)/(1<<20))
 		fleet.Check(peak < residentLimit, qt.IsTrue, qt.Commentf("%s", proxy.Name))
 	}
-	t.Logf("%d bytes through %s to a slow reader in %.1f s, the keeper is %s", received, entry.Name, took.Seconds(), keeper.Name)
-	still, _ := fleet.keeper()
-	fleet.Check(still.Name, qt.Equals, keeper.Name, qt.Commentf("the keeper changed during the test"))
+	t.Logf("%d bytes through %s to a slow reader in %.1f s, the leader is %s", received, entry.Name, took.Seconds(), leader.Name)
+	still, _ := fleet.leader()
+	fleet.Check(still.Name, qt.Equals, leader.Name, qt.Commentf("the leader changed during the test"))
 }
 
 // readSlowly reads rows and pauses between some of them; it returns the bytes of all values.
--- a/internal/procs/late_test.go
+++ b/internal/procs/late_test.go
@@ -20,7 +20,7 @@
 	lateTimeout = 2 * waitLimit
 )
 
-// late is writes that are in flight when their keeper is frozen.
+// late is writes that are in flight when their leader is frozen.
 type late struct {
 	fleet      *fleet
 	ledger     *demo.Ledger
--- a/internal/procs/outage_test.go
+++ b/internal/procs/outage_test.go
@@ -19,8 +19,8 @@
 	outage := scaled(t, 10*time.Second, time.Minute)
 	fleet := newFleet(t, nil)
 	load := fleet.startLoad()
-	keeper, _ := fleet.keeper()
-	restarted := fleet.others(keeper)[0]
+	leader, _ := fleet.leader()
+	restarted := fleet.others(leader)[0]
 	begun := time.Now()
 	fleet.signal("platform", syscall.SIGSTOP)
 	time.Sleep(outage / 4)
--- a/pkg/spool/gate.go
+++ b/pkg/spool/gate.go
@@ -41,15 +41,15 @@
 	// Attach registers a connected session; the channel tells it to end.
 	Attach(login Login) (endings <-chan Ending, detach func())
 	// Begin admits work; errors are *Refusal and say "not run".
-	Begin(ctx context.Context, work Work) (Lane, error)
+	Begin(ctx context.Context, work Work) (Executor, error)
 }
 
-// Lane is the way to one server for the length of a transaction.
-type Lane interface {
+// Executor is the way to one server for the length of a transaction.
+type Executor interface {
 	// Exchange sends one cycle and passes the answer's messages, all but ReadyForQuery, to sink.
 	// An error of type *Refusal means that sink got an incomplete answer or none.
 	Exchange(ctx context.Context, cycle *Cycle, sink Sink) (Result, error)
-	// Close gives the lane back; it rolls back what is still open.
+	// Close gives the executor back; it rolls back what is still open.
 	Close()
 }
 
--- a/pkg/spool/platform.go
+++ b/pkg/spool/platform.go
@@ -21,7 +21,7 @@
 const (
 	KindManifest = "Manifest" // one object a partner
 	KindTerm     = "Term"     // one object a group
-	KindRoster   = "Roster"   // the witnesses of leases
+	KindQuorum   = "Quorum"   // the witnesses of leases
 	KindMark     = "Mark"     // written by starting VMs to tell fresh reads from stale ones
 	KindAudit    = "Audit"    // one object an entry of the audit trail
 	KindMember   = "Member"   // the platform's lagging list of VMs, read only
--- a/pkg/spool/status.go
+++ b/pkg/spool/status.go
@@ -12,7 +12,7 @@
 	Groups          []GroupStatus
 	Manifests       []ManifestStatus
 	Teams           []TeamStatus
-	Roster          RosterStatus
+	Quorum          QuorumStatus
 }
 
 // VMStatus is a proxy of the fleet.
@@ -28,12 +28,12 @@
 	Group   Group
 	Term    Term
 	Primary Server
-	Keeper  VM   // empty if not known
+	Leader  VM   // empty if not known
 	Open    bool // the primary takes writes
 	Servers []ServerState
 }
 
-// ServerState is a backend server as the group's keeper last saw it.
+// ServerState is a backend server as the group's leader last saw it.
 type ServerState struct {
 	Server   Server
 	Term     Term
@@ -59,9 +59,9 @@
 	Granted       float64 // tokens that this proxy may spend now
 }
 
-// RosterStatus tells which VMs are witnesses of leases.
-type RosterStatus struct {
+// QuorumStatus tells which VMs are witnesses of leases.
+type QuorumStatus struct {
 	Members  []VM
-	Next     []VM // members of the roster that is being put in place
+	Next     []VM // members of the quorum that is being put in place
 	Changing bool
 }
--- a/pkg/spool/token.go
+++ b/pkg/spool/token.go
@@ -12,7 +12,7 @@
 // Server names a backend server within its group.
 type Server string
 
-// Term numbers the reigns of a group's primaries; a promotion raises it.
+// Term numbers the periods of a group's primaries; a promotion raises it.
 type Term uint64
 
 // Position is a place in a group's replication log, in log records.
