--- a/internal/leader/group.go
+++ b/internal/leader/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -311,7 +312,10 @@
 }
 
 func (group *Group) tell(id uint64, verdict verdict) {
-	waiter := group.waiters[id]
+	waiter, waits := group.waiters[id]
+	if !waits {
+		panic(fmt.Sprintf("leader: request %d is told a verdict but does not wait", id))
+	}
 	delete(group.waiters, id)
 	waiter <- verdict
 }
