Leave an unreadable term record alone and say so

A record that cannot be parsed counted as absent; the group's leader then tried to create it and met the conflict again and again, without a word.

--- a/internal/core/objects.go
+++ b/internal/core/objects.go
@@ -206,6 +206,14 @@
 func (core *Core) objectRead(object spool.Object, now spool.Instant) {
 	if object.Kind == spool.KindTerm {
 		record := parseTerm(object)
+		if record == nil && object.Version > 0 {
+			core.emit(Note{
+				Topic: TopicRejected, Group: spool.Group(object.Name), Version: object.Version,
+				Text: "the record of the group's term cannot be read",
+			})
+			core.objectFailed(object.Kind, object.Name, now)
+			return
+		}
 		core.witness.Learn(record)
 		core.groupEvent(spool.Group(object.Name), terms.TermRead{Record: record}, now)
 		return
