Keep causes with addresses and accounts from callers

Refusals passed on the text of the connection's error, seen in the demo: addresses of backend servers, and the proxy's own account when a dial failed. Callers now read what happened to which server; the cause stays with the refusal for the log.

--- a/internal/back/exchange.go
+++ b/internal/back/exchange.go
@@ -79,7 +79,8 @@
 	refusal := &spool.Refusal{
 		Verdict: spool.NotRun,
 		Code:    spool.CodeNoPrimary,
-		Message: "the connection to server " + string(conn.server.Name) + " was lost: " + err.Error(),
+		Message: "the connection to server " + string(conn.server.Name) + " was lost",
+		Cause:   err,
 	}
 	if sent {
 		refusal.Verdict = spool.Unknown
--- a/internal/leader/executor_test.go
+++ b/internal/leader/executor_test.go
@@ -241,3 +241,19 @@
 	_, err = bench.group.Start(request).Exchange(context.Background(), &spool.Cycle{}, &output{})
 	bench.Assert(err, qt.IsNil)
 }
+
+// TestRefusalsKeepTheCauseFromCallers fails to connect and expects neither address nor account in what callers read.
+func TestRefusalsKeepTheCauseFromCallers(t *testing.T) {
+	c := qt.New(t)
+	cause := errors.New("dial tcp 10.0.0.1:5432: user=spool")
+	dial := func(context.Context, spool.ServerSpec) (leader.Conn, error) { return nil, cause }
+	timers := &clock.Simulated{}
+	group := leader.New(spool.GroupSpec{Name: "g", Servers: []spool.ServerSpec{{Name: "primary", Slots: 1}}}, timers, dial)
+	group.Open(terms.Open{Term: 1, Primary: "primary"})
+	group.See(spool.ServerStatus{Server: "primary", Term: 1, Primary: true}, 0)
+	_, err := group.Start(leader.Request{Team: "team"}).Exchange(context.Background(), &spool.Cycle{}, &output{})
+	var refusal *spool.Refusal
+	c.Assert(errors.As(err, &refusal), qt.IsTrue)
+	c.Assert(refusal.Message, qt.Equals, "server primary cannot be reached")
+	c.Assert(errors.Is(err, cause), qt.IsTrue)
+}
--- a/internal/leader/pool.go
+++ b/internal/leader/pool.go
@@ -61,7 +61,10 @@
 		group.mutex.Lock()
 		group.queue.Disconnect(server)
 		group.mutex.Unlock()
-		return nil, &spool.Refusal{Verdict: spool.NotRun, Code: spool.CodeNoPrimary, Message: err.Error()}
+		return nil, &spool.Refusal{
+			Verdict: spool.NotRun, Code: spool.CodeNoPrimary, RetryAfter: gapRetryAfter, Cause: err,
+			Message: "server " + string(spec.Name) + " cannot be reached",
+		}
 	}
 	return &link{Conn: conn, server: server}, nil
 }
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -99,6 +99,9 @@
 
 func (writer *writer) record(key string, err error, last *time.Time) {
 	var answer *pgconn.PgError
+	if errors.As(err, &answer) {
+		writer.fleet.c.Check(strings.Contains(answer.Message, "127.0.0.1"), qt.IsFalse, qt.Commentf("%v", answer))
+	}
 	switch {
 	case err == nil:
 		now := time.Now()
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -206,7 +206,7 @@
 func (forward *forward) lost(err error) (spool.Result, error) {
 	return spool.Result{TxStatus: 'I', Sent: true}, &spool.Refusal{
 		Verdict: spool.Unknown, Code: spool.CodeOutcomeUnknown, RetryAfter: movedRetryAfter,
-		Message: "the proxy that served the database group was lost: " + err.Error(),
+		Message: "the proxy that served the database group was lost", Cause: err,
 	}
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -122,7 +122,11 @@
 }
 
 func refusalFields(refusal *spool.Refusal) []zap.Field {
-	return []zap.Field{zap.String("SQLSTATE", refusal.Code), zap.String("Reason", refusal.Message)}
+	fields := []zap.Field{zap.String("SQLSTATE", refusal.Code), zap.String("Reason", refusal.Message)}
+	if refusal.Cause != nil {
+		fields = append(fields, zap.String("Cause", refusal.Cause.Error()))
+	}
+	return fields
 }
 
 // SlotWaited tells how long a request waited for a slot.
--- a/pkg/spool/outcome.go
+++ b/pkg/spool/outcome.go
@@ -19,11 +19,15 @@
 	Code       string // SQLSTATE
 	Message    string
 	RetryAfter time.Duration // zero when trying again does not help
+	Cause      error         // for the log; callers do not see it, since it may name addresses and accounts
 }
 
 // Error returns the refusal's message.
 func (refusal *Refusal) Error() string { return refusal.Message }
 
+// Unwrap returns the cause.
+func (refusal *Refusal) Unwrap() error { return refusal.Cause }
+
 // SQLSTATE codes of refusals.
 const (
 	CodeOutcomeUnknown  = "08007" // transaction_resolution_unknown
