Use one wait, one tally and one check of a session

Behaviour is unchanged; internal/leader and internal/node pass with the race detector, lint is clean. Left: the options of core.New that nothing sets yet, and the waits of the stand-ins.

--- a/internal/leader/executor.go
+++ b/internal/leader/executor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"corianderspool.example/spool/internal/clock"
 	"corianderspool.example/spool/internal/core/route"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -93,7 +94,7 @@
 			return refusal
 		}
 		executor.group.Miss(executor.group.serverName(taken.server))
-		pause(ctx, redialPause)
+		_ = clock.Wait(ctx, executor.group.timers, redialPause)
 	}
 }
 
@@ -106,7 +107,7 @@
 // run exchanges one cycle over the executor's connection; passed tells whether the sink got bytes.
 func (executor *Executor) run(ctx context.Context, cycle *spool.Cycle, sink spool.Sink) (spool.Result, bool, error) {
 	if !executor.place.primary {
-		tally := &tally{sink: sink}
+		tally := &Tally{Sink: sink}
 		result, err := executor.link.Exchange(ctx, cycle, tally)
 		result.Replica = true
 		result.Token = executor.token(executor.place.term, executor.place.floor)
@@ -114,7 +115,7 @@
 		if err == nil {
 			executor.group.observer.Read(true)
 		}
-		return result, tally.passed, err
+		return result, tally.Passed, err
 	}
 	guard := &guard{sink: sink, allows: func() bool { return executor.group.allows(executor.place.term) }}
 	result, err := executor.link.Exchange(ctx, cycle, guard)
@@ -229,13 +230,6 @@
 	return executor.group.Valid(executor.place.term), executor.place.primary
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
-
 func fenced() *spool.Refusal {
 	return &spool.Refusal{
 		Verdict: spool.Unknown, Code: spool.CodeOutcomeUnknown, RetryAfter: gapRetryAfter,
--- a/internal/leader/guard.go
+++ b/internal/leader/guard.go
@@ -48,14 +48,14 @@
 	return err
 }
 
-// tally passes bytes on and remembers that there were any.
-type tally struct {
-	sink   spool.Sink
-	passed bool
+// Tally passes bytes on and remembers that there were any.
+type Tally struct {
+	spool.Sink
+	Passed bool
 }
 
 // Write passes messages on.
-func (tally *tally) Write(messages []byte) (int, error) {
-	tally.passed = true
-	return tally.sink.Write(messages)
+func (tally *Tally) Write(messages []byte) (int, error) {
+	tally.Passed = true
+	return tally.Sink.Write(messages)
 }
--- a/internal/node/executor.go
+++ b/internal/node/executor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"corianderspool.example/spool/internal/clock"
 	"corianderspool.example/spool/internal/core"
 	"corianderspool.example/spool/internal/core/lease"
 	"corianderspool.example/spool/internal/leader"
@@ -37,7 +38,7 @@
 	for {
 		attempt, found := executor.attempt()
 		if found {
-			tally := &tally{Sink: sink}
+			tally := &leader.Tally{Sink: sink}
 			result, err := attempt.Exchange(ctx, cycle, tally)
 			if !errors.Is(err, leader.ErrMoved) && !executor.mayRepeat(err, tally) {
 				executor.pinned = attempt
@@ -69,26 +70,14 @@
 }
 
 // mayRepeat tells whether the request may be sent again after an unknown outcome.
-func (executor *executor) mayRepeat(err error, tally *tally) bool {
+func (executor *executor) mayRepeat(err error, tally *leader.Tally) bool {
 	var refusal *spool.Refusal
-	if !executor.request.Idempotent || tally.passed || !errors.As(err, &refusal) {
+	if !executor.request.Idempotent || tally.Passed || !errors.As(err, &refusal) {
 		return false
 	}
 	return refusal.Verdict == spool.Unknown
 }
 
-// tally remembers whether any bytes of an answer were passed on.
-type tally struct {
-	spool.Sink
-	passed bool
-}
-
-// Write passes messages on.
-func (tally *tally) Write(messages []byte) (int, error) {
-	tally.passed = true
-	return tally.Sink.Write(messages)
-}
-
 // seek has the core look for a role's holder; many requests may wait for the same one.
 func (node *Node) seek(role lease.Role) {
 	now := node.timers.Now()
@@ -106,7 +95,7 @@
 			Message: "no proxy serves the database group at the moment",
 		}
 	}
-	pause(ctx, movedPause)
+	_ = clock.Wait(ctx, executor.node.timers, movedPause)
 	return nil
 }
 
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"corianderspool.example/spool/internal/core/policy"
 	"corianderspool.example/spool/internal/leader"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -40,20 +39,10 @@
 // Attach registers a connected session.
 func (node *Node) Attach(login spool.Login) (endings <-chan spool.Ending, detach func()) {
 	entry := node.sessions.add(login)
-	go node.sessions.recheck(entry, node.snapshot.Load())
+	entry.check(node.snapshot.Load()) // the key may have been withdrawn since the login
 	return entry.endings, func() { node.sessions.remove(entry) }
 }
 
-// recheck catches a withdrawal that came between login and registration.
-func (sessions *sessions) recheck(entry *attached, snapshot *policy.Snapshot) {
-	if refusal := snapshot.Check(entry.login); refusal != nil {
-		select {
-		case entry.endings <- spool.Ending{AtOnce: true, Refusal: refusal}:
-		default:
-		}
-	}
-}
-
 // admit admits work against its team's rate.
 func (node *Node) admit(ctx context.Context, work spool.Work) (spool.Executor, error) {
 	snapshot := node.snapshot.Load()
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"corianderspool.example/spool/internal/back"
+	"corianderspool.example/spool/internal/clock"
 	"corianderspool.example/spool/internal/core"
 	"corianderspool.example/spool/internal/core/terms"
 	"corianderspool.example/spool/internal/leader"
@@ -92,7 +93,7 @@
 	for ctx.Err() == nil {
 		sentAt := hosted.node.timers.Now()
 		hosted.ask(ctx, admin, server, sentAt, reach)
-		pause(ctx, pollInterval-hosted.node.timers.Now().Sub(sentAt))
+		_ = clock.Wait(ctx, hosted.node.timers, pollInterval-hosted.node.timers.Now().Sub(sentAt))
 	}
 }
 
--- a/internal/node/objects.go
+++ b/internal/node/objects.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
+	"corianderspool.example/spool/internal/clock"
 	"corianderspool.example/spool/internal/core"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -129,17 +130,10 @@
 			return
 		}
 		if err != nil {
-			pause(ctx, watchRetry)
+			_ = clock.Wait(ctx, node.timers, watchRetry)
 			continue
 		}
 		after = version
 		node.handle(core.ObjectsSeen{Objects: objects, SentAt: sentAt})
 	}
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/sessions.go
+++ b/internal/node/sessions.go
@@ -40,13 +40,18 @@
 	sessions.mutex.Lock()
 	defer sessions.mutex.Unlock()
 	for entry := range sessions.entries {
-		refusal := snapshot.Check(entry.login)
-		if refusal == nil {
-			continue
-		}
-		select {
-		case entry.endings <- spool.Ending{AtOnce: true, Refusal: refusal}:
-		default:
-		}
+		entry.check(snapshot)
+	}
+}
+
+// check ends the session if a snapshot no longer allows it.
+func (attached *attached) check(snapshot *policy.Snapshot) {
+	refusal := snapshot.Check(attached.login)
+	if refusal == nil {
+		return
+	}
+	select {
+	case attached.endings <- spool.Ending{AtOnce: true, Refusal: refusal}:
+	default:
 	}
 }
