--- /dev/null
+++ b/cmd/corianderspool/fleet.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/clock"
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/fleet"
+	"corianderspool.example/spool/internal/sock"
+	"corianderspool.example/spool/platform"
+)
+
+// runFleet runs a proxy on the operators' platform until the context ends.
+func runFleet(ctx context.Context, logger *zap.Logger) error {
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return eris.Errorf("%s is not set", platform.SettingsVariable)
+	}
+	settings, faults := platform.LoadSettings(path)
+	if len(faults) > 0 {
+		return eris.Wrapf(faults, "settings %s", path)
+	}
+	adapter := platform.New(settings, sock.Dialer(sock.DefaultSilence))
+	limited := event.Limit(logger, func(event.Number) {})
+	return fleet.New(settings, adapter, clock.Real{}, limited).Run(ctx)
+}
--- a/cmd/corianderspool/main.go
+++ b/cmd/corianderspool/main.go
@@ -18,6 +18,7 @@
 	defer stop()
 	program := cmds.New(
 		cmds.WithServer(cmds.ServerFunc(node.Run)),
+		cmds.WithFleet(runFleet),
 		cmds.WithConnect(connect),
 		cmds.WithActor(os.Getenv("USER")),
 	)
--- /dev/null
+++ b/internal/cmds/fleet.go
@@ -0,0 +1,39 @@
+package cmds
+
+import (
+	"context"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"corianderspool.example/spool/internal/event"
+)
+
+const fleetExamples = `  CORIANDERSPOOL_SETTINGS=/etc/corianderspool/settings.json corianderspool fleet`
+
+func (program *Program) fleetCommand() *command {
+	command := newCommand("fleet", "run a proxy with the settings that the platform lays down", fleetExamples)
+	levelName := "info"
+	command.String(&levelName, "l", "level", "lowest level that is logged: debug, info, warn or error")
+	command.run = func(ctx context.Context) Code { return program.runFleet(ctx, levelName) }
+	return command
+}
+
+func (program *Program) runFleet(ctx context.Context, levelName string) Code {
+	if program.fleet == nil {
+		return program.fail(Failure, eris.New("this build has no platform"))
+	}
+	level, err := zapcore.ParseLevel(levelName)
+	if err != nil {
+		return program.fail(Invalid, eris.Wrap(err, "read the log level"))
+	}
+	output := event.NewOutput(os.Stdout)
+	defer output.Close()
+	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoderConfig()), output, level))
+	if err := program.fleet(ctx, logger); err != nil {
+		return program.fail(Failure, err)
+	}
+	return Success
+}
--- a/internal/cmds/program.go
+++ b/internal/cmds/program.go
@@ -34,12 +34,16 @@
 	return serverFunc(ctx, settings, logger)
 }
 
+// Fleet runs a proxy of a fleet until the context ends; its errors name the settings that are wrong.
+type Fleet func(ctx context.Context, logger *zap.Logger) error
+
 // Connect returns a client of the object API at a URL; the token may be empty.
 type Connect func(url, token string) spool.Platform
 
 // Program is the command line.
 type Program struct {
 	server  Server
+	fleet   Fleet
 	connect Connect
 	actor   string
 	input   io.Reader
@@ -56,6 +60,11 @@
 	return func(program *Program) { program.server = server }
 }
 
+// WithFleet sets what fleet runs.
+func WithFleet(fleet Fleet) Option {
+	return func(program *Program) { program.fleet = fleet }
+}
+
 // WithConnect sets how the object API is reached.
 func WithConnect(connect Connect) Option {
 	return func(program *Program) { program.connect = connect }
@@ -129,6 +138,7 @@
 func (program *Program) commands() []*command {
 	return []*command{
 		program.serve(),
+		program.fleetCommand(),
 		program.check(),
 		program.push(),
 		program.withdraw(),
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -52,15 +52,22 @@
 	settings.Level = zap.NewAtomicLevelAt(level)
 	settings.Sampling = nil
 	settings.DisableStacktrace = true
-	settings.EncoderConfig.TimeKey = "Time"
-	settings.EncoderConfig.LevelKey = "Level"
-	settings.EncoderConfig.MessageKey = "Message"
-	settings.EncoderConfig.CallerKey = "Caller"
-	settings.EncoderConfig.NameKey = "Logger"
-	settings.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	settings.EncoderConfig = encoderConfig()
 	logger, err := settings.Build()
 	if err != nil {
 		return nil, eris.Wrap(err, "open the log")
 	}
 	return logger, nil
 }
+
+// encoderConfig names the fields that every line of a log has.
+func encoderConfig() zapcore.EncoderConfig {
+	config := zap.NewProductionEncoderConfig()
+	config.TimeKey = "Time"
+	config.LevelKey = "Level"
+	config.MessageKey = "Message"
+	config.CallerKey = "Caller"
+	config.NameKey = "Logger"
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return config
+}
--- /dev/null
+++ b/internal/engine/exchange.go
@@ -0,0 +1,221 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"corianderspool.example/spool/internal/core/fresh"
+	"corianderspool.example/spool/internal/pool"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	maxAttempts   = 4                      // of one statement; each goes to another server or follows a change of primary
+	beginPatience = 700 * time.Millisecond // for statements that need no slot: a round trip of 40 ms and two retransmissions
+	busyPause     = 15 * time.Millisecond  // before a full server is asked again; about the work of one statement
+	ageMargin     = 30 * time.Millisecond  // kept off a route's age, for the way of the request to the server
+	waitPart      = 4                      // a statement that gets no connection within this part of the objective is refused
+	longestWait   = 500 * time.Millisecond // of a statement without an objective
+)
+
+// errNotBegun says that the server did not get a statement because one that prepared the way failed.
+var errNotBegun = errors.New("the connection could not be prepared")
+
+// single runs a statement outside of a transaction.
+func (session *session) single(ctx context.Context, statement *statement) spool.Answer {
+	var avoid []spool.Server
+	last := &spool.Refusal{Code: spool.CodeNoSlot, Message: "no server could run the statement", RetryAfter: busyPause}
+	for statement.attempts < maxAttempts && time.Now().Before(statement.deadline) {
+		primary := statement.writes || session.route.Kind == spool.RoutePrimary || session.needsPrimary(statement)
+		conn, refusal := session.acquire(ctx, statement, primary, avoid)
+		if refusal != nil {
+			last = refusal
+			break
+		}
+		answer, again := session.attempt(statement, conn, primary)
+		if !again {
+			return answer
+		}
+		last = answer.Refusal
+		if !primary {
+			avoid = append(avoid, conn.Server())
+		} else if last.Code == spool.CodeNoSlot {
+			time.Sleep(busyPause)
+		}
+	}
+	return spool.Answer{Refusal: last, State: spool.TxIdle}
+}
+
+// attempt runs a single statement on a connection; again tells that it did not run, or only read, and may be repeated.
+func (session *session) attempt(statement *statement, conn *pool.Conn, primary bool) (answer spool.Answer, again bool) {
+	engine := session.engine
+	defer engine.pool.Release(conn)
+	fenced := primary && !statement.writes
+	var begin []spool.Command
+	if fenced {
+		begin = []spool.Command{{Verb: spool.VerbBegin}}
+	}
+	command, refusal := session.ready(statement, conn, begin, false)
+	if refusal != nil {
+		return spool.Answer{Refusal: refusal}, true
+	}
+	sent := engine.timers.Now()
+	answer, err := session.exchange(statement, conn, command)
+	if err != nil {
+		return session.lost(statement, err), !statement.writes && !errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	if fenced {
+		_ = engine.pool.RollBack(conn) // a failure marks the connection as unusable
+	}
+	answer.State = spool.TxIdle
+	if answer.Refusal != nil {
+		return answer, session.repeatable(answer.Refusal, conn)
+	}
+	if statement.writes {
+		session.committed(conn, answer.Position, sent)
+	}
+	return answer, false
+}
+
+// repeatable tells if a server's refusal means that the statement did not run and another attempt may help.
+func (session *session) repeatable(refusal *spool.Refusal, conn *pool.Conn) bool {
+	switch refusal.Code {
+	case spool.CodeReadOnly:
+		session.engine.pool.NoteDenied(session.route.Group, conn.Server())
+		return true
+	case spool.CodeNoStatement:
+		conn.Break() // the server lost what was prepared
+		return true
+	case spool.CodeLagging, spool.CodeNoSlot:
+		return true
+	}
+	return false
+}
+
+// lost answers a statement whose connection broke or whose time ended.
+func (session *session) lost(statement *statement, err error) spool.Answer {
+	refusal := &spool.Refusal{Code: spool.CodeOutcomeUnknown, Verdict: spool.Unknown, Message: "the server gave no answer", Cause: err}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		refusal.Code, refusal.Message = spool.CodeDeadlineExpired, "the statement took too long"
+	} else if !statement.writes {
+		refusal = &spool.Refusal{
+			Code: spool.CodeRolledBack, Message: "the server's connection broke", RetryAfter: busyPause, Cause: err,
+		}
+	}
+	return spool.Answer{Refusal: refusal, State: spool.TxIdle}
+}
+
+// acquire waits for a connection for a part of the route's objective.
+func (session *session) acquire(
+	ctx context.Context, statement *statement, primary bool, avoid []spool.Server,
+) (*pool.Conn, *spool.Refusal) {
+	wait := longestWait
+	if session.route.Target > 0 {
+		wait = session.route.Target / waitPart
+	}
+	deadline := time.Now().Add(wait)
+	if statement.deadline.Before(deadline) {
+		deadline = statement.deadline
+	}
+	return session.engine.pool.Acquire(ctx, pool.Want{
+		Group: session.route.Group, Team: session.team, Values: session.values,
+		Primary: primary, Avoid: avoid, Priority: session.route.Priority, Deadline: deadline,
+	})
+}
+
+// needsPrimary sets the position that a replica must have, and tells if none is known so that only the primary will do.
+func (session *session) needsPrimary(statement *statement) bool {
+	since := statement.received.Add(ageMargin - session.route.MaxAge)
+	position, known := session.engine.pool.Covering(session.route.Group, since)
+	if !known {
+		statement.After = spool.LogPosition{}
+		return true
+	}
+	if session.route.Kind == spool.RouteSession {
+		position = position.Max(session.seen)
+	}
+	statement.After = position
+	return false
+}
+
+// ready gives the connection the session's values, the statement's shape and a transaction, and returns the command to
+// send; a refusal says that the statement was not sent.
+func (session *session) ready(
+	statement *statement, conn *pool.Conn, begin []spool.Command, inTransaction bool,
+) (spool.Command, *spool.Refusal) {
+	engine := session.engine
+	prepare := conn.Prepare(session.values, inTransaction)
+	command := statement.Command
+	if statement.shape != "" {
+		name, shape := conn.Statement(statement.shape)
+		prepare = append(prepare, shape...)
+		command.Name = name
+	}
+	prepare = append(prepare, begin...)
+	deadline := time.Now().Add(beginPatience)
+	sent := engine.timers.Now()
+	if len(prepare) > 0 {
+		if err := conn.Send(prepare...); err != nil {
+			return command, session.unprepared(conn, err)
+		}
+	}
+	if err := conn.Settle(deadline); err != nil {
+		return command, session.unprepared(conn, err)
+	}
+	for i := range prepare {
+		answer, err := conn.Receive(deadline)
+		if err != nil {
+			return command, session.unprepared(conn, err)
+		}
+		if answer.Refusal == nil {
+			if prepare[i].Verb == spool.VerbBegin {
+				mark := fresh.Mark{Position: answer.Position, Sent: sent}
+				engine.pool.NotePrimary(session.route.Group, conn.Server(), mark)
+			}
+			continue
+		}
+		if i < len(prepare)-len(begin) {
+			return command, session.unprepared(conn, answer.Refusal)
+		}
+		session.repeatable(answer.Refusal, conn) // notes what the refusal tells; BEGIN never ran
+		return command, answer.Refusal
+	}
+	return command, nil
+}
+
+// unprepared gives up a connection on which nothing of the caller was sent.
+func (session *session) unprepared(conn *pool.Conn, cause error) *spool.Refusal {
+	session.engine.pool.Failed(conn, cause)
+	return &spool.Refusal{
+		Code: spool.CodeNoSlot, Message: errNotBegun.Error(), RetryAfter: beginPatience, Cause: cause,
+	}
+}
+
+// exchange sends the statement and waits for the whole answer; an error means that its outcome is not known.
+func (session *session) exchange(statement *statement, conn *pool.Conn, command spool.Command) (spool.Answer, error) {
+	engine := session.engine
+	statement.attempts++
+	statement.server = conn.Server()
+	began := engine.timers.Now()
+	err := conn.Send(command)
+	var answer spool.Answer
+	if err == nil {
+		answer, err = conn.Receive(statement.deadline)
+	}
+	if err != nil {
+		engine.pool.Failed(conn, err)
+		return answer, err
+	}
+	engine.pool.Succeeded(conn, engine.timers.Now().Sub(began))
+	return answer, nil
+}
+
+// committed notes an acknowledged commit.
+func (session *session) committed(conn *pool.Conn, position spool.LogPosition, sent spool.Instant) {
+	session.seen = session.seen.Max(position)
+	session.engine.pool.NoteCommit(session.route.Group, position)
+	mark := fresh.Mark{Position: position, Sent: sent}
+	session.engine.pool.NotePrimary(session.route.Group, conn.Server(), mark)
+}
--- /dev/null
+++ b/internal/engine/transaction.go
@@ -0,0 +1,119 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// step runs a statement of an open transaction.
+func (session *session) step(ctx context.Context, statement *statement) spool.Answer {
+	if !session.allowed(session.engine.deployment.Load()) {
+		return session.refuse(&spool.Refusal{Code: spool.CodeRolledBack, Message: "the key or route was withdrawn"})
+	}
+	command := statement.Command
+	var refusal *spool.Refusal
+	if session.tx.conn == nil {
+		command, refusal = session.enter(ctx, statement)
+	} else {
+		command, refusal = session.ready(statement, session.tx.conn, nil, true)
+	}
+	if refusal != nil {
+		return session.end(statement, spool.Answer{Refusal: session.rolledBack(refusal)})
+	}
+	conn := session.tx.conn
+	command.After = spool.LogPosition{} // the transaction's beginning asked for it
+	sent := session.engine.timers.Now()
+	answer, err := session.exchange(statement, conn, command)
+	if err != nil {
+		return session.end(statement, session.broken(statement, err))
+	}
+	if answer.Refusal != nil {
+		session.repeatable(answer.Refusal, conn) // notes what the refusal tells
+		return session.end(statement, answer)
+	}
+	session.tx.wrote = session.tx.wrote || statement.writes
+	if statement.Verb != spool.VerbCommit {
+		answer.State = spool.TxOpen
+		return answer
+	}
+	if session.tx.wrote {
+		session.committed(conn, answer.Position, sent)
+	}
+	session.tx = transaction{}
+	session.state = spool.TxIdle
+	session.engine.pool.Release(conn)
+	answer.State = spool.TxIdle
+	return answer
+}
+
+// rolledBack turns a refusal before anything of the transaction ran into one that callers may repeat at once.
+func (session *session) rolledBack(refusal *spool.Refusal) *spool.Refusal {
+	if session.tx.conn == nil {
+		return refusal
+	}
+	return &spool.Refusal{
+		Code: spool.CodeRolledBack, Message: refusal.Message, RetryAfter: refusal.RetryAfter, Cause: refusal.Cause,
+	}
+}
+
+// end fails the transaction with an answer; after a COMMIT the session is idle, else its end is awaited.
+func (session *session) end(statement *statement, answer spool.Answer) spool.Answer {
+	session.fail()
+	if statement.Verb == spool.VerbCommit {
+		session.state = spool.TxIdle
+	}
+	answer.State = session.state
+	return answer
+}
+
+// broken answers a statement of a transaction whose connection broke: before COMMIT the server has rolled back.
+func (session *session) broken(statement *statement, err error) spool.Answer {
+	switch {
+	case statement.Verb == spool.VerbCommit && session.tx.wrote:
+		return spool.Answer{Refusal: &spool.Refusal{
+			Code: spool.CodeOutcomeUnknown, Verdict: spool.Unknown, Message: "no answer to the commit", Cause: err,
+		}}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return spool.Answer{Refusal: &spool.Refusal{
+			Code: spool.CodeDeadlineExpired, Message: "the statement took too long", Cause: err,
+		}}
+	}
+	return spool.Answer{Refusal: &spool.Refusal{
+		Code: spool.CodeRolledBack, Message: "the server's connection broke", RetryAfter: busyPause, Cause: err,
+	}}
+}
+
+// enter begins the transaction on a server and prepares its first statement.
+func (session *session) enter(ctx context.Context, statement *statement) (spool.Command, *spool.Refusal) {
+	var avoid []spool.Server
+	last := &spool.Refusal{Code: spool.CodeNoSlot, Message: "no server began the transaction", RetryAfter: busyPause}
+	for range maxAttempts {
+		if time.Now().After(statement.deadline) {
+			break
+		}
+		begin := spool.Command{Verb: spool.VerbBegin}
+		primary := !session.tx.readOnly || session.route.Kind == spool.RoutePrimary || session.needsPrimary(statement)
+		if !primary {
+			begin.Verb, begin.After = spool.VerbBeginRead, statement.After
+		}
+		conn, refusal := session.acquire(ctx, statement, primary, avoid)
+		if refusal != nil {
+			return statement.Command, refusal
+		}
+		command, refusal := session.ready(statement, conn, []spool.Command{begin}, false)
+		if refusal == nil {
+			session.tx.conn = conn
+			return command, nil
+		}
+		last = refusal
+		if !primary {
+			avoid = append(avoid, conn.Server())
+		}
+		session.engine.pool.Release(conn)
+	}
+	return statement.Command, last
+}
--- /dev/null
+++ b/internal/fleet/proxy.go
@@ -0,0 +1,198 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/engine"
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/mirror"
+	"corianderspool.example/spool/internal/pool"
+	"corianderspool.example/spool/internal/sock"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	memoryPart    = 0.6                     // of the memory limit that the garbage collector aims to stay below
+	sameDomain    = 1 * time.Millisecond    // round trip within a failure domain
+	sameRegion    = 3 * time.Millisecond    // round trip between failure domains of a region
+	otherRegion   = 40 * time.Millisecond   // round trip between regions
+	drainPart     = 0.8                     // of the grace after which remaining sessions are cut
+	refusedPause  = 20 * time.Millisecond   // after a failed accept, such as when descriptors run out
+	routingLag    = 2500 * time.Millisecond // two missed readiness probes, one a second: new callers still arrive
+	reservedFiles = 300                     // descriptors for servers, peers, the store and files
+)
+
+// Proxy is one running proxy of a fleet.
+type Proxy struct {
+	settings spool.FleetSettings
+	adapter  spool.Adapter
+	timers   spool.Timers
+	logger   *zap.Logger
+	pool     *pool.Pool
+	engine   *engine.Engine
+	limiter  *limiter
+	members  *members
+
+	mutex    sync.Mutex
+	revision uint64 // of the deployment in force
+	draining bool
+}
+
+// New returns a proxy that has not started.
+func New(settings spool.FleetSettings, adapter spool.Adapter, timers spool.Timers, logger *zap.Logger) *Proxy {
+	proxy := &Proxy{settings: settings, adapter: adapter, timers: timers, logger: logger, limiter: newLimiter(timers)}
+	proxy.pool = pool.New(adapter, sock.Dialer(sock.DefaultSilence), timers,
+		pool.WithLogger(logger), pool.WithDistance(proxy.distance), pool.WithDrain(settings.Bounds.Drain))
+	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(logger))
+	proxy.members = newMembers(proxy)
+	return proxy
+}
+
+// distance returns the round trip to a failure domain.
+func (proxy *Proxy) distance(domain spool.Domain) time.Duration {
+	switch {
+	case domain == proxy.settings.Domain:
+		return sameDomain
+	case proxy.settings.Regions[domain] == proxy.settings.Region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// Run serves until the context ends, then drains.
+func (proxy *Proxy) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(float64(proxy.settings.MemoryBytes) * memoryPart))
+	callers, err := sock.Listen(ctx, proxy.settings.Callers, sock.DefaultSilence)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	readiness, err := sock.Listen(ctx, proxy.settings.Readiness, sock.DefaultSilence)
+	if err != nil {
+		return eris.Wrap(err, "listen for readiness probes")
+	}
+	event.Log(proxy.logger, event.ProxyStarted, zap.String("VM", string(proxy.settings.VM)),
+		zap.String("Domain", string(proxy.settings.Domain)), zap.Bool("Bootstrap", proxy.settings.Bootstrap))
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	proxy.follow(background)
+	go proxy.serveReadiness(readiness)
+	sessions := make(chan struct{})
+	go func() {
+		defer close(sessions)
+		proxy.accept(background, callers)
+	}()
+	<-ctx.Done()
+	proxy.drain(callers)
+	<-sessions
+	event.Log(proxy.logger, event.ProxyStopped, zap.Int("Sessions", proxy.engine.Sessions()))
+	return nil
+}
+
+// follow copies configuration, servers and members from the store.
+func (proxy *Proxy) follow(ctx context.Context) {
+	kind, _ := proxy.adapter.ConfigObject()
+	config := mirror.New(proxy.adapter, proxy.timers, kind, configObserver{reach{proxy.logger, kind}, proxy})
+	kind = proxy.adapter.ServerKind()
+	servers := mirror.New(proxy.adapter, proxy.timers, kind, serverObserver{reach{proxy.logger, kind}, proxy})
+	go config.Run(ctx)
+	go servers.Run(ctx)
+	go proxy.members.run(ctx)
+}
+
+// applyConfig puts a deployment in force unless it is older than the one in force.
+func (proxy *Proxy) applyConfig(object spool.Object) {
+	deployment, err := proxy.adapter.ParseDeployment(object)
+	if err != nil {
+		event.Log(proxy.logger, event.ConfigRejected, zap.Error(err))
+		return
+	}
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	if deployment.Revision <= proxy.revision {
+		return
+	}
+	proxy.revision = deployment.Revision
+	proxy.pool.SetLimits(deployment.Groups)
+	proxy.limiter.setTeams(deployment.Teams)
+	proxy.engine.SetDeployment(deployment)
+	event.Log(proxy.logger, event.ConfigAccepted, zap.Uint64("Revision", deployment.Revision),
+		zap.Int("Routes", len(deployment.Routes)), zap.Int("Teams", len(deployment.Teams)),
+		zap.Int("Keys", len(deployment.Keys)))
+}
+
+func (proxy *Proxy) accept(ctx context.Context, listener net.Listener) {
+	var sessions sync.WaitGroup
+	defer sessions.Wait()
+	room := make(chan struct{}, max(1, proxy.settings.Descriptors-reservedFiles))
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(refusedPause)
+			continue
+		}
+		select {
+		case room <- struct{}{}:
+		default:
+			_ = conn.Close() // no session is open yet
+			continue
+		}
+		sessions.Go(func() {
+			proxy.engine.Serve(ctx, proxy.adapter.NewCaller(conn))
+			<-room
+		})
+	}
+}
+
+// ready tells if the proxy takes new callers.
+func (proxy *Proxy) ready() bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.revision > 0 && !proxy.draining
+}
+
+func (proxy *Proxy) serveReadiness(listener net.Listener) {
+	server := &http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			if !proxy.ready() {
+				writer.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}),
+	}
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		event.Log(proxy.logger, event.ListenerFailed, zap.Error(err))
+	}
+}
+
+// drain lets sessions finish within the grace.
+func (proxy *Proxy) drain(listener net.Listener) {
+	proxy.mutex.Lock()
+	proxy.draining = true
+	proxy.mutex.Unlock()
+	event.Log(proxy.logger, event.ProxyDraining, zap.Int("Sessions", proxy.engine.Sessions()))
+	grace := time.Duration(float64(proxy.settings.Bounds.Grace) * drainPart)
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	began := time.Now()
+	proxy.engine.Drain(ctx)
+	if left := routingLag - time.Since(began); left > 0 {
+		time.Sleep(left)
+		proxy.engine.Drain(ctx)
+	}
+	_ = listener.Close() // nothing is accepted any more
+	proxy.engine.Drain(ctx)
+	proxy.engine.Cut()
+	proxy.pool.Close(ctx)
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,204 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	shortestPause = 150 * time.Millisecond  // between calls while the store refuses; doubled up to longestPause
+	longestPause  = 900 * time.Millisecond  // so that the end of an outage is seen within a second
+	lapsePause    = 2200 * time.Millisecond // entries that lapsed in an outage are back two seconds after it
+	lostAfter     = 2                       // failed calls in a row after which the store counts as lost
+)
+
+// Observer is told what a mirror learns.
+type Observer interface {
+	// Changed gets an object that is new or has another version.
+	Changed(object spool.Object)
+	// Deleted gets the name of an object that is gone.
+	Deleted(name string)
+	// Listed says that the copy is complete as of a version.
+	Listed(version spool.Version)
+	// Reached tells if calls to the store succeed; it is called when that changes.
+	Reached(reached bool, cause error)
+}
+
+// Mirror copies the objects of a kind by a list and a watch.
+type Mirror struct {
+	store    spool.Store
+	timers   spool.Timers
+	kind     string
+	observer Observer
+
+	mutex    sync.Mutex
+	versions map[string]spool.Version
+	missing  map[string]func() // stops the timer that will report the object as deleted
+	failed   spool.Instant     // when the store last failed; zero if never
+	failures int
+	lost     bool
+}
+
+// New returns a mirror of a kind.
+func New(store spool.Store, timers spool.Timers, kind string, observer Observer) *Mirror {
+	return &Mirror{
+		store: store, timers: timers, kind: kind, observer: observer,
+		versions: map[string]spool.Version{}, missing: map[string]func(){},
+	}
+}
+
+// Run copies until the context ends.
+func (mirror *Mirror) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		version, err := mirror.list(ctx)
+		for err == nil {
+			version, err = mirror.watch(ctx, version)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, spool.ErrCompacted) {
+			continue
+		}
+		mirror.fail(err)
+		mirror.pause(ctx)
+	}
+}
+
+func (mirror *Mirror) list(ctx context.Context) (spool.Version, error) {
+	objects, version, err := mirror.store.List(ctx, mirror.kind)
+	if err != nil {
+		return 0, err
+	}
+	mirror.succeed()
+	present := map[string]bool{}
+	for _, object := range objects {
+		present[object.Name] = true
+		mirror.put(object)
+	}
+	for _, name := range mirror.absent(present) {
+		mirror.remove(name)
+	}
+	mirror.observer.Listed(version)
+	return version, nil
+}
+
+func (mirror *Mirror) watch(ctx context.Context, after spool.Version) (spool.Version, error) {
+	changes, version, err := mirror.store.Watch(ctx, mirror.kind, after)
+	if err != nil {
+		return 0, err
+	}
+	mirror.succeed()
+	for _, change := range changes {
+		if change.Deleted {
+			mirror.remove(change.Name)
+			continue
+		}
+		mirror.put(change.Object)
+	}
+	return max(after, version), nil
+}
+
+func (mirror *Mirror) absent(present map[string]bool) []string {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	var names []string
+	for name := range mirror.versions {
+		if !present[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (mirror *Mirror) put(object spool.Object) {
+	mirror.mutex.Lock()
+	if stop := mirror.missing[object.Name]; stop != nil {
+		stop()
+		delete(mirror.missing, object.Name)
+	}
+	known := mirror.versions[object.Name]
+	if object.Version <= known {
+		mirror.mutex.Unlock()
+		return
+	}
+	mirror.versions[object.Name] = object.Version
+	mirror.mutex.Unlock()
+	mirror.observer.Changed(object)
+}
+
+// remove reports a deletion at once, or after a while if an outage of the store may have let the object lapse.
+func (mirror *Mirror) remove(name string) {
+	if mirror.forget(name) {
+		mirror.observer.Deleted(name)
+	}
+}
+
+// forget drops an object and tells if its deletion is to be reported now.
+func (mirror *Mirror) forget(name string) bool {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	if _, known := mirror.versions[name]; !known || mirror.missing[name] != nil {
+		return false
+	}
+	if mirror.failed == 0 || mirror.timers.Now().Sub(mirror.failed) > lapsePause {
+		delete(mirror.versions, name)
+		return true
+	}
+	mirror.missing[name] = mirror.timers.After(lapsePause, spool.TimerFunc(func(spool.Instant) { mirror.expire(name) }))
+	return false
+}
+
+func (mirror *Mirror) expire(name string) {
+	mirror.mutex.Lock()
+	if mirror.missing[name] == nil {
+		mirror.mutex.Unlock()
+		return
+	}
+	delete(mirror.missing, name)
+	delete(mirror.versions, name)
+	mirror.mutex.Unlock()
+	mirror.observer.Deleted(name)
+}
+
+func (mirror *Mirror) fail(err error) {
+	mirror.mutex.Lock()
+	mirror.failed = mirror.timers.Now()
+	mirror.failures++
+	report := mirror.failures == lostAfter
+	mirror.lost = mirror.lost || report
+	mirror.mutex.Unlock()
+	if report {
+		mirror.observer.Reached(false, err)
+	}
+}
+
+func (mirror *Mirror) succeed() {
+	mirror.mutex.Lock()
+	report := mirror.lost
+	if mirror.failures > 0 {
+		mirror.failed = mirror.timers.Now()
+	}
+	mirror.failures, mirror.lost = 0, false
+	mirror.mutex.Unlock()
+	if report {
+		mirror.observer.Reached(true, nil)
+	}
+}
+
+// pause waits before the next call, longer with each failure and never in step with other proxies.
+func (mirror *Mirror) pause(ctx context.Context) {
+	mirror.mutex.Lock()
+	longest := min(shortestPause<<min(mirror.failures, 8), longestPause)
+	mirror.mutex.Unlock()
+	wait := longest/2 + rand.N(longest/2)
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
--- /dev/null
+++ b/internal/pool/acquire.go
@@ -0,0 +1,394 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/core/fresh"
+	"corianderspool.example/spool/internal/core/place"
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// Want describes the connection that a session needs.
+type Want struct {
+	Group    spool.Group
+	Team     spool.Team
+	Values   map[string]string
+	Primary  bool // only the primary will do
+	Avoid    []spool.Server
+	Priority int       // zero goes first
+	Deadline time.Time // of waiting for a connection
+}
+
+// waiter is a session that waits for a connection.
+type waiter struct {
+	Want
+	granted chan grant
+}
+
+// grant is a right to use a server: an idle connection or the right to open one.
+type grant struct {
+	server *server
+	conn   *Conn // nil if one is to be opened
+	closed *Conn // idle connection of another team that makes room
+}
+
+// Acquire returns a connection; a *spool.Refusal says that nothing was sent.
+func (pool *Pool) Acquire(ctx context.Context, want Want) (*Conn, *spool.Refusal) {
+	for {
+		granted, refusal := pool.await(ctx, want)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if granted.conn != nil {
+			if granted.conn.owed > 0 || !granted.conn.Stale() {
+				return granted.conn, nil
+			}
+			granted.conn.Break()
+			pool.Release(granted.conn)
+			continue
+		}
+		conn, err := pool.open(ctx, want, granted)
+		if err == nil {
+			return conn, nil
+		}
+		if ctx.Err() != nil || time.Now().After(want.Deadline) {
+			return nil, &spool.Refusal{
+				Code: spool.CodeNoSlot, Message: "no connection to a server in time", RetryAfter: retryPause, Cause: err,
+			}
+		}
+	}
+}
+
+// await returns a grant at once or as soon as there is one.
+func (pool *Pool) await(ctx context.Context, want Want) (grant, *spool.Refusal) {
+	pool.mutex.Lock()
+	group := pool.group(want.Group)
+	now := pool.timers.Now()
+	granted, possible := pool.try(group, &want, now)
+	if possible {
+		pool.mutex.Unlock()
+		return granted, nil
+	}
+	waiting := &waiter{Want: want, granted: make(chan grant, 1)}
+	group.waiters = append(group.waiters, waiting)
+	slices.SortStableFunc(group.waiters, func(left, right *waiter) int { return left.Priority - right.Priority })
+	if want.Primary && group.primaryServer() == nil {
+		pool.startProbing(group, want.Team)
+	}
+	pool.startRetrying(group)
+	pool.mutex.Unlock()
+	timer := time.NewTimer(time.Until(want.Deadline))
+	defer timer.Stop()
+	select {
+	case granted := <-waiting.granted:
+		return granted, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return pool.giveUp(group, waiting)
+}
+
+// giveUp ends a wait; a grant that came meanwhile is used.
+func (pool *Pool) giveUp(group *group, waiting *waiter) (grant, *spool.Refusal) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	select {
+	case granted := <-waiting.granted:
+		return granted, nil
+	default:
+	}
+	group.waiters = slices.DeleteFunc(group.waiters, func(other *waiter) bool { return other == waiting })
+	if waiting.Primary && (group.primaryServer() == nil || !pool.usable(group.primaryServer(), pool.timers.Now())) {
+		return grant{}, &spool.Refusal{Code: spool.CodeNoPrimary, Message: "no primary", RetryAfter: 2 * retryPause}
+	}
+	return grant{}, &spool.Refusal{Code: spool.CodeNoSlot, Message: "all connections are in use", RetryAfter: retryPause}
+}
+
+// try reserves a connection for a want if one is free; the caller holds the mutex.
+func (pool *Pool) try(group *group, want *Want, now spool.Instant) (grant, bool) {
+	if want.Primary {
+		primary := group.primaryServer()
+		if primary == nil || !pool.usable(primary, now) || slices.Contains(want.Avoid, primary.spec.Server) {
+			return grant{}, false
+		}
+		return pool.reserve(group, primary, want, now)
+	}
+	var servers []*server
+	var candidates []place.Candidate
+	for _, server := range group.servers {
+		if !pool.usable(server, now) || server.leaving != 0 || slices.Contains(want.Avoid, server.spec.Server) {
+			continue
+		}
+		if server.busy >= pool.connLimit(group) {
+			continue
+		}
+		servers = append(servers, server)
+		candidates = append(candidates, place.Candidate{
+			Expected: server.distance + server.health.Expected(now),
+			InFlight: server.busy,
+			Reserved: server.spec.Server == group.primary,
+		})
+	}
+	best := place.Best(candidates)
+	if best < 0 {
+		return grant{}, false
+	}
+	return pool.reserve(group, servers[best], want, now)
+}
+
+// reserve takes the idle connection that fits best, or room for a new one.
+func (pool *Pool) reserve(group *group, server *server, want *Want, now spool.Instant) (grant, bool) {
+	best, bestFit := -1, fitReset+1
+	for i, conn := range server.idle {
+		if conn.team != want.Team {
+			continue
+		}
+		if fit := conn.fits(want.Values); fit < bestFit {
+			best, bestFit = i, fit
+		}
+	}
+	if best >= 0 {
+		conn := server.idle[best]
+		server.idle = slices.Delete(server.idle, best, best+1)
+		server.busy++
+		return grant{server: server, conn: conn}, true
+	}
+	if server.open < pool.connLimit(group) {
+		server.open++
+		server.busy++
+		return grant{server: server}, true
+	}
+	if len(server.idle) == 0 {
+		return grant{}, false
+	}
+	closed := server.idle[0] // idle for the longest time
+	server.idle = slices.Delete(server.idle, 0, 1)
+	server.busy++
+	return grant{server: server, closed: closed}, true
+}
+
+// open opens a connection on a grant.
+func (pool *Pool) open(ctx context.Context, want Want, granted grant) (*Conn, error) {
+	if granted.closed != nil {
+		_ = granted.closed.Close() // an idle connection holds nothing
+	}
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	spec := granted.server.spec
+	target := spool.LinkTarget{Group: spec.Group, Server: spec.Server, Address: spec.Address, Team: want.Team}
+	began := pool.timers.Now()
+	link, position, err := pool.linker.Open(ctx, pool.dial, target)
+	if err != nil {
+		pool.openFailed(granted.server, err, began)
+		return nil, err
+	}
+	pool.opened(spec.Group, position)
+	return &Conn{
+		Link: link, server: granted.server, team: want.Team,
+		values: map[string]string{}, prepared: map[string]string{},
+	}, nil
+}
+
+func (pool *Pool) opened(name spool.Group, position spool.LogPosition) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group := pool.group(name)
+	group.term = max(group.term, position.Term)
+}
+
+func (pool *Pool) openFailed(server *server, cause error, began spool.Instant) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	now := pool.timers.Now()
+	server.open--
+	server.busy--
+	server.health.Failed(now)
+	event.Log(pool.logger, event.ServerUnreached, zap.String("Group", string(server.spec.Group)),
+		zap.String("Server", string(server.spec.Server)), zap.Duration("Took", now.Sub(began)),
+		zap.Int("Failures", server.health.Failures()), zap.Error(cause))
+	pool.dispatch(pool.group(server.spec.Group), now)
+}
+
+// Release gives a connection back.
+func (pool *Pool) Release(conn *Conn) {
+	pool.mutex.Lock()
+	now := pool.timers.Now()
+	server := conn.server
+	server.busy--
+	closing := conn.broken || server.gone
+	if closing {
+		server.open--
+	} else {
+		conn.idleAt = now
+		server.idle = append(server.idle, conn)
+	}
+	pool.dispatch(pool.group(server.spec.Group), now)
+	pool.mutex.Unlock()
+	if closing {
+		_ = conn.Close() // broken or of a server that is gone; its transaction is rolled back
+	}
+}
+
+// Succeeded notes how long a server took for a statement.
+func (pool *Pool) Succeeded(conn *Conn, took time.Duration) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	conn.server.health.Succeeded(max(0, took-conn.server.distance), pool.timers.Now())
+}
+
+// Failed notes that a server gave no answer and marks the connection as unusable.
+func (pool *Pool) Failed(conn *Conn, cause error) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	conn.Break()
+	server := conn.server
+	now := pool.timers.Now()
+	var closing []*Conn
+	if !errors.Is(cause, context.Canceled) {
+		server.health.Failed(now)
+		closing = server.takeIdle()
+	}
+	event.Log(pool.logger, event.ServerFailed, zap.String("Group", string(server.spec.Group)),
+		zap.String("Server", string(server.spec.Server)), zap.Int("Failures", server.health.Failures()), zap.Error(cause))
+	go closeAll(closing)
+}
+
+// dispatch serves waiting sessions in order; the caller holds the mutex.
+func (pool *Pool) dispatch(group *group, now spool.Instant) {
+	group.waiters = slices.DeleteFunc(group.waiters, func(waiting *waiter) bool {
+		granted, possible := pool.try(group, &waiting.Want, now)
+		if possible {
+			waiting.granted <- granted
+		}
+		return possible
+	})
+}
+
+// startRetrying tries again for waiting sessions while there are any, since a block of a server ends without an event.
+func (pool *Pool) startRetrying(group *group) {
+	if group.retrying {
+		return
+	}
+	group.retrying = true
+	var stop func()
+	stop = pool.timers.Every(retryPeriod, spool.TimerFunc(func(now spool.Instant) {
+		pool.mutex.Lock()
+		defer pool.mutex.Unlock()
+		pool.dispatch(group, now)
+		if len(group.waiters) == 0 && group.retrying {
+			group.retrying = false
+			stop()
+		}
+	}))
+}
+
+// startProbing asks the servers of a group which is the primary until one is found or nobody waits for it.
+func (pool *Pool) startProbing(group *group, team spool.Team) {
+	if group.probing {
+		return
+	}
+	group.probing = true
+	event.Log(pool.logger, event.PrimaryUnknown, zap.String("Group", string(group.name)))
+	go pool.probe(group, team)
+}
+
+func (pool *Pool) probe(group *group, team spool.Team) {
+	for pool.needsProbe(group) {
+		for _, server := range pool.probeable(group) {
+			if pool.Ask(server, team) == nil {
+				break
+			}
+		}
+		time.Sleep(probePeriod)
+	}
+}
+
+func (pool *Pool) needsProbe(group *group) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group.probing = group.primaryServer() == nil &&
+		slices.ContainsFunc(group.waiters, func(waiting *waiter) bool { return waiting.Primary })
+	return group.probing
+}
+
+func (pool *Pool) probeable(group *group) []*server {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	var servers []*server
+	now := pool.timers.Now()
+	for _, server := range group.servers {
+		if !server.gone && !server.health.Blocked(now) {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
+// Ask begins and rolls back a transaction on a server, which only the primary allows, and notes its position.
+func (pool *Pool) Ask(server *server, team spool.Team) error {
+	pool.mutex.Lock()
+	group := pool.group(server.spec.Group)
+	want := &Want{Group: group.name, Team: team}
+	granted, possible := pool.reserve(group, server, want, pool.timers.Now())
+	pool.mutex.Unlock()
+	if !possible {
+		return errNoRoom
+	}
+	conn := granted.conn
+	if conn == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+		defer cancel()
+		opened, err := pool.open(ctx, *want, granted)
+		if err != nil {
+			return err
+		}
+		conn = opened
+	}
+	defer pool.Release(conn)
+	return pool.askPrimary(conn)
+}
+
+var errNoRoom = errors.New("no connection is free")
+
+func (pool *Pool) askPrimary(conn *Conn) error {
+	sent := pool.timers.Now()
+	deadline := time.Now().Add(beginTimeout)
+	if err := conn.Settle(deadline); err != nil {
+		pool.Failed(conn, err)
+		return err
+	}
+	if err := conn.Send(spool.Command{Verb: spool.VerbBegin}); err != nil {
+		pool.Failed(conn, err)
+		return err
+	}
+	answer, err := conn.Receive(deadline)
+	if err != nil {
+		pool.Failed(conn, err)
+		return err
+	}
+	if answer.Refusal != nil {
+		pool.NoteDenied(conn.server.spec.Group, conn.Server())
+		return answer.Refusal
+	}
+	pool.NotePrimary(conn.server.spec.Group, conn.Server(), fresh.Mark{Position: answer.Position, Sent: sent})
+	return pool.RollBack(conn)
+}
+
+// RollBack ends a transaction without waiting for the answer.
+func (pool *Pool) RollBack(conn *Conn) error {
+	if conn.broken {
+		return nil // closing it rolls back
+	}
+	if err := conn.Send(spool.Command{Verb: spool.VerbRollback}); err != nil {
+		pool.Failed(conn, err)
+		return err
+	}
+	conn.Owe(1)
+	return nil
+}
--- /dev/null
+++ b/internal/pool/conn.go
@@ -0,0 +1,103 @@
+package pool
+
+import (
+	"maps"
+	"strconv"
+	"time"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	maxPrepared  = 64                     // prepared statements that a connection keeps; more cost memory at the server
+	preparedName = "p"                    // begins the names of prepared statements on connections
+	beginTimeout = 700 * time.Millisecond // for statements that need no slot: a round trip of 40 ms and two retransmissions
+)
+
+// Conn is a connection to a backend server that one session uses at a time.
+type Conn struct {
+	spool.Link
+	server   *server
+	team     spool.Team
+	values   map[string]string // session values that the server holds
+	prepared map[string]string // name on this connection of each prepared shape
+	names    int
+	owed     int  // answers to discard before the next one
+	broken   bool // may hold a transaction or unread answers
+	idleAt   spool.Instant
+	relayed  bool
+}
+
+// Server returns the name of the connection's server.
+func (conn *Conn) Server() spool.Server { return conn.server.spec.Server }
+
+// fits tells how well the values that the connection holds fit a session.
+func (conn *Conn) fits(values map[string]string) int {
+	if maps.Equal(conn.values, values) {
+		return fitExact
+	}
+	for name := range conn.values {
+		if _, known := values[name]; !known {
+			return fitReset
+		}
+	}
+	return fitAdd
+}
+
+// How well the values of a connection fit a session, best first.
+const (
+	fitExact = iota
+	fitAdd
+	fitReset
+)
+
+// Prepare returns the statements that give the connection a session's values, in the order to send them; in a
+// transaction the values only grow and nothing is reset.
+func (conn *Conn) Prepare(values map[string]string, inTransaction bool) []spool.Command {
+	var commands []spool.Command
+	if !inTransaction && (conn.fits(values) == fitReset || len(conn.prepared) > maxPrepared) {
+		commands = append(commands, spool.Command{Verb: spool.VerbReset})
+		conn.values = map[string]string{}
+		conn.prepared = map[string]string{}
+	}
+	for name, value := range values {
+		if held, known := conn.values[name]; known && held == value {
+			continue
+		}
+		commands = append(commands, spool.Command{Verb: spool.VerbSet, Name: name, Text: value})
+		conn.values[name] = value
+	}
+	return commands
+}
+
+// Statement returns the name that a prepared shape has on the connection, and the statement that prepares it if needed.
+func (conn *Conn) Statement(shape string) (name string, prepare []spool.Command) {
+	if name, known := conn.prepared[shape]; known {
+		return name, nil
+	}
+	conn.names++
+	name = preparedName + strconv.Itoa(conn.names)
+	conn.prepared[shape] = name
+	return name, []spool.Command{{Verb: spool.VerbPrepare, Name: name, Text: shape}}
+}
+
+// Owe notes statements that were sent and whose answers nobody waits for.
+func (conn *Conn) Owe(answers int) { conn.owed += answers }
+
+// Settle reads the answers that are owed; an error means that the connection is unusable.
+func (conn *Conn) Settle(deadline time.Time) error {
+	for conn.owed > 0 {
+		answer, err := conn.Receive(deadline)
+		if err != nil {
+			return err
+		}
+		if answer.Refusal != nil {
+			return answer.Refusal
+		}
+		conn.owed--
+	}
+	return nil
+}
+
+// Break marks the connection as unusable, so that Release closes it.
+func (conn *Conn) Break() { conn.broken = true }
--- /dev/null
+++ b/internal/pool/group.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"time"
+
+	"corianderspool.example/spool/internal/core/fresh"
+	"corianderspool.example/spool/internal/core/place"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// denialLife is how long a server that refused to act as primary is not asked again.
+const denialLife = 250 * time.Millisecond
+
+// server is a registered backend server and this proxy's connections to it.
+type server struct {
+	spec     spool.RegisteredServer
+	distance time.Duration // of a round trip
+	idle     []*Conn
+	open     int // connections in use, idle or being opened
+	busy     int
+	health   place.Health
+	denied   spool.Instant // when it last refused to act as primary
+	leaving  spool.Instant // when it was first seen leaving; zero if it is not
+	gone     bool
+}
+
+// group is a database group.
+type group struct {
+	name     spool.Group
+	limits   spool.GroupLimits
+	servers  map[spool.Server]*server
+	primary  spool.Server // empty if not known
+	term     spool.Term   // newest term seen
+	marks    fresh.Marks
+	acked    spool.LogPosition // newest position that this proxy acknowledged
+	waiters  []*waiter
+	probing  bool
+	retrying bool
+	contact  spool.Instant // when the primary last answered as such
+}
+
+// usable tells if a server takes new work.
+func (pool *Pool) usable(server *server, now spool.Instant) bool {
+	if server.gone || server.health.Blocked(now) {
+		return false
+	}
+	return server.leaving == 0 || now.Sub(server.leaving) < pool.leavingUse
+}
+
+// primaryServer returns the server believed to be the primary, or nil.
+func (group *group) primaryServer() *server {
+	known := group.servers[group.primary]
+	if known == nil || known.gone {
+		return nil
+	}
+	return known
+}
+
+// notePrimary believes a server that acted as primary in a term.
+func (group *group) notePrimary(name spool.Server, mark fresh.Mark, now spool.Instant) (changed bool) {
+	if mark.Position.Term < group.term {
+		return false
+	}
+	group.term = mark.Position.Term
+	group.marks.Note(mark)
+	group.contact = now
+	changed = group.primary != name
+	group.primary = name
+	return changed
+}
+
+// noteDenied stops believing that a server is the primary.
+func (group *group) noteDenied(name spool.Server, now spool.Instant) {
+	if server := group.servers[name]; server != nil {
+		server.denied = now
+	}
+	if group.primary == name {
+		group.primary = ""
+		group.guess(now)
+	}
+}
+
+// guess believes the server that registered itself as primary and did not deny it lately.
+func (group *group) guess(now spool.Instant) {
+	for name, server := range group.servers {
+		if server.spec.Primary && !server.gone && (server.denied == 0 || now.Sub(server.denied) > denialLife) {
+			group.primary = name
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,222 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/core/fresh"
+	"corianderspool.example/spool/internal/core/place"
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	openTimeout   = time.Second             // a round trip, its retransmission, and the handshake behind a full queue
+	leavingMargin = 1500 * time.Millisecond // between the last new work for a leaving server and its bound
+	spareConns    = 1                       // connections of each server that no proxy counts on, for orders to it
+	retryPause    = 200 * time.Millisecond  // time to come back that a caller is told when no server is known
+	retryPeriod   = 50 * time.Millisecond   // between attempts to serve sessions that wait
+	probePeriod   = 100 * time.Millisecond  // between rounds of asking servers for the primary
+)
+
+// Pool holds the connections to all backend servers.
+type Pool struct {
+	linker     spool.Linker
+	dial       spool.DialFunc
+	timers     spool.Timers
+	logger     *zap.Logger
+	distance   func(domain spool.Domain) time.Duration
+	leavingUse time.Duration
+
+	mutex  sync.Mutex
+	groups map[spool.Group]*group
+	fleet  int // proxies that share the servers' connections
+}
+
+// Option changes a pool under construction.
+type Option func(*Pool)
+
+// WithLogger sets the logger.
+func WithLogger(logger *zap.Logger) Option { return func(pool *Pool) { pool.logger = logger } }
+
+// WithDistance sets the round trip to a failure domain.
+func WithDistance(distance func(domain spool.Domain) time.Duration) Option {
+	return func(pool *Pool) { pool.distance = distance }
+}
+
+// WithDrain sets how long a leaving server may be sent work.
+func WithDrain(drain time.Duration) Option {
+	return func(pool *Pool) { pool.leavingUse = max(0, drain-leavingMargin) }
+}
+
+// New returns a pool without servers.
+func New(linker spool.Linker, dial spool.DialFunc, timers spool.Timers, options ...Option) *Pool {
+	pool := &Pool{
+		linker: linker, dial: dial, timers: timers, logger: zap.NewNop(),
+		distance: func(spool.Domain) time.Duration { return 0 },
+		groups:   map[spool.Group]*group{}, fleet: 1,
+	}
+	for _, option := range options {
+		option(pool)
+	}
+	return pool
+}
+
+// SetFleet sets how many proxies share the servers' connections.
+func (pool *Pool) SetFleet(proxies int) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.fleet = max(1, proxies)
+}
+
+// SetLimits puts the limits of the groups in force.
+func (pool *Pool) SetLimits(limits map[spool.Group]spool.GroupLimits) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for name, limit := range limits {
+		pool.group(name).limits = limit
+	}
+}
+
+// SetServer adds or changes a registered server.
+func (pool *Pool) SetServer(spec spool.RegisteredServer) {
+	pool.mutex.Lock()
+	now := pool.timers.Now()
+	group := pool.group(spec.Group)
+	known := group.servers[spec.Server]
+	var closing []*Conn
+	if known == nil {
+		known = &server{distance: pool.distance(spec.Domain)}
+		group.servers[spec.Server] = known
+	}
+	if known.spec.Born != 0 && known.spec.Born != spec.Born {
+		closing = known.takeIdle()
+		known.health = place.Health{}
+	}
+	becamePrimary := spec.Primary && !known.spec.Primary
+	known.spec = spec
+	if spec.Mode == spool.ServerReady {
+		known.leaving = 0
+	} else if known.leaving == 0 {
+		known.leaving = now
+	}
+	if becamePrimary {
+		known.denied = 0
+		group.primary = spec.Server
+	}
+	if group.primary == "" {
+		group.guess(now)
+	}
+	event.Log(pool.logger, event.ServerRegistered, zap.String("Group", string(spec.Group)),
+		zap.String("Server", string(spec.Server)), zap.Bool("Leaving", known.leaving != 0),
+		zap.Bool("Primary", spec.Primary), zap.String("Address", spec.Address))
+	pool.dispatch(group, now)
+	pool.mutex.Unlock()
+	closeAll(closing)
+}
+
+// RemoveServer drops a server that is gone.
+func (pool *Pool) RemoveServer(name spool.Server) {
+	pool.mutex.Lock()
+	var closing []*Conn
+	for _, group := range pool.groups {
+		known := group.servers[name]
+		if known == nil {
+			continue
+		}
+		known.gone = true
+		closing = append(closing, known.takeIdle()...)
+		delete(group.servers, name)
+		if group.primary == name {
+			group.primary = ""
+			group.guess(pool.timers.Now())
+		}
+		event.Log(pool.logger, event.ServerRemoved, zap.String("Group", string(group.name)),
+			zap.String("Server", string(name)))
+	}
+	pool.mutex.Unlock()
+	closeAll(closing)
+}
+
+// NotePrimary notes that a server answered as primary, with a position, to a request sent at an instant.
+func (pool *Pool) NotePrimary(name spool.Group, server spool.Server, mark fresh.Mark) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	now := pool.timers.Now()
+	group := pool.group(name)
+	if group.notePrimary(server, mark, now) {
+		event.Log(pool.logger, event.PrimarySeen, zap.String("Group", string(name)),
+			zap.String("Server", string(server)), zap.Uint64("Term", uint64(group.term)))
+		pool.dispatch(group, now)
+	}
+}
+
+// NoteDenied notes that a server refused to act as primary.
+func (pool *Pool) NoteDenied(name spool.Group, server spool.Server) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group := pool.group(name)
+	group.noteDenied(server, pool.timers.Now())
+	event.Log(pool.logger, event.PrimaryDenied, zap.String("Group", string(name)),
+		zap.String("Server", string(server)), zap.String("Next", string(group.primary)))
+}
+
+// NoteCommit notes a position that a caller's commit was acknowledged at.
+func (pool *Pool) NoteCommit(name spool.Group, position spool.LogPosition) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group := pool.group(name)
+	group.acked = group.acked.Max(position)
+}
+
+// Covering returns a position at or above every commit acknowledged before an instant.
+func (pool *Pool) Covering(name spool.Group, since spool.Instant) (spool.LogPosition, bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.group(name).marks.Covering(since)
+}
+
+// group returns the group of a name; the caller holds the mutex.
+func (pool *Pool) group(name spool.Group) *group {
+	known := pool.groups[name]
+	if known == nil {
+		known = &group{name: name, servers: map[spool.Server]*server{}}
+		pool.groups[name] = known
+	}
+	return known
+}
+
+// connLimit returns how many connections this proxy may have to a server of the group.
+func (pool *Pool) connLimit(group *group) int {
+	return max(1, (group.limits.Connections-spareConns)/pool.fleet)
+}
+
+// takeIdle empties the server's idle connections; the caller closes them.
+func (server *server) takeIdle() []*Conn {
+	idle := server.idle
+	server.idle = nil
+	server.open -= len(idle)
+	return idle
+}
+
+func closeAll(conns []*Conn) {
+	for _, conn := range conns {
+		_ = conn.Close() // idle connections hold nothing
+	}
+}
+
+// Close ends the idle connections.
+func (pool *Pool) Close(context.Context) {
+	pool.mutex.Lock()
+	var closing []*Conn
+	for _, group := range pool.groups {
+		for _, server := range group.servers {
+			closing = append(closing, server.takeIdle()...)
+		}
+	}
+	pool.mutex.Unlock()
+	closeAll(closing)
+}
--- /dev/null
+++ b/internal/sock/doc.go
@@ -0,0 +1,2 @@
+// Package sock opens TCP connections that notice a silent far end within a bounded time.
+package sock
--- /dev/null
+++ b/internal/sock/sock.go
@@ -0,0 +1,52 @@
+package sock
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Limits after which a far end that confirms nothing counts as gone.
+const (
+	DefaultSilence    = 1500 * time.Millisecond // three retransmissions on a link with 20 ms each way
+	keepAliveIdle     = time.Second             // smallest value of the socket option
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
+// Dialer returns a function that dials TCP; sent bytes that stay unconfirmed for longer than silence end a connection.
+func Dialer(silence time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive(), Control: control(silence)}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp4", address)
+	}
+}
+
+// Listen listens on a TCP address; accepted connections notice a silent far end as those of Dialer do.
+func Listen(ctx context.Context, address string, silence time.Duration) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control(silence)}
+	return config.Listen(ctx, "tcp4", address)
+}
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}
+}
+
+func control(silence time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(descriptor uintptr) {
+			milliseconds := int(silence.Milliseconds())
+			optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
+		})
+		if err != nil {
+			return err
+		}
+		return optionErr
+	}
+}
--- a/pkg/spool/outcome.go
+++ b/pkg/spool/outcome.go
@@ -43,4 +43,9 @@
 	CodeUnknownRoute    = "3D000" // invalid_catalog_name
 	CodeProtocol        = "08P01" // protocol_violation
 	CodeDeadlineExpired = "57014" // query_canceled
+	CodeRolledBack      = "40000" // transaction_rollback
+	CodeLagging         = "40001" // serialization_failure: the replica lacks a position
+	CodeNoStatement     = "26000" // invalid_sql_statement_name
+	CodeServerFailed    = "58000" // system_error: the server ran the statement and failed
+	CodeWrongServer     = "08004" // sqlserver_rejected_establishment_of_sqlconnection
 )
