--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -1,21 +1,36 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"corianderspool.example/spool/pkg/spool"
 )
 
+const (
+	maxWait       = 10 * time.Second       // longest time to come back that a caller is told
+	demandMemory  = 1 * time.Second        // over which a team's demand at this proxy is averaged
+	reserveTime   = 300 * time.Millisecond // of demand that a proxy keeps for itself when it gives tokens away
+	askTime       = 400 * time.Millisecond // of demand that a proxy asks for at once: a round trip between regions, ten times
+	shortestPause = 50 * time.Millisecond  // between requests for tokens of a team: a round trip between regions
+	longestPause  = 800 * time.Millisecond // between requests that brought nothing
+	spentPause    = 4 * shortestPause      // two requests in a row brought nothing
+	leastAsked    = 2                      // tokens
+)
+
 // Bucket holds one team's tokens at one proxy.
 type Bucket struct {
 	rate   float64 // tokens a second
 	burst  float64
 	level  float64
 	filled spool.Instant
+	demand float64 // operations a second
+	asked  spool.Instant
+	pause  time.Duration
 }
 
 // NewBucket returns an empty bucket, so that a restarted proxy does not spend a burst twice.
-func NewBucket(now spool.Instant) *Bucket { return &Bucket{filled: now} }
+func NewBucket(now spool.Instant) *Bucket { return &Bucket{filled: now, pause: shortestPause} }
 
 // Resize puts the proxy's part of a rate and burst in force; the level never rises by it.
 func (bucket *Bucket) Resize(rate, burst float64, now spool.Instant) {
@@ -25,6 +40,12 @@
 	bucket.level = min(bucket.level, bucket.burst)
 }
 
+// Want counts an operation that asks for a token.
+func (bucket *Bucket) Want(now spool.Instant) {
+	bucket.fill(now)
+	bucket.demand += 1 / demandMemory.Seconds()
+}
+
 // Take spends a token if there is one.
 func (bucket *Bucket) Take(now spool.Instant) bool {
 	bucket.fill(now)
@@ -35,16 +56,29 @@
 	return true
 }
 
+// Ask returns how many tokens to ask other proxies for now, or zero.
+func (bucket *Bucket) Ask(now spool.Instant) float64 {
+	bucket.fill(now)
+	low := max(1, bucket.demand*shortestPause.Seconds()*2)
+	if bucket.level >= low || bucket.asked != 0 && now.Sub(bucket.asked) < bucket.pause {
+		return 0
+	}
+	bucket.asked = now
+	bucket.pause = min(2*bucket.pause, longestPause)
+	return max(leastAsked, bucket.demand*askTime.Seconds())
+}
+
 // Give adds tokens that another proxy minted and gave away.
 func (bucket *Bucket) Give(tokens float64, now spool.Instant) {
 	bucket.fill(now)
 	bucket.level += tokens
+	bucket.pause = shortestPause
 }
 
-// Spare takes out up to want tokens but leaves keep, and returns how many.
-func (bucket *Bucket) Spare(want, keep float64, now spool.Instant) float64 {
+// Spare takes out up to want tokens, but keeps what this proxy needs soon, and returns how many.
+func (bucket *Bucket) Spare(want float64, now spool.Instant) float64 {
 	bucket.fill(now)
-	given := min(want, bucket.level-keep)
+	given := min(want, bucket.level-bucket.demand*reserveTime.Seconds())
 	if given <= 0 {
 		return 0
 	}
@@ -52,12 +86,6 @@
 	return given
 }
 
-// Level returns the tokens at hand.
-func (bucket *Bucket) Level(now spool.Instant) float64 {
-	bucket.fill(now)
-	return bucket.level
-}
-
 // Wait returns how long the bucket takes to mint the next whole token.
 func (bucket *Bucket) Wait(now spool.Instant) time.Duration {
 	bucket.fill(now)
@@ -70,13 +98,14 @@
 	return min(maxWait, time.Duration((1-bucket.level)/bucket.rate*float64(time.Second)))
 }
 
-const maxWait = 10 * time.Second // the longest time to come back that a caller is told
-
 func (bucket *Bucket) fill(now spool.Instant) {
 	elapsed := now.Sub(bucket.filled)
-	bucket.filled = now
-	if elapsed <= 0 || bucket.level >= bucket.burst {
+	if elapsed <= 0 {
 		return
 	}
-	bucket.level = min(bucket.burst, bucket.level+bucket.rate*elapsed.Seconds())
+	bucket.filled = now
+	bucket.demand *= math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
+	if bucket.level < bucket.burst {
+		bucket.level = min(bucket.burst, bucket.level+bucket.rate*elapsed.Seconds())
+	}
 }
--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -47,14 +47,43 @@
 	}
 }
 
-// Admit spends a token of the team, or returns how long to wait for one.
-func (ledger *Ledger) Admit(team spool.Team, now spool.Instant) (admitted bool, wait time.Duration) {
+// Decision is what becomes of an operation that asks for a token.
+type Decision struct {
+	Admitted bool
+	Wait     time.Duration // until this proxy mints the next token, if not admitted
+	Spent    bool          // other proxies were asked lately and gave none: waiting does not help
+	Ask      float64       // tokens to ask other proxies for now; zero for none
+}
+
+// Admit spends a token of the team if there is one; again tells that the operation asked before.
+func (ledger *Ledger) Admit(team spool.Team, again bool, now spool.Instant) Decision {
 	bucket := ledger.buckets[team]
 	if bucket == nil {
-		return false, maxWait
+		return Decision{Wait: maxWait}
+	}
+	if !again {
+		bucket.Want(now)
 	}
-	if bucket.Take(now) {
-		return true, 0
+	decision := Decision{Admitted: bucket.Take(now), Wait: bucket.Wait(now)}
+	decision.Spent = ledger.fleet == 1 || bucket.pause >= spentPause
+	if ledger.fleet > 1 {
+		decision.Ask = bucket.Ask(now)
+	}
+	return decision
+}
+
+// Give adds tokens that another proxy gave away.
+func (ledger *Ledger) Give(team spool.Team, tokens float64, now spool.Instant) {
+	if bucket := ledger.buckets[team]; bucket != nil && tokens > 0 {
+		bucket.Give(tokens, now)
+	}
+}
+
+// Spare takes out up to want tokens for another proxy and returns how many.
+func (ledger *Ledger) Spare(team spool.Team, want float64, now spool.Instant) float64 {
+	bucket := ledger.buckets[team]
+	if bucket == nil {
+		return 0
 	}
-	return false, bucket.Wait(now)
+	return bucket.Spare(want, now)
 }
--- /dev/null
+++ b/internal/core/roster/roster.go
@@ -0,0 +1,123 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	// LiveFor is how long a proxy counts as live after a heartbeat: three of them, 500 ms apart.
+	LiveFor = 1500 * time.Millisecond
+	// goneAfter is how long a proxy must be silent before its registration is removed: longer than outages and restarts.
+	goneAfter = 20 * time.Second
+)
+
+// Member is a proxy as this one knows it.
+type Member struct {
+	spool.Member
+	Heard        spool.Instant // when its newest heartbeat came; zero if none did
+	Added        spool.Instant
+	Sent         spool.Instant // no later than when that heartbeat was sent, by this VM's clock; zero if not known
+	StoreReached bool
+	Revision     uint64
+}
+
+// Roster holds the registered proxies, this one left out.
+type Roster struct {
+	self    spool.VM
+	members map[spool.VM]*Member
+}
+
+// New returns a roster without other proxies.
+func New(self spool.VM) *Roster {
+	return &Roster{self: self, members: map[spool.VM]*Member{}}
+}
+
+// Add registers a proxy and tells if it is new or moved.
+func (roster *Roster) Add(member spool.Member, now spool.Instant) bool {
+	if member.VM == roster.self || member.VM == "" {
+		return false
+	}
+	known := roster.members[member.VM]
+	if known == nil {
+		roster.members[member.VM] = &Member{Member: member, Added: now}
+		return true
+	}
+	moved := known.Address != member.Address
+	known.Address, known.Domain = member.Address, member.Domain
+	return moved
+}
+
+// Keep drops the proxies that are not registered any more, unless they were heard lately.
+func (roster *Roster) Keep(registered map[spool.VM]bool, now spool.Instant) {
+	for vm := range roster.members {
+		if !registered[vm] && !roster.live(vm, now) {
+			delete(roster.members, vm)
+		}
+	}
+}
+
+// Get returns a proxy or nil.
+func (roster *Roster) Get(vm spool.VM) *Member { return roster.members[vm] }
+
+// Size returns the number of registered proxies, this one counted.
+func (roster *Roster) Size() int { return len(roster.members) + 1 }
+
+// Others returns the other proxies, ordered by name.
+func (roster *Roster) Others() []*Member {
+	others := make([]*Member, 0, len(roster.members))
+	for _, member := range roster.members {
+		others = append(others, member)
+	}
+	slices.SortFunc(others, func(left, right *Member) int { return cmp.Compare(left.VM, right.VM) })
+	return others
+}
+
+// Live returns the other proxies that were heard lately, ordered by name.
+func (roster *Roster) Live(now spool.Instant) []*Member {
+	return slices.DeleteFunc(roster.Others(), func(member *Member) bool { return !roster.live(member.VM, now) })
+}
+
+func (roster *Roster) live(vm spool.VM, now spool.Instant) bool {
+	member := roster.members[vm]
+	return member.Heard != 0 && now.Sub(member.Heard) < LiveFor
+}
+
+// Gone returns the proxies that were silent for so long that their registration is to be removed.
+func (roster *Roster) Gone(now spool.Instant) []spool.VM {
+	var gone []spool.VM
+	for vm, member := range roster.members {
+		if now.Sub(max(member.Heard, member.Added)) > goneAfter {
+			gone = append(gone, vm)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// Supervises tells if this proxy is the one that looks after a subject: the first by a hash of both among the live ones
+// that reach the store.
+func (roster *Roster) Supervises(subject string, selfFit bool, now spool.Instant) bool {
+	if !selfFit {
+		return false
+	}
+	own := weight(subject, roster.self)
+	for _, member := range roster.Live(now) {
+		if member.Leaving || !member.StoreReached {
+			continue
+		}
+		if weight(subject, member.VM) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func weight(subject string, vm spool.VM) uint64 {
+	return xxhash.Sum64String(subject + "\x00" + string(vm))
+}
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -58,6 +58,18 @@
 	TermStuck        Number = 410
 	TermOrdered      Number = 411
 	TermUncertain    Number = 412
+	ReplicaPaused    Number = 413
+	ReplicaResumed   Number = 414
+	PromotionFailed  Number = 415
+	PromotionOrdered Number = 416
+	PromotionUnseen  Number = 417
+	ReplicaChosen    Number = 418
+	PrimarySuspected Number = 419
+	PrimaryCanvassed Number = 420
+	ServerUnasked    Number = 421
+	MemberRemoved    Number = 709
+	SeedUnreached    Number = 710
+	RelayRefused     Number = 711
 	ConfigAccepted   Number = 501
 	ConfigRejected   Number = 502
 	KeyWithdrawn     Number = 503
@@ -104,6 +116,18 @@
 	TermStuck:        {Level: zapcore.WarnLevel, Text: "no server can be promoted"},
 	TermOrdered:      {Level: zapcore.InfoLevel, Text: "promotion ordered"},
 	TermUncertain:    {Level: zapcore.WarnLevel, Text: "outcome of a term's update unknown"},
+	ReplicaPaused:    {Level: zapcore.InfoLevel, Text: "replica paused", PerSecond: serverLimit},
+	ReplicaResumed:   {Level: zapcore.InfoLevel, Text: "replica resumed", PerSecond: serverLimit},
+	PromotionFailed:  {Level: zapcore.WarnLevel, Text: "promotion not ordered", PerSecond: serverLimit},
+	PromotionOrdered: {Level: zapcore.WarnLevel, Text: "promotion ordered at the platform", PerSecond: serverLimit},
+	PromotionUnseen:  {Level: zapcore.WarnLevel, Text: "ordered server does not act as primary", PerSecond: serverLimit},
+	ReplicaChosen:    {Level: zapcore.InfoLevel, Text: "successor of a primary weighed", PerSecond: serverLimit},
+	PrimarySuspected: {Level: zapcore.WarnLevel, Text: "primary does not answer", PerSecond: serverLimit},
+	PrimaryCanvassed: {Level: zapcore.WarnLevel, Text: "other proxies asked about a primary", PerSecond: serverLimit},
+	ServerUnasked:    {Level: zapcore.WarnLevel, Text: "backend server gave no status", PerSecond: serverLimit},
+	MemberRemoved:    {Level: zapcore.InfoLevel, Text: "registration of a gone proxy removed", PerSecond: serverLimit},
+	SeedUnreached:    {Level: zapcore.WarnLevel, Text: "seed not reached", PerSecond: serverLimit},
+	RelayRefused:     {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
 	ConfigAccepted:   {Level: zapcore.InfoLevel, Text: "manifest accepted"},
 	ConfigRejected:   {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
 	KeyWithdrawn:     {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
--- /dev/null
+++ b/internal/fleet/config.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// applyConfig puts a deployment in force unless it is older than the one in force.
+func (proxy *Proxy) applyConfig(object spool.Object) {
+	deployment, err := proxy.adapter.ParseDeployment(object)
+	if err != nil {
+		event.Log(proxy.logger, event.ConfigRejected, zap.Error(err))
+		return
+	}
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	if deployment.Revision <= proxy.revision {
+		return
+	}
+	proxy.revision = deployment.Revision
+	proxy.config = object
+	proxy.pool.SetLimits(deployment.Groups)
+	proxy.limiter.setTeams(deployment.Teams)
+	proxy.engine.SetDeployment(deployment)
+	event.Log(proxy.logger, event.ConfigAccepted, zap.Uint64("Revision", deployment.Revision),
+		zap.Int("Routes", len(deployment.Routes)), zap.Int("Teams", len(deployment.Teams)),
+		zap.Int("Keys", len(deployment.Keys)))
+	for team := range deployment.Teams {
+		proxy.operatorTeam = max(proxy.operatorTeam, team)
+	}
+}
+
+// currentRevision returns the revision of the deployment in force, or zero.
+func (proxy *Proxy) currentRevision() uint64 {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.revision
+}
+
+// configCopy returns the configuration in force for a proxy that cannot read the store.
+func (proxy *Proxy) configCopy() (spool.Object, bool) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.config, proxy.revision > 0
+}
+
+// operator returns the team that the proxy's own connections to servers name.
+func (proxy *Proxy) operator() spool.Team {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.operatorTeam
+}
+
+// fit tells if this proxy can look after groups: it reaches the store and stays.
+func (proxy *Proxy) fit() bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.storeReached && !proxy.draining && proxy.revision > 0
+}
+
+func (proxy *Proxy) setStoreReached(reached bool) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.storeReached = reached
+}
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -3,31 +3,92 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"corianderspool.example/spool/internal/core/quota"
 	"corianderspool.example/spool/pkg/spool"
 )
 
+// tokenPatience is how long an operation waits for tokens of other proxies: three round trips between regions.
+const tokenPatience = 120 * time.Millisecond
+
 // limiter admits operations of teams; it implements engine.Limiter.
 type limiter struct {
-	timers spool.Timers
-	mutex  sync.Mutex
-	ledger *quota.Ledger
+	timers  spool.Timers
+	request func(team spool.Team, tokens float64)
+
+	mutex   sync.Mutex
+	ledger  *quota.Ledger
+	arrived map[spool.Team]chan struct{} // closed when tokens come
 }
 
 func newLimiter(timers spool.Timers) *limiter {
-	return &limiter{timers: timers, ledger: quota.NewLedger()}
+	return &limiter{
+		timers: timers, ledger: quota.NewLedger(), request: func(spool.Team, float64) {},
+		arrived: map[spool.Team]chan struct{}{},
+	}
 }
 
-// Admit spends a token of the team or refuses.
-func (limiter *limiter) Admit(_ context.Context, team spool.Team) *spool.Refusal {
+// Admit spends a token of the team, waits shortly for one of another proxy, or refuses.
+func (limiter *limiter) Admit(ctx context.Context, team spool.Team) *spool.Refusal {
+	decision, arrived := limiter.decide(team, false)
+	if decision.Admitted {
+		return nil
+	}
+	timer := time.NewTimer(tokenPatience)
+	defer timer.Stop()
+	for waiting := !decision.Spent; waiting; {
+		select {
+		case <-arrived:
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
+		decision, arrived = limiter.decide(team, true)
+		if decision.Admitted {
+			return nil
+		}
+	}
+	return &spool.Refusal{
+		Code: spool.CodeRateExceeded, Message: "the team's rate is exceeded", RetryAfter: decision.Wait,
+	}
+}
+
+func (limiter *limiter) decide(team spool.Team, again bool) (quota.Decision, <-chan struct{}) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	admitted, wait := limiter.ledger.Admit(team, limiter.timers.Now())
-	if admitted {
-		return nil
+	decision := limiter.ledger.Admit(team, again, limiter.timers.Now())
+	if decision.Ask > 0 {
+		limiter.request(team, decision.Ask)
+	}
+	if decision.Admitted {
+		return decision, nil
 	}
-	return &spool.Refusal{Code: spool.CodeRateExceeded, Message: "the team's rate is exceeded", RetryAfter: wait}
+	arrived := limiter.arrived[team]
+	if arrived == nil {
+		arrived = make(chan struct{})
+		limiter.arrived[team] = arrived
+	}
+	return decision, arrived
+}
+
+// give adds tokens of another proxy and wakes the operations that wait for them.
+func (limiter *limiter) give(team spool.Team, tokens float64) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	limiter.ledger.Give(team, tokens, limiter.timers.Now())
+	if arrived := limiter.arrived[team]; arrived != nil {
+		close(arrived)
+		delete(limiter.arrived, team)
+	}
+}
+
+// spare takes out tokens for another proxy.
+func (limiter *limiter) spare(team spool.Team, want float64) float64 {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	return limiter.ledger.Spare(team, want, limiter.timers.Now())
 }
 
 func (limiter *limiter) setTeams(teams map[spool.Team]spool.TeamSpec) {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -10,14 +10,16 @@
 
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
 	kindMember    = "corianderspool-members" // one object a VM in the store
 	registerPause = 500 * time.Millisecond   // between attempts to register while the store refuses
-	listPeriod    = 30 * time.Second         // between lists; heartbeats tell of changes sooner
+	listPeriod    = 60 * time.Second         // between lists; heartbeats tell of new members sooner
 )
 
 // memberBody is what a VM writes about itself.
@@ -28,16 +30,16 @@
 
 // members is the registry of the fleet's VMs.
 type members struct {
-	proxy *Proxy
-	mutex sync.Mutex
-	known map[spool.VM]memberBody
+	proxy  *Proxy
+	mutex  sync.Mutex
+	roster *roster.Roster
 }
 
 func newMembers(proxy *Proxy) *members {
-	return &members{proxy: proxy, known: map[spool.VM]memberBody{}}
+	return &members{proxy: proxy, roster: roster.New(proxy.settings.VM)}
 }
 
-// run registers this VM and lists the others until the context ends.
+// run registers this VM, lists the others and removes those that are gone, until the context ends.
 func (members *members) run(ctx context.Context) {
 	for members.register(ctx) != nil {
 		if !sleep(ctx, registerPause/2+rand.N(registerPause)) {
@@ -45,14 +47,12 @@
 		}
 	}
 	for {
-		if err := members.list(ctx); err != nil && ctx.Err() == nil {
+		pause := listPeriod/2 + rand.N(listPeriod)
+		if err := members.list(ctx); err != nil {
 			event.Log(members.proxy.logger, event.MembersUnlisted, zap.Error(err))
-			if !sleep(ctx, registerPause/2+rand.N(registerPause)) {
-				return
-			}
-			continue
+			pause = registerPause/2 + rand.N(registerPause)
 		}
-		if !sleep(ctx, listPeriod/2+rand.N(listPeriod)) {
+		if !sleep(ctx, pause) {
 			return
 		}
 	}
@@ -71,7 +71,7 @@
 		return err
 	}
 	stored, err := members.proxy.adapter.Get(ctx, kindMember, object.Name)
-	if err != nil || string(stored.Body) == string(body) {
+	if err != nil || sameMember(stored.Body, body) {
 		return err
 	}
 	object.Version = stored.Version
@@ -79,29 +79,108 @@
 	return err
 }
 
+func sameMember(stored, own json.RawMessage) bool {
+	var left, right memberBody
+	if json.Unmarshal(stored, &left) != nil || json.Unmarshal(own, &right) != nil {
+		return false // an entry that cannot be read is written anew
+	}
+	return left == right
+}
+
 func (members *members) list(ctx context.Context) error {
 	objects, _, err := members.proxy.adapter.List(ctx, kindMember)
 	if err != nil {
 		return err
 	}
-	known := map[spool.VM]memberBody{}
+	now := members.proxy.timers.Now()
+	registered := map[spool.VM]bool{}
 	for _, object := range objects {
 		var body memberBody
 		if err := json.Unmarshal(object.Body, &body); err != nil {
 			event.Log(members.proxy.logger, event.EntryIgnored, zap.String("Entry", object.Name), zap.Error(err))
 			continue
 		}
-		known[spool.VM(object.Name)] = body
+		vm := spool.VM(object.Name)
+		registered[vm] = true
+		members.add(spool.Member{VM: vm, Domain: body.Domain, Address: body.Address})
 	}
 	members.mutex.Lock()
-	members.known = known
+	members.roster.Keep(registered, now)
+	size := members.roster.Size()
 	members.mutex.Unlock()
-	members.proxy.pool.SetFleet(len(known))
-	members.proxy.limiter.setFleet(len(known))
-	event.Log(members.proxy.logger, event.MembersListed, zap.Int("Members", len(known)))
+	members.resize(size)
+	event.Log(members.proxy.logger, event.MembersListed, zap.Int("Members", size))
 	return nil
 }
 
+// add takes a proxy into the fleet.
+func (members *members) add(member spool.Member) {
+	members.mutex.Lock()
+	added := members.roster.Add(member, members.proxy.timers.Now())
+	size := members.roster.Size()
+	members.mutex.Unlock()
+	if added {
+		members.resize(size)
+	}
+}
+
+// resize tells who shares what with the whole fleet.
+func (members *members) resize(size int) {
+	members.proxy.pool.SetFleet(size)
+	members.proxy.limiter.setFleet(size)
+}
+
+// collect removes the registration of a proxy that was silent for long; a proxy that still runs registers again.
+func (members *members) collect(ctx context.Context) {
+	now := members.proxy.timers.Now()
+	members.mutex.Lock()
+	gone := members.roster.Gone(now)
+	supervises := members.roster.Supervises(kindMember, members.proxy.fit(), now)
+	members.mutex.Unlock()
+	if len(gone) == 0 || !supervises {
+		return
+	}
+	for _, vm := range gone {
+		object, err := members.proxy.adapter.Get(ctx, kindMember, string(vm))
+		if err == nil {
+			err = members.proxy.adapter.Delete(ctx, object)
+		}
+		event.Log(members.proxy.logger, event.MemberRemoved, zap.String("VM", string(vm)), zap.Error(err))
+	}
+	if err := members.list(ctx); err != nil {
+		event.Log(members.proxy.logger, event.MembersUnlisted, zap.Error(err))
+	}
+}
+
+// address returns where a proxy listens for others.
+func (members *members) address(vm spool.VM) (string, bool) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	member := members.roster.Get(vm)
+	if member == nil {
+		return "", false
+	}
+	return member.Address, true
+}
+
+// live returns the proxies that were heard lately.
+func (members *members) live() []spool.VM {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	var vms []spool.VM
+	for _, member := range members.roster.Live(members.proxy.timers.Now()) {
+		vms = append(vms, member.VM)
+	}
+	return vms
+}
+
+// supervises tells if this proxy looks after a group.
+func (members *members) supervises(group spool.Group) bool {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	return members.roster.Supervises(string(group), members.proxy.fit(), members.proxy.timers.Now())
+}
+
 // sleep waits and tells if the context still runs.
 func sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
@@ -113,3 +192,27 @@
 		return true
 	}
 }
+
+// others returns all other registered proxies.
+func (members *members) others() []spool.VM {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	var vms []spool.VM
+	for _, member := range members.roster.Others() {
+		vms = append(vms, member.VM)
+	}
+	return vms
+}
+
+// heard notes a heartbeat; its sender joins the fleet if it is new.
+func (members *members) heard(from spool.VM, pulse *wire.Pulse, sent, now spool.Instant) {
+	members.add(spool.Member{VM: from, Domain: spool.Domain(pulse.Domain), Address: pulse.Address})
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	member := members.roster.Get(from)
+	if member == nil {
+		return
+	}
+	member.Heard, member.Sent = now, sent
+	member.Leaving, member.StoreReached, member.Revision = pulse.Leaving, pulse.StoreReached, pulse.Revision
+}
--- a/internal/fleet/observers.go
+++ b/internal/fleet/observers.go
@@ -9,8 +9,8 @@
 
 // reach logs when a part of the platform is lost or back.
 type reach struct {
-	logger *zap.Logger
-	kind   string
+	*Proxy
+	kind string
 }
 
 // Reached logs a change.
@@ -19,29 +19,29 @@
 	if reached {
 		number = event.PlatformBack
 	}
+	reach.setStoreReached(reached)
 	event.Log(reach.logger, number, zap.String("Kind", reach.kind), zap.Error(cause))
 }
 
 // serverObserver tells the pool of registered servers; it implements mirror.Observer.
 type serverObserver struct {
 	reach
-	proxy *Proxy
 }
 
 // Changed tells the pool of a new or changed server; an entry out of form names no server to use.
 func (observer serverObserver) Changed(object spool.Object) {
-	server, err := observer.proxy.adapter.ParseServer(object)
+	server, err := observer.adapter.ParseServer(object)
 	if err != nil {
 		event.Log(observer.logger, event.EntryIgnored, zap.String("Entry", object.Name), zap.Error(err))
-		observer.proxy.pool.RemoveServer(spool.Server(object.Name))
+		observer.pool.RemoveServer(spool.Server(object.Name))
 		return
 	}
-	observer.proxy.pool.SetServer(server)
+	observer.pool.SetServer(server)
 }
 
 // Deleted tells the pool that a server is gone.
 func (observer serverObserver) Deleted(name string) {
-	observer.proxy.pool.RemoveServer(spool.Server(name))
+	observer.pool.RemoveServer(spool.Server(name))
 }
 
 // Listed does nothing: servers are told one by one.
@@ -50,13 +50,12 @@
 // configObserver puts deployments in force; it implements mirror.Observer.
 type configObserver struct {
 	reach
-	proxy *Proxy
 }
 
 // Changed puts a newer deployment in force.
 func (observer configObserver) Changed(object spool.Object) {
-	if _, name := observer.proxy.adapter.ConfigObject(); object.Name == name {
-		observer.proxy.applyConfig(object)
+	if _, name := observer.adapter.ConfigObject(); object.Name == name {
+		observer.applyConfig(object)
 	}
 }
 
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -17,6 +18,7 @@
 	"corianderspool.example/spool/internal/mirror"
 	"corianderspool.example/spool/internal/pool"
 	"corianderspool.example/spool/internal/sock"
+	"corianderspool.example/spool/internal/warden"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -26,6 +28,7 @@
 	sameRegion    = 3 * time.Millisecond    // round trip between failure domains of a region
 	otherRegion   = 40 * time.Millisecond   // round trip between regions
 	drainPart     = 0.8                     // of the grace after which remaining sessions are cut
+	collectPeriod = 5 * time.Second         // between looks for registrations of proxies that are gone
 	refusedPause  = 20 * time.Millisecond   // after a failed accept, such as when descriptors run out
 	routingLag    = 2500 * time.Millisecond // two missed readiness probes, one a second: new callers still arrive
 	reservedFiles = 300                     // descriptors for servers, peers, the store and files
@@ -41,19 +44,31 @@
 	engine   *engine.Engine
 	limiter  *limiter
 	members  *members
+	peers    *peers
+	warden   *warden.Warden
+	dial     spool.DialFunc
 
-	mutex    sync.Mutex
-	revision uint64 // of the deployment in force
-	draining bool
+	mutex        sync.Mutex
+	revision     uint64       // of the deployment in force
+	config       spool.Object // the deployment in force
+	operatorTeam spool.Team   // that the proxy's own connections to servers name
+	storeReached bool
+	draining     bool
 }
 
 // New returns a proxy that has not started.
 func New(settings spool.FleetSettings, adapter spool.Adapter, timers spool.Timers, logger *zap.Logger) *Proxy {
 	proxy := &Proxy{settings: settings, adapter: adapter, timers: timers, logger: logger, limiter: newLimiter(timers)}
-	proxy.pool = pool.New(adapter, sock.Dialer(sock.DefaultSilence), timers,
+	proxy.dial = sock.Dialer(sock.DefaultSilence)
+	proxy.storeReached = true
+	proxy.pool = pool.New(adapter, proxy.dial, timers,
 		pool.WithLogger(logger), pool.WithDistance(proxy.distance), pool.WithDrain(settings.Bounds.Drain))
 	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(logger))
 	proxy.members = newMembers(proxy)
+	proxy.peers = newPeers(proxy)
+	proxy.limiter.request = proxy.peers.askTokens
+	tokens := warden.NewTokens(adapter, settings.VM, rand.Uint64)
+	proxy.warden = warden.New(settings.VM, proxy.pool, adapter, tokens, adapter, proxy.peers, timers, logger)
 	return proxy
 }
 
@@ -79,12 +94,18 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for readiness probes")
 	}
+	peers, err := sock.Listen(ctx, proxy.settings.Peers, sock.DefaultSilence)
+	if err != nil {
+		return eris.Wrap(err, "listen for other proxies")
+	}
 	event.Log(proxy.logger, event.ProxyStarted, zap.String("VM", string(proxy.settings.VM)),
 		zap.String("Domain", string(proxy.settings.Domain)), zap.Bool("Bootstrap", proxy.settings.Bootstrap))
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	proxy.follow(background)
 	go proxy.serveReadiness(readiness)
+	go proxy.peers.run(background, peers)
+	go proxy.warden.Run(background)
 	sessions := make(chan struct{})
 	go func() {
 		defer close(sessions)
@@ -100,33 +121,13 @@
 // follow copies configuration, servers and members from the store.
 func (proxy *Proxy) follow(ctx context.Context) {
 	kind, _ := proxy.adapter.ConfigObject()
-	config := mirror.New(proxy.adapter, proxy.timers, kind, configObserver{reach{proxy.logger, kind}, proxy})
+	config := mirror.New(proxy.adapter, proxy.timers, kind, configObserver{reach{proxy, kind}})
 	kind = proxy.adapter.ServerKind()
-	servers := mirror.New(proxy.adapter, proxy.timers, kind, serverObserver{reach{proxy.logger, kind}, proxy})
+	servers := mirror.New(proxy.adapter, proxy.timers, kind, serverObserver{reach{proxy, kind}})
 	go config.Run(ctx)
 	go servers.Run(ctx)
 	go proxy.members.run(ctx)
-}
-
-// applyConfig puts a deployment in force unless it is older than the one in force.
-func (proxy *Proxy) applyConfig(object spool.Object) {
-	deployment, err := proxy.adapter.ParseDeployment(object)
-	if err != nil {
-		event.Log(proxy.logger, event.ConfigRejected, zap.Error(err))
-		return
-	}
-	proxy.mutex.Lock()
-	defer proxy.mutex.Unlock()
-	if deployment.Revision <= proxy.revision {
-		return
-	}
-	proxy.revision = deployment.Revision
-	proxy.pool.SetLimits(deployment.Groups)
-	proxy.limiter.setTeams(deployment.Teams)
-	proxy.engine.SetDeployment(deployment)
-	event.Log(proxy.logger, event.ConfigAccepted, zap.Uint64("Revision", deployment.Revision),
-		zap.Int("Routes", len(deployment.Routes)), zap.Int("Teams", len(deployment.Teams)),
-		zap.Int("Keys", len(deployment.Keys)))
+	proxy.timers.Every(collectPeriod, spool.TimerFunc(func(spool.Instant) { proxy.members.collect(ctx) }))
 }
 
 func (proxy *Proxy) accept(ctx context.Context, listener net.Listener) {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net"
 	"sync"
@@ -12,7 +11,6 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"corianderspool.example/spool/internal/certs"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
@@ -46,7 +44,7 @@
 // Transport sends messages to other proxies and accepts theirs.
 type Transport struct {
 	self    spool.VM
-	bundle  *certs.Bundle
+	guard   Guard
 	handler Handler
 	logger  *zap.Logger
 	resolve func(spool.VM) (string, bool)
@@ -75,10 +73,10 @@
 }
 
 // New returns a transport that finds addresses through resolve.
-func New(self spool.VM, bundle *certs.Bundle, resolve func(spool.VM) (string, bool), options ...Option) *Transport {
+func New(self spool.VM, guard Guard, resolve func(spool.VM) (string, bool), options ...Option) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	transport := &Transport{
-		self: self, bundle: bundle, resolve: resolve,
+		self: self, guard: guard, resolve: resolve,
 		logger: zap.NewNop(), observe: func(int) {},
 		ctx: ctx, cancel: cancel,
 		outboxes: map[spool.VM]*outbox{},
@@ -98,7 +96,7 @@
 		<-transport.ctx.Done()
 		_ = listener.Close()
 	}()
-	go transport.acceptLoop(tls.NewListener(listener, transport.bundle.Accept()))
+	go transport.acceptLoop(listener)
 }
 
 func (transport *Transport) acceptLoop(listener net.Listener) {
@@ -111,15 +109,15 @@
 			time.Sleep(shortestBackoff)
 			continue
 		}
-		go transport.accept(conn.(*tls.Conn))
+		go transport.accept(conn)
 	}
 }
 
-func (transport *Transport) accept(conn *tls.Conn) {
-	from, kind, err := greet(conn)
+func (transport *Transport) accept(accepted net.Conn) {
+	conn, from, kind, err := transport.greet(accepted)
 	if err != nil {
 		transport.logger.Debug("peer refused", zap.Error(err))
-		_ = conn.Close()
+		_ = accepted.Close()
 		return
 	}
 	session, err := yamux.Server(conn, settings())
@@ -144,20 +142,17 @@
 	}
 }
 
-func greet(conn *tls.Conn) (from spool.VM, kind byte, err error) {
-	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
-	if err := conn.Handshake(); err != nil {
-		return "", 0, err
-	}
-	from, err = certs.Identity(conn.ConnectionState())
+func (transport *Transport) greet(accepted net.Conn) (conn net.Conn, from spool.VM, kind byte, err error) {
+	_ = accepted.SetDeadline(time.Now().Add(handshakeTimeout))
+	conn, from, err = transport.guard.Accept(accepted)
 	if err != nil {
-		return "", 0, err
+		return nil, "", 0, err
 	}
 	var hello [1]byte
 	if _, err := io.ReadFull(conn, hello[:]); err != nil {
-		return "", 0, err
+		return nil, "", 0, err
 	}
-	return from, hello[0], conn.SetDeadline(time.Time{})
+	return conn, from, hello[0], accepted.SetDeadline(time.Time{})
 }
 
 func (transport *Transport) keep(session *yamux.Session) bool {
@@ -243,8 +238,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{Config: transport.bundle.Dial(to)}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := transport.guard.Dial(ctx, address, to)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", to)
 	}
@@ -292,11 +286,5 @@
 func (transport *Transport) Identify(ctx context.Context, address string) (spool.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{Config: transport.bundle.DialAny()}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return "", eris.Wrapf(err, "dial %s", address)
-	}
-	defer func() { _ = conn.Close() }()
-	return certs.Identity(conn.(*tls.Conn).ConnectionState())
+	return transport.guard.Identify(ctx, address)
 }
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -45,7 +45,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	bench.addresses[vm] = listener.Addr().String()
-	transport := peer.New(vm, bundle, func(vm spool.VM) (string, bool) {
+	transport := peer.New(vm, peer.NewTLSGuard(bundle), func(vm spool.VM) (string, bool) {
 		address, known := bench.addresses[vm]
 		return address, known
 	})
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -300,15 +300,19 @@
 
 func (pool *Pool) probe(group *group, team spool.Team) {
 	for pool.needsProbe(group) {
-		for _, server := range pool.probeable(group) {
-			if pool.Ask(server, team) == nil {
-				break
-			}
-		}
+		pool.probeOnce(group, team)
 		time.Sleep(probePeriod)
 	}
 }
 
+func (pool *Pool) probeOnce(group *group, team spool.Team) {
+	for _, server := range pool.probeable(group) {
+		if pool.ask(server, team) == nil {
+			return
+		}
+	}
+}
+
 func (pool *Pool) needsProbe(group *group) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -330,31 +334,35 @@
 	return servers
 }
 
-// Ask begins and rolls back a transaction on a server, which only the primary allows, and notes its position.
-func (pool *Pool) Ask(server *server, team spool.Team) error {
-	pool.mutex.Lock()
-	group := pool.group(server.spec.Group)
-	want := &Want{Group: group.name, Team: team}
-	granted, possible := pool.reserve(group, server, want, pool.timers.Now())
-	pool.mutex.Unlock()
-	if !possible {
-		return errNoRoom
-	}
-	conn := granted.conn
-	if conn == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
-		defer cancel()
-		opened, err := pool.open(ctx, *want, granted)
-		if err != nil {
-			return err
-		}
-		conn = opened
+// ask begins and rolls back a transaction on a server, which only the primary allows, and notes its position.
+func (pool *Pool) ask(server *server, team spool.Team) error {
+	conn, err := pool.borrow(server, team)
+	if err != nil {
+		return err
 	}
 	defer pool.Release(conn)
 	return pool.askPrimary(conn)
 }
 
-var errNoRoom = errors.New("no connection is free")
+// borrow returns a connection to one server without waiting for a free one.
+func (pool *Pool) borrow(server *server, team spool.Team) (*Conn, error) {
+	pool.mutex.Lock()
+	group := pool.group(server.spec.Group)
+	want := Want{Group: group.name, Team: team}
+	granted, possible := pool.reserve(group, server, &want, pool.timers.Now())
+	if !possible {
+		server.open++
+		server.busy++
+		granted = grant{server: server} // the spare connection of the server
+	}
+	pool.mutex.Unlock()
+	if granted.conn != nil {
+		return granted.conn, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	return pool.open(ctx, want, granted)
+}
 
 func (pool *Pool) askPrimary(conn *Conn) error {
 	sent := pool.timers.Now()
--- /dev/null
+++ b/internal/pool/view.go
@@ -0,0 +1,143 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"corianderspool.example/spool/internal/core/fresh"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// View is what the pool knows of a group.
+type View struct {
+	Group        spool.Group
+	Servers      []ServerView
+	Primary      spool.Server
+	Term         spool.Term
+	Newest       fresh.Mark        // newest dated position of the primary
+	Acked        spool.LogPosition // newest position that a commit is known to have been acknowledged at
+	Contact      spool.Instant     // when this proxy last reached the primary
+	SyncReplicas int
+}
+
+// ServerView is what the pool knows of a server.
+type ServerView struct {
+	spool.RegisteredServer
+	Leaving  bool
+	Distance time.Duration
+}
+
+// View returns what is known of a group.
+func (pool *Pool) View(name spool.Group) View {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group := pool.group(name)
+	view := View{
+		Group: name, Primary: group.primary, Term: group.term, Newest: group.marks.Newest(), Acked: group.acked,
+		Contact: group.contact, SyncReplicas: group.limits.SyncReplicas,
+	}
+	for _, server := range group.servers {
+		if server.gone {
+			continue
+		}
+		view.Servers = append(view.Servers, ServerView{
+			RegisteredServer: server.spec, Leaving: server.leaving != 0, Distance: server.distance,
+		})
+	}
+	slices.SortFunc(view.Servers, func(left, right ServerView) int { return cmp.Compare(left.Server, right.Server) })
+	return view
+}
+
+// Groups returns the names of the groups that have servers or limits.
+func (pool *Pool) Groups() []spool.Group {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	names := make([]spool.Group, 0, len(pool.groups))
+	for name := range pool.groups {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Learn takes over what another proxy knows of a group's primary; a zero mark carries no date.
+func (pool *Pool) Learn(name spool.Group, primary spool.Server, mark fresh.Mark, acked spool.LogPosition) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group := pool.group(name)
+	group.acked = group.acked.Max(acked)
+	if mark.Position.Term > group.term && group.servers[primary] != nil {
+		group.term = mark.Position.Term
+		group.primary = primary
+		pool.dispatch(group, pool.timers.Now())
+	}
+	if mark.Sent != 0 && mark.Position.Term == group.term {
+		group.marks.Note(mark)
+	}
+}
+
+// AskPrimary tells if a server acts as the primary of a group now.
+func (pool *Pool) AskPrimary(name spool.Group, server spool.Server, team spool.Team) error {
+	known := pool.find(name, server)
+	if known == nil {
+		return eris.Errorf("server %s of group %s is not registered", server, name)
+	}
+	return pool.ask(known, team)
+}
+
+// Order sends statements of the proxy itself to a server and returns its answers.
+func (pool *Pool) Order(
+	name spool.Group, server spool.Server, team spool.Team, timeout time.Duration, commands ...spool.Command,
+) ([]spool.Answer, error) {
+	known := pool.find(name, server)
+	if known == nil {
+		return nil, eris.Errorf("server %s of group %s is not registered", server, name)
+	}
+	conn, err := pool.borrow(known, team)
+	if err != nil {
+		return nil, err
+	}
+	defer pool.Release(conn)
+	deadline := time.Now().Add(timeout)
+	if err := conn.Settle(deadline); err != nil {
+		pool.Failed(conn, err)
+		return nil, err
+	}
+	if err := conn.Send(commands...); err != nil {
+		pool.Failed(conn, err)
+		return nil, err
+	}
+	answers := make([]spool.Answer, 0, len(commands))
+	for range commands {
+		answer, err := conn.Receive(deadline)
+		if err != nil {
+			pool.Failed(conn, err)
+			return answers, err
+		}
+		answers = append(answers, answer)
+	}
+	return answers, nil
+}
+
+func (pool *Pool) find(name spool.Group, id spool.Server) *server {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.group(name).servers[id]
+}
+
+// Knows tells if a registered server has an address.
+func (pool *Pool) Knows(address string) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for _, group := range pool.groups {
+		for _, server := range group.servers {
+			if server.spec.Address == address {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/warden/tokens.go
@@ -0,0 +1,82 @@
+package warden
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// KindDuty is the kind of the objects that hold the fencing tokens, one a group.
+const KindDuty = "corianderspool-duties"
+
+// maxTokenTries bounds how often a lost race or answer is tried again.
+const maxTokenTries = 4
+
+// dutyBody is who holds the duty of promoting in a group.
+type dutyBody struct {
+	Holder spool.VM
+	Token  uint64
+	Nonce  uint64 // tells an own update whose answer was lost from that of another proxy
+}
+
+// Tokens hands out fencing tokens that rise with each change.
+type Tokens struct {
+	store spool.Store
+	vm    spool.VM
+	nonce func() uint64
+}
+
+// NewTokens returns tokens that are kept in a store.
+func NewTokens(store spool.Store, vm spool.VM, nonce func() uint64) *Tokens {
+	return &Tokens{store: store, vm: vm, nonce: nonce}
+}
+
+// Next takes the next token of a group; no other holder ever gets the same.
+func (tokens *Tokens) Next(ctx context.Context, group spool.Group) (uint64, error) {
+	nonce := tokens.nonce()
+	var last error
+	for range maxTokenTries {
+		token, err := tokens.try(ctx, group, nonce)
+		if err == nil {
+			return token, nil
+		}
+		last = err
+	}
+	return 0, eris.Wrapf(last, "duty of group %s", group)
+}
+
+func (tokens *Tokens) try(ctx context.Context, group spool.Group, nonce uint64) (uint64, error) {
+	object, err := tokens.store.Get(ctx, KindDuty, string(group))
+	missing := errors.Is(err, spool.ErrNotFound)
+	if err != nil && !missing {
+		return 0, err
+	}
+	var body dutyBody
+	if !missing {
+		if err := json.Unmarshal(object.Body, &body); err != nil {
+			return 0, eris.Wrap(err, "read the duty")
+		}
+		if body.Nonce == nonce && body.Holder == tokens.vm {
+			return body.Token, nil // the update whose answer was lost
+		}
+	}
+	next := dutyBody{Holder: tokens.vm, Token: body.Token + 1, Nonce: nonce}
+	text, err := json.Marshal(next)
+	if err != nil {
+		return 0, eris.Wrap(err, "write the duty")
+	}
+	update := spool.Object{Kind: KindDuty, Name: string(group), Version: object.Version, Body: text}
+	if missing {
+		_, err = tokens.store.Create(ctx, update)
+	} else {
+		_, err = tokens.store.Put(ctx, update)
+	}
+	if err != nil {
+		return 0, err // read again: it may have been done
+	}
+	return next.Token, nil
+}
--- /dev/null
+++ b/internal/warden/warden.go
@@ -0,0 +1,196 @@
+package warden
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/core/elect"
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/pool"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	lookPeriod = 150 * time.Millisecond  // between looks at each group
+	idleProbe  = 400 * time.Millisecond  // a primary that nobody reached for so long is probed
+	statusWait = 500 * time.Millisecond  // for a server's status: a round trip and the work before it in its queue
+	settleTime = 1500 * time.Millisecond // after an accepted order until the server must act as primary; promotes take 1 s at most
+	retryAfter = 300 * time.Millisecond  // after an attempt that ended without an order
+	unsureFor  = 13 * time.Second        // after an order without an answer, which may run up to 12 s later
+)
+
+// Fleet is what the warden asks the other proxies.
+type Fleet interface {
+	// Supervises tells if this proxy looks after a group.
+	Supervises(group spool.Group) bool
+	// Contact returns when any proxy last reached a primary and the newest acknowledged position; complete says that
+	// every registered proxy has told it since an instant.
+	Contact(group spool.Group, primary spool.Server, since spool.Instant) (spool.Instant, spool.LogPosition, bool)
+	// Canvass asks all live proxies if they reach a primary.
+	Canvass(group spool.Group, primary spool.Server) (asked, reached, unreached int)
+	// Operator returns the team that connections of the proxy itself name.
+	Operator() spool.Team
+}
+
+// Warden looks after the groups that this proxy supervises.
+type Warden struct {
+	vm       spool.VM
+	pool     *pool.Pool
+	linker   spool.Linker
+	tokens   *Tokens
+	promoter spool.Promoter
+	fleet    Fleet
+	timers   spool.Timers
+	logger   *zap.Logger
+
+	mutex  sync.Mutex
+	states map[spool.Group]*state
+}
+
+// state is what the warden remembers of a group.
+type state struct {
+	busy     bool
+	failed   spool.Instant // when the newest probe of the primary failed; zero if it succeeded
+	cause    error
+	next     spool.Instant // no look before
+	paused   map[spool.Server]bool
+	unsure   spool.Instant // until when an order without an answer may still run
+	expected spool.Server  // that was ordered to lead
+	primary  spool.Server  // that the newest probe asked
+	since    spool.Instant // when the primary fell silent
+}
+
+// New returns a warden; the tokens come from the store.
+func New(
+	vm spool.VM, pool *pool.Pool, linker spool.Linker, tokens *Tokens, promoter spool.Promoter, fleet Fleet,
+	timers spool.Timers, logger *zap.Logger,
+) *Warden {
+	return &Warden{
+		vm: vm, pool: pool, linker: linker, tokens: tokens, promoter: promoter, fleet: fleet,
+		timers: timers, logger: logger, states: map[spool.Group]*state{},
+	}
+}
+
+// Run looks after groups until the context ends.
+func (warden *Warden) Run(ctx context.Context) {
+	stop := warden.timers.Every(lookPeriod, spool.TimerFunc(func(now spool.Instant) { warden.look(ctx, now) }))
+	<-ctx.Done()
+	stop()
+}
+
+func (warden *Warden) look(ctx context.Context, now spool.Instant) {
+	for _, group := range warden.pool.Groups() {
+		if !warden.fleet.Supervises(group) {
+			continue
+		}
+		state := warden.claim(group, now)
+		if state == nil {
+			continue
+		}
+		go func() {
+			warden.tend(ctx, group, state)
+			warden.mutex.Lock()
+			state.busy = false
+			warden.mutex.Unlock()
+		}()
+	}
+}
+
+// claim returns the state of a group that nobody works on and that is due.
+func (warden *Warden) claim(group spool.Group, now spool.Instant) *state {
+	warden.mutex.Lock()
+	defer warden.mutex.Unlock()
+	known := warden.states[group]
+	if known == nil {
+		known = &state{paused: map[spool.Server]bool{}}
+		warden.states[group] = known
+	}
+	if known.busy || now < known.next {
+		return nil
+	}
+	known.busy = true
+	return known
+}
+
+// tend looks at one group and replaces its primary if it has to.
+func (warden *Warden) tend(ctx context.Context, group spool.Group, state *state) {
+	view := warden.pool.View(group)
+	if len(view.Servers) == 0 {
+		return
+	}
+	now := warden.timers.Now()
+	primary := find(view, view.Primary)
+	switch {
+	case primary == nil:
+		warden.replaceMissing(ctx, view, state)
+	case primary.Leaving:
+		warden.hand(ctx, view, state)
+	default:
+		warden.check(ctx, view, state, now)
+	}
+}
+
+func find(view pool.View, server spool.Server) *pool.ServerView {
+	for i := range view.Servers {
+		if view.Servers[i].Server == server {
+			return &view.Servers[i]
+		}
+	}
+	return nil
+}
+
+// check probes a primary that nobody reached lately and replaces it if it is dead.
+func (warden *Warden) check(ctx context.Context, view pool.View, state *state, now spool.Instant) {
+	contact, _, _ := warden.fleet.Contact(view.Group, view.Primary, now)
+	contact = max(contact, view.Contact)
+	if state.primary != view.Primary {
+		state.primary, state.failed = view.Primary, 0
+	}
+	if now.Sub(contact) < idleProbe && state.failed <= contact {
+		warden.resume(view, state)
+		return
+	}
+	if err := warden.pool.AskPrimary(view.Group, view.Primary, warden.fleet.Operator()); err == nil {
+		state.failed = 0
+		warden.resume(view, state)
+		return
+	} else if state.cause = err; state.failed == 0 {
+		state.failed = warden.timers.Now()
+		state.since = max(contact, view.Contact)
+		event.Log(warden.logger, event.PrimarySuspected, zap.String("Group", string(view.Group)),
+			zap.String("Server", string(view.Primary)), zap.Duration("SinceContact", state.failed.Sub(contact)), zap.Error(err))
+	}
+	suspicion := elect.Suspicion{Failed: max(state.failed, contact+1), Contact: contact}
+	if !suspicion.Suspect(warden.timers.Now()) {
+		return
+	}
+	suspicion.Asked, suspicion.Reached, suspicion.Unreached = warden.fleet.Canvass(view.Group, view.Primary)
+	dead := suspicion.Dead()
+	event.Log(warden.logger, event.PrimaryCanvassed, zap.String("Group", string(view.Group)),
+		zap.String("Server", string(view.Primary)), zap.Int("Asked", suspicion.Asked),
+		zap.Int("Reached", suspicion.Reached), zap.Int("Unreached", suspicion.Unreached), zap.Bool("Dead", dead))
+	if !dead {
+		state.next = warden.timers.Now().Add(retryAfter)
+		return
+	}
+	warden.replace(ctx, view, state)
+}
+
+// replaceMissing acts when no registered server is known to be the primary.
+func (warden *Warden) replaceMissing(ctx context.Context, view pool.View, state *state) {
+	for _, server := range view.Servers {
+		if warden.pool.AskPrimary(view.Group, server.Server, warden.fleet.Operator()) == nil {
+			return
+		}
+	}
+	now := warden.timers.Now()
+	if state.failed == 0 || state.primary != "" {
+		state.primary, state.failed, state.since = "", now, now
+		state.next = now.Add(retryAfter)
+		return
+	}
+	warden.replace(ctx, view, state)
+}
