Divide connections by nearness

Cause: each proxy had two connections to every server, most of them idle at distant replicas, and reads waited or were refused. Ruled out: longer waits alone.

--- /dev/null
+++ b/internal/core/place/allot.go
@@ -0,0 +1,32 @@
+package place
+
+import "math"
+
+// Weights of proxies in the division of a server's connections.
+const (
+	NearWeight = 3 // in the same failure domain: most reads stay there
+	FarWeight  = 1
+)
+
+// Allot divides a server's connections in proportion to the proxies' weights and returns the part of the proxy at
+// index self, at least one; every proxy that knows the same weights in the same order gets parts that add up.
+func Allot(connections int, weights []float64, self int) int {
+	total := 0.0
+	for _, weight := range weights {
+		total += weight
+	}
+	if total == 0 {
+		return 1
+	}
+	before := 0.0
+	for _, weight := range weights[:self] {
+		before += weight
+	}
+	scale := float64(connections) / total
+	from := math.Floor(before*scale + rounding)
+	to := math.Floor((before+weights[self])*scale + rounding)
+	return max(1, int(to-from))
+}
+
+// rounding keeps sums of weights that should be whole from falling just below a whole number.
+const rounding = 1e-9
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -48,7 +48,7 @@
 		roster.members[member.VM] = &Member{Member: member, Added: now}
 		return true
 	}
-	moved := known.Address != member.Address
+	moved := known.Address != member.Address || known.Domain != member.Domain
 	known.Address, known.Domain = member.Address, member.Domain
 	return moved
 }
@@ -68,6 +68,17 @@
 // Size returns the number of registered proxies, this one counted.
 func (roster *Roster) Size() int { return len(roster.members) + 1 }
 
+// Domains returns the failure domains of all registered proxies in the order of their names, and this one's index.
+func (roster *Roster) Domains(own spool.Domain) (domains []spool.Domain, self int) {
+	for _, member := range roster.Others() {
+		if member.VM < roster.self {
+			self++
+		}
+		domains = append(domains, member.Domain)
+	}
+	return slices.Insert(domains, self, own), self
+}
+
 // Others returns the other proxies, ordered by name.
 func (roster *Roster) Others() []*Member {
 	others := make([]*Member, 0, len(roster.members))
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -108,7 +108,7 @@
 	members.roster.Keep(registered, now)
 	size := members.roster.Size()
 	members.mutex.Unlock()
-	members.resize(size)
+	members.resize()
 	event.Log(members.proxy.logger, event.MembersListed, zap.Int("Members", size))
 	return nil
 }
@@ -117,17 +117,19 @@
 func (members *members) add(member spool.Member) {
 	members.mutex.Lock()
 	added := members.roster.Add(member, members.proxy.timers.Now())
-	size := members.roster.Size()
 	members.mutex.Unlock()
 	if added {
-		members.resize(size)
+		members.resize()
 	}
 }
 
 // resize tells who shares what with the whole fleet.
-func (members *members) resize(size int) {
-	members.proxy.pool.SetFleet(size)
-	members.proxy.limiter.setFleet(size)
+func (members *members) resize() {
+	members.mutex.Lock()
+	domains, self := members.roster.Domains(members.proxy.settings.Domain)
+	members.mutex.Unlock()
+	members.proxy.pool.SetFleet(domains, self)
+	members.proxy.limiter.setFleet(len(domains))
 }
 
 // collect removes the registration of a proxy that was silent for long; a proxy that still runs registers again.
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -117,7 +117,7 @@
 		if primary == nil || !pool.usable(primary, now) || slices.Contains(want.Avoid, primary.spec.Server) {
 			return grant{}, false
 		}
-		return pool.reserve(group, primary, want, now)
+		return pool.reserve(primary, want)
 	}
 	var servers []*server
 	var candidates []place.Candidate
@@ -125,7 +125,7 @@
 		if !pool.usable(server, now) || server.leaving != 0 || slices.Contains(want.Avoid, server.spec.Server) {
 			continue
 		}
-		if server.busy >= pool.connLimit(group) {
+		if server.busy >= server.limit {
 			continue
 		}
 		servers = append(servers, server)
@@ -139,11 +139,11 @@
 	if best < 0 {
 		return grant{}, false
 	}
-	return pool.reserve(group, servers[best], want, now)
+	return pool.reserve(servers[best], want)
 }
 
 // reserve takes the idle connection that fits best, or room for a new one.
-func (pool *Pool) reserve(group *group, server *server, want *Want, now spool.Instant) (grant, bool) {
+func (pool *Pool) reserve(server *server, want *Want) (grant, bool) {
 	best, bestFit := -1, fitReset+1
 	for i, conn := range server.idle {
 		if conn.team != want.Team {
@@ -159,7 +159,7 @@
 		server.busy++
 		return grant{server: server, conn: conn}, true
 	}
-	if server.open < pool.connLimit(group) {
+	if server.open < server.limit {
 		server.open++
 		server.busy++
 		return grant{server: server}, true
@@ -221,7 +221,7 @@
 	now := pool.timers.Now()
 	server := conn.server
 	server.busy--
-	closing := conn.broken || server.gone
+	closing := conn.broken || server.gone || server.open > server.limit
 	if closing {
 		server.open--
 	} else {
@@ -349,7 +349,7 @@
 	pool.mutex.Lock()
 	group := pool.group(server.spec.Group)
 	want := Want{Group: group.name, Team: team}
-	granted, possible := pool.reserve(group, server, &want, pool.timers.Now())
+	granted, possible := pool.reserve(server, &want)
 	if !possible {
 		server.open++
 		server.busy++
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -18,6 +18,7 @@
 	idle     []*Conn
 	open     int // connections in use, idle or being opened
 	busy     int
+	limit    int // of open
 	health   place.Health
 	denied   spool.Instant // when it last refused to act as primary
 	leaving  spool.Instant // when it was first seen leaving; zero if it is not
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -33,7 +33,8 @@
 
 	mutex  sync.Mutex
 	groups map[spool.Group]*group
-	fleet  int // proxies that share the servers' connections
+	fleet  []spool.Domain // of each proxy that shares the servers' connections
+	self   int            // index of this proxy in fleet
 }
 
 // Option changes a pool under construction.
@@ -57,7 +58,7 @@
 	pool := &Pool{
 		linker: linker, dial: dial, timers: timers, logger: zap.NewNop(),
 		distance: func(spool.Domain) time.Duration { return 0 },
-		groups:   map[spool.Group]*group{}, fleet: 1,
+		groups:   map[spool.Group]*group{}, fleet: []spool.Domain{""},
 	}
 	for _, option := range options {
 		option(pool)
@@ -65,11 +66,14 @@
 	return pool
 }
 
-// SetFleet sets how many proxies share the servers' connections.
-func (pool *Pool) SetFleet(proxies int) {
+// SetFleet sets the failure domains of the proxies that share the servers' connections, and this one's place among them.
+func (pool *Pool) SetFleet(domains []spool.Domain, self int) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	pool.fleet = max(1, proxies)
+	pool.fleet, pool.self = domains, self
+	for _, group := range pool.groups {
+		pool.allot(group)
+	}
 }
 
 // SetLimits puts the limits of the groups in force.
@@ -77,7 +81,9 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	for name, limit := range limits {
-		pool.group(name).limits = limit
+		group := pool.group(name)
+		group.limits = limit
+		pool.allot(group)
 	}
 }
 
@@ -110,6 +116,7 @@
 	if group.primary == "" {
 		group.guess(now)
 	}
+	pool.allot(group)
 	event.Log(pool.logger, event.ServerRegistered, zap.String("Group", string(spec.Group)),
 		zap.String("Server", string(spec.Server)), zap.Bool("Leaving", known.leaving != 0),
 		zap.Bool("Primary", spec.Primary), zap.String("Address", spec.Address))
@@ -148,6 +155,7 @@
 	now := pool.timers.Now()
 	group := pool.group(name)
 	if group.notePrimary(server, mark, now) {
+		pool.allot(group)
 		event.Log(pool.logger, event.PrimarySeen, zap.String("Group", string(name)),
 			zap.String("Server", string(server)), zap.Uint64("Term", uint64(group.term)))
 		pool.dispatch(group, now)
@@ -189,9 +197,19 @@
 	return known
 }
 
-// connLimit returns how many connections this proxy may have to a server of the group.
-func (pool *Pool) connLimit(group *group) int {
-	return max(1, (group.limits.Connections-spareConns)/pool.fleet)
+// allot sets how many connections this proxy may have to each server of a group: more to those nearby, which its reads
+// go to, but an equal part to the primary, which all proxies need.
+func (pool *Pool) allot(group *group) {
+	weights := make([]float64, len(pool.fleet))
+	for name, server := range group.servers {
+		for i, domain := range pool.fleet {
+			weights[i] = place.FarWeight
+			if domain == server.spec.Domain && name != group.primary {
+				weights[i] = place.NearWeight
+			}
+		}
+		server.limit = place.Allot(group.limits.Connections-spareConns, weights, pool.self)
+	}
 }
 
 // takeIdle empties the server's idle connections; the caller closes them.
