--- a/cmd/corianderspool/fleet.go
+++ b/cmd/corianderspool/fleet.go
@@ -11,6 +11,7 @@
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/fleet"
 	"corianderspool.example/spool/internal/sock"
+	"corianderspool.example/spool/pkg/spool"
 	"corianderspool.example/spool/platform"
 )
 
@@ -26,5 +27,7 @@
 	}
 	adapter := platform.New(settings, sock.Dialer(sock.DefaultSilence))
 	limited := event.Limit(logger, func(event.Number) {})
-	return fleet.New(settings, adapter, clock.Real{}, limited).Run(ctx)
+	proxy := fleet.New(settings, adapter, clock.Real{}, limited)
+	proxy.WatchSettings(ctx, func() (spool.FleetSettings, spool.Faults) { return platform.LoadSettings(path) })
+	return proxy.Run(ctx)
 }
--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -103,6 +103,7 @@
 type Suspicion struct {
 	Failed    spool.Instant // when this proxy's newest attempt to reach the primary failed; zero if it succeeded
 	Contact   spool.Instant // when any proxy last reached the primary
+	Alone     bool          // no other proxy is registered
 	Asked     int           // live proxies that were asked to try
 	Unreached int           // of those that answered: not reached
 	Reached   int           // of those that answered: reached
@@ -117,7 +118,11 @@
 	return suspicion.Failed > suspicion.Contact && now.Sub(suspicion.Contact) >= shortestSilence/2
 }
 
-// Dead tells if the primary is to be replaced: nobody reaches it, as most of the live proxies say.
+// Dead tells if the primary is to be replaced: nobody reaches it, as most of the live proxies say. A proxy that hears no
+// other one may itself be cut off, and leaves it to the registry to tell.
 func (suspicion Suspicion) Dead() bool {
+	if suspicion.Asked == 0 {
+		return suspicion.Alone
+	}
 	return suspicion.Reached == 0 && 2*suspicion.Unreached >= suspicion.Asked
 }
--- a/internal/engine/handle.go
+++ b/internal/engine/handle.go
@@ -173,7 +173,7 @@
 func (session *session) logRefusal(command spool.Command, refusal *spool.Refusal) {
 	event.Log(session.engine.logger, event.RequestRefused, zap.String("Request", command.ID),
 		zap.String("Route", session.name), zap.String("Team", string(session.team)), zap.String("Code", refusal.Code),
-		zap.String("Reason", refusal.Message), zap.Duration("RetryAfter", refusal.RetryAfter), zap.Error(refusal.Cause))
+		zap.String("Reason", refusal.Message), zap.Duration("RetryAfter", refusal.RetryAfter), event.Cause(refusal.Cause))
 }
 
 func (session *session) logAnswer(statement *statement, answer spool.Answer, took time.Duration) {
@@ -189,7 +189,7 @@
 	}
 	if answer.Refusal != nil {
 		fields = append(fields, zap.String("Team", string(session.team)), zap.String("Code", code),
-			zap.String("Reason", answer.Refusal.Message), zap.Error(answer.Refusal.Cause))
+			zap.String("Reason", answer.Refusal.Message), event.Cause(answer.Refusal.Cause))
 	}
 	event.Log(session.engine.logger, number, fields...)
 }
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -70,6 +70,8 @@
 	MemberRemoved    Number = 709
 	SeedUnreached    Number = 710
 	RelayRefused     Number = 711
+	SettingsReloaded Number = 105
+	SettingsRejected Number = 106
 	ConfigAccepted   Number = 501
 	ConfigRejected   Number = 502
 	KeyWithdrawn     Number = 503
@@ -128,6 +130,8 @@
 	MemberRemoved:    {Level: zapcore.InfoLevel, Text: "registration of a gone proxy removed", PerSecond: serverLimit},
 	SeedUnreached:    {Level: zapcore.WarnLevel, Text: "seed not reached", PerSecond: serverLimit},
 	RelayRefused:     {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
+	SettingsReloaded: {Level: zapcore.InfoLevel, Text: "settings reloaded"},
+	SettingsRejected: {Level: zapcore.ErrorLevel, Text: "settings rejected"},
 	ConfigAccepted:   {Level: zapcore.InfoLevel, Text: "manifest accepted"},
 	ConfigRejected:   {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
 	KeyWithdrawn:     {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -11,7 +11,7 @@
 func (proxy *Proxy) applyConfig(object spool.Object) {
 	deployment, err := proxy.adapter.ParseDeployment(object)
 	if err != nil {
-		event.Log(proxy.logger, event.ConfigRejected, zap.Error(err))
+		event.Log(proxy.logger, event.ConfigRejected, event.Cause(err))
 		return
 	}
 	proxy.mutex.Lock()
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -49,7 +49,7 @@
 	for {
 		pause := listPeriod/2 + rand.N(listPeriod)
 		if err := members.list(ctx); err != nil {
-			event.Log(members.proxy.logger, event.MembersUnlisted, zap.Error(err))
+			event.Log(members.proxy.logger, event.MembersUnlisted, event.Cause(err))
 			pause = registerPause/2 + rand.N(registerPause)
 		}
 		if !sleep(ctx, pause) {
@@ -97,7 +97,7 @@
 	for _, object := range objects {
 		var body memberBody
 		if err := json.Unmarshal(object.Body, &body); err != nil {
-			event.Log(members.proxy.logger, event.EntryIgnored, zap.String("Entry", object.Name), zap.Error(err))
+			event.Log(members.proxy.logger, event.EntryIgnored, zap.String("Entry", object.Name), event.Cause(err))
 			continue
 		}
 		vm := spool.VM(object.Name)
@@ -147,10 +147,10 @@
 		if err == nil {
 			err = members.proxy.adapter.Delete(ctx, object)
 		}
-		event.Log(members.proxy.logger, event.MemberRemoved, zap.String("VM", string(vm)), zap.Error(err))
+		event.Log(members.proxy.logger, event.MemberRemoved, zap.String("VM", string(vm)), event.Cause(err))
 	}
 	if err := members.list(ctx); err != nil {
-		event.Log(members.proxy.logger, event.MembersUnlisted, zap.Error(err))
+		event.Log(members.proxy.logger, event.MembersUnlisted, event.Cause(err))
 	}
 }
 
--- a/internal/fleet/observers.go
+++ b/internal/fleet/observers.go
@@ -20,7 +20,7 @@
 		number = event.PlatformBack
 	}
 	reach.setStoreReached(reached)
-	event.Log(reach.logger, number, zap.String("Kind", reach.kind), zap.Error(cause))
+	event.Log(reach.logger, number, zap.String("Kind", reach.kind), event.Cause(cause))
 }
 
 // serverObserver tells the pool of registered servers; it implements mirror.Observer.
@@ -32,7 +32,7 @@
 func (observer serverObserver) Changed(object spool.Object) {
 	server, err := observer.adapter.ParseServer(object)
 	if err != nil {
-		event.Log(observer.logger, event.EntryIgnored, zap.String("Entry", object.Name), zap.Error(err))
+		event.Log(observer.logger, event.EntryIgnored, zap.String("Entry", object.Name), event.Cause(err))
 		observer.pool.RemoveServer(spool.Server(object.Name))
 		return
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -76,7 +76,7 @@
 		vm, err := peers.transport.Identify(bounded, address)
 		cancel()
 		if err != nil {
-			event.Log(peers.proxy.logger, event.SeedUnreached, zap.String("Address", address), zap.Error(err))
+			event.Log(peers.proxy.logger, event.SeedUnreached, zap.String("Address", address), event.Cause(err))
 			continue
 		}
 		peers.proxy.members.add(spool.Member{VM: vm, Address: address})
@@ -295,3 +295,6 @@
 
 // Operator returns the team that connections of the proxy itself name.
 func (peers *peers) Operator() spool.Team { return peers.proxy.operator() }
+
+// Alone tells if no other proxy is registered.
+func (peers *peers) Alone() bool { return len(peers.proxy.members.others()) == 0 }
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -49,9 +49,10 @@
 	dial     spool.DialFunc
 
 	mutex        sync.Mutex
-	revision     uint64       // of the deployment in force
-	config       spool.Object // the deployment in force
-	operatorTeam spool.Team   // that the proxy's own connections to servers name
+	revision     uint64              // of the deployment in force
+	config       spool.Object        // the deployment in force
+	operatorTeam spool.Team          // that the proxy's own connections to servers name
+	latest       spool.FleetSettings // as last reloaded
 	storeReached bool
 	draining     bool
 }
@@ -60,7 +61,7 @@
 func New(settings spool.FleetSettings, adapter spool.Adapter, timers spool.Timers, logger *zap.Logger) *Proxy {
 	proxy := &Proxy{settings: settings, adapter: adapter, timers: timers, logger: logger, limiter: newLimiter(timers)}
 	proxy.dial = sock.Dialer(sock.DefaultSilence)
-	proxy.storeReached = true
+	proxy.storeReached, proxy.latest = true, settings
 	proxy.pool = pool.New(adapter, proxy.dial, timers,
 		pool.WithLogger(logger), pool.WithDistance(proxy.distance), pool.WithDrain(settings.Bounds.Drain))
 	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(logger))
@@ -85,7 +86,7 @@
 
 // Run serves until the context ends, then drains.
 func (proxy *Proxy) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(float64(proxy.settings.MemoryBytes) * memoryPart))
+	debug.SetMemoryLimit(memoryLimit(proxy.settings))
 	callers, err := sock.Listen(ctx, proxy.settings.Callers, sock.DefaultSilence)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
@@ -173,7 +174,7 @@
 		}),
 	}
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		event.Log(proxy.logger, event.ListenerFailed, zap.Error(err))
+		event.Log(proxy.logger, event.ListenerFailed, event.Cause(err))
 	}
 }
 
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -35,7 +35,7 @@
 	defer cancel()
 	conn, err := proxy.dial(ctx, address)
 	if err != nil {
-		event.Log(proxy.logger, event.RelayRefused, zap.String("Address", address), zap.Error(err))
+		event.Log(proxy.logger, event.RelayRefused, zap.String("Address", address), event.Cause(err))
 		return
 	}
 	defer func() { _ = conn.Close() }() // either side has ended
--- /dev/null
+++ b/internal/fleet/reload.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// reloadPeriod is the time between looks at the settings, which may change without a signal.
+const reloadPeriod = 5 * time.Second
+
+// Load reads the settings anew.
+type Load func() (spool.FleetSettings, spool.Faults)
+
+// WatchSettings reloads the settings on SIGHUP and from time to time until the context ends.
+func (proxy *Proxy) WatchSettings(ctx context.Context, load Load) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ticker := time.NewTicker(reloadPeriod)
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+				proxy.reload(load, "SIGHUP")
+			case <-ticker.C:
+				proxy.reload(load, "period")
+			}
+		}
+	}()
+}
+
+// reload takes over what may change while the process runs; wrong settings change nothing.
+func (proxy *Proxy) reload(load Load, trigger string) {
+	settings, faults := load()
+	if len(faults) > 0 {
+		event.Log(proxy.logger, event.SettingsRejected, zap.String("Trigger", trigger), event.Cause(faults))
+		return
+	}
+	proxy.mutex.Lock()
+	changed := !reflect.DeepEqual(settings, proxy.latest)
+	proxy.latest = settings
+	proxy.mutex.Unlock()
+	if !changed {
+		return
+	}
+	debug.SetMemoryLimit(memoryLimit(settings))
+	proxy.pool.SetDrain(settings.Bounds.Drain)
+	event.Log(proxy.logger, event.SettingsReloaded, zap.String("Trigger", trigger),
+		zap.Bool("RestartNeeded", restartNeeded(settings, proxy.settings)))
+}
+
+// restartNeeded tells if settings changed that a running process cannot take over.
+func restartNeeded(settings, started spool.FleetSettings) bool {
+	return settings.VM != started.VM || settings.Domain != started.Domain || settings.Callers != started.Callers ||
+		settings.Readiness != started.Readiness || settings.Peers != started.Peers || settings.Store != started.Store ||
+		settings.Orders != started.Orders
+}
+
+func memoryLimit(settings spool.FleetSettings) int64 {
+	return int64(float64(settings.MemoryBytes) * memoryPart)
+}
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -211,7 +211,7 @@
 	server.health.Failed(now)
 	event.Log(pool.logger, event.ServerUnreached, zap.String("Group", string(server.spec.Group)),
 		zap.String("Server", string(server.spec.Server)), zap.Duration("Took", now.Sub(began)),
-		zap.Int("Failures", server.health.Failures()), zap.Error(cause))
+		zap.Int("Failures", server.health.Failures()), event.Cause(cause))
 	pool.dispatch(pool.group(server.spec.Group), now)
 }
 
@@ -255,7 +255,7 @@
 		closing = server.takeIdle()
 	}
 	event.Log(pool.logger, event.ServerFailed, zap.String("Group", string(server.spec.Group)),
-		zap.String("Server", string(server.spec.Server)), zap.Int("Failures", server.health.Failures()), zap.Error(cause))
+		zap.String("Server", string(server.spec.Server)), zap.Int("Failures", server.health.Failures()), event.Cause(cause))
 	go closeAll(closing)
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,7 +50,7 @@
 
 // WithDrain sets how long a leaving server may be sent work.
 func WithDrain(drain time.Duration) Option {
-	return func(pool *Pool) { pool.leavingUse = max(0, drain-leavingMargin) }
+	return func(pool *Pool) { pool.SetDrain(drain) }
 }
 
 // New returns a pool without servers.
@@ -76,6 +76,13 @@
 	}
 }
 
+// SetDrain changes how long a leaving server may be sent work.
+func (pool *Pool) SetDrain(drain time.Duration) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.leavingUse = max(0, drain-leavingMargin)
+}
+
 // SetLimits puts the limits of the groups in force.
 func (pool *Pool) SetLimits(limits map[spool.Group]spool.GroupLimits) {
 	pool.mutex.Lock()
--- a/internal/warden/replace.go
+++ b/internal/warden/replace.go
@@ -109,7 +109,7 @@
 			status, err := warden.ask(view.Group, server.Server, command)
 			if err != nil {
 				event.Log(warden.logger, event.ServerUnasked, zap.String("Group", string(view.Group)),
-					zap.String("Server", string(server.Server)), zap.Error(err))
+					zap.String("Server", string(server.Server)), event.Cause(err))
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
@@ -156,7 +156,7 @@
 		state.paused[replica.Server] = true
 		_, err := warden.ask(view.Group, replica.Server, spool.Command{Verb: spool.VerbPause, Term: term + 1})
 		event.Log(warden.logger, event.ReplicaPaused, zap.String("Group", string(view.Group)),
-			zap.String("Server", string(replica.Server)), zap.Uint64("Term", uint64(term+1)), zap.Error(err))
+			zap.String("Server", string(replica.Server)), zap.Uint64("Term", uint64(term+1)), event.Cause(err))
 		complete = complete && err == nil
 	}
 	return complete
@@ -171,7 +171,7 @@
 		}
 		_, err := warden.ask(view.Group, server, spool.Command{Verb: spool.VerbResume})
 		event.Log(warden.logger, event.ReplicaResumed, zap.String("Group", string(view.Group)),
-			zap.String("Server", string(server)), zap.Error(err))
+			zap.String("Server", string(server)), event.Cause(err))
 		if err == nil {
 			delete(state.paused, server)
 		}
@@ -187,7 +187,7 @@
 	token, err := warden.tokens.Next(ctx, view.Group)
 	if err != nil {
 		event.Log(warden.logger, event.PromotionFailed, zap.String("Group", string(view.Group)),
-			zap.String("Server", string(chosen)), zap.Error(eris.Wrap(err, "take a fencing token")))
+			zap.String("Server", string(chosen)), event.Cause(eris.Wrap(err, "take a fencing token")))
 		warden.resume(view, state)
 		warden.retryLater(state)
 		return
@@ -197,7 +197,7 @@
 	})
 	event.Log(warden.logger, event.PromotionOrdered, zap.String("Group", string(view.Group)),
 		zap.String("Server", string(chosen)), zap.String("Replaced", string(view.Primary)),
-		zap.Uint64("Token", token), zap.Error(err))
+		zap.Uint64("Token", token), event.Cause(err))
 	if errors.Is(err, spool.ErrFenced) {
 		warden.resume(view, state)
 		warden.retryLater(state)
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -31,6 +31,8 @@
 	Contact(group spool.Group, primary spool.Server, since spool.Instant) (spool.Instant, spool.LogPosition, bool)
 	// Canvass asks all live proxies if they reach a primary.
 	Canvass(group spool.Group, primary spool.Server) (asked, reached, unreached int)
+	// Alone tells if no other proxy is registered.
+	Alone() bool
 	// Operator returns the team that connections of the proxy itself name.
 	Operator() spool.Team
 }
@@ -161,9 +163,9 @@
 		state.failed = warden.timers.Now()
 		state.since = max(contact, view.Contact)
 		event.Log(warden.logger, event.PrimarySuspected, zap.String("Group", string(view.Group)),
-			zap.String("Server", string(view.Primary)), zap.Duration("SinceContact", state.failed.Sub(contact)), zap.Error(err))
+			zap.String("Server", string(view.Primary)), zap.Duration("SinceContact", state.failed.Sub(contact)), event.Cause(err))
 	}
-	suspicion := elect.Suspicion{Failed: max(state.failed, contact+1), Contact: contact}
+	suspicion := elect.Suspicion{Failed: max(state.failed, contact+1), Contact: contact, Alone: warden.fleet.Alone()}
 	if !suspicion.Suspect(warden.timers.Now()) {
 		return
 	}
