Take the fencing token before the situation is judged, and tell a full server from a dead one

Now a proxy that has just started supervises nothing for 1.5 s, only silence counts as unreached, and a holder takes its token first, waits out another holder's recent turn and orders within 0.8 s of it.

--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -1,7 +1,7 @@
 package elect
 
 import (
-	"time"
+	"errors"
 
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -18,6 +18,7 @@
 // Situation is what is known of a group whose primary is to be replaced.
 type Situation struct {
 	Replicas      []Replica         // all registered servers but the primary
+	Before        spool.Server      // chosen earlier; stays so among equals
 	SyncReplicas  int               // replicas that confirm a commit before it is acknowledged
 	Acked         spool.LogPosition // newest position that any proxy is known to have acknowledged
 	AckedComplete bool              // every registered proxy has told its newest acknowledged position since the primary fell silent
@@ -36,7 +37,7 @@
 
 // Choose returns the most advanced replica if it provably holds every acknowledged commit.
 func Choose(situation Situation) (spool.Server, Verdict) {
-	best := mostAdvanced(situation.Replicas)
+	best := mostAdvanced(situation.Replicas, situation.Before)
 	if best == nil {
 		return "", NoReplica
 	}
@@ -56,14 +57,14 @@
 	return best.Server, Safe
 }
 
-func mostAdvanced(replicas []Replica) *Replica {
+func mostAdvanced(replicas []Replica, before spool.Server) *Replica {
 	var best *Replica
 	for i := range replicas {
 		replica := &replicas[i]
 		if !replica.Seen {
 			continue
 		}
-		if best == nil || better(replica, best) {
+		if best == nil || better(replica, best) || replica.Server == before && !better(best, replica) {
 			best = replica
 		}
 	}
@@ -99,30 +100,45 @@
 	return best.Server, true
 }
 
-// Suspicion decides if a primary is to be replaced from what all proxies see of it.
-type Suspicion struct {
-	Failed    spool.Instant // when this proxy's newest attempt to reach the primary failed; zero if it succeeded
-	Contact   spool.Instant // when any proxy last reached the primary
-	Alone     bool          // no other proxy is registered
-	Asked     int           // live proxies that were asked to try
-	Unreached int           // of those that answered: not reached
-	Reached   int           // of those that answered: reached
-}
+// Testimony is what a proxy learned when it asked a server to act as primary.
+type Testimony int
+
+// Testimonies about a server.
+const (
+	Silent Testimony = iota // it could not be reached
+	Acts                    // it acts as primary
+	Denies                  // it is up and not the primary
+	Full                    // it is up and has no room to say more
+)
 
-// shortestSilence is how long nobody may have reached the primary: two heartbeats, so that a proxy that reaches it has
-// told so.
-const shortestSilence = 900 * time.Millisecond
+// Testify tells what an attempt to begin a transaction on a server showed.
+func Testify(err error) Testimony {
+	if err == nil {
+		return Acts
+	}
+	var refusal *spool.Refusal
+	if !errors.As(err, &refusal) {
+		return Silent
+	}
+	if refusal.Code == spool.CodeReadOnly {
+		return Denies
+	}
+	return Full
+}
 
-// Suspect tells if the silence is worth asking the other proxies.
-func (suspicion Suspicion) Suspect(now spool.Instant) bool {
-	return suspicion.Failed > suspicion.Contact && now.Sub(suspicion.Contact) >= shortestSilence/2
+// Canvass is what the other proxies say of a group's primary.
+type Canvass struct {
+	Alone     bool // no other proxy is registered
+	Asked     int  // live proxies that were asked
+	Reached   int  // of those that answered: reached the primary
+	Unreached int  // of those that answered: did not
 }
 
 // Dead tells if the primary is to be replaced: nobody reaches it, as most of the live proxies say. A proxy that hears no
 // other one may itself be cut off, and leaves it to the registry to tell.
-func (suspicion Suspicion) Dead() bool {
-	if suspicion.Asked == 0 {
-		return suspicion.Alone
+func (canvass Canvass) Dead() bool {
+	if canvass.Asked == 0 {
+		return canvass.Alone
 	}
-	return suspicion.Reached == 0 && 2*suspicion.Unreached >= suspicion.Asked
+	return canvass.Reached == 0 && 2*canvass.Unreached >= canvass.Asked
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -53,8 +54,12 @@
 	return proxy.operatorTeam
 }
 
-// fit tells if this proxy can look after groups: it reaches the store and stays.
+// fit tells if this proxy can look after groups: it reaches the store, stays, and has run for long enough to have heard
+// the other live ones.
 func (proxy *Proxy) fit() bool {
+	if proxy.timers.Now().Sub(proxy.started) < roster.LiveFor {
+		return false
+	}
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	return proxy.storeReached && !proxy.draining && proxy.revision > 0
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/internal/core/fresh"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/peer"
@@ -234,8 +235,8 @@
 	return contact, acked, complete
 }
 
-// Canvass asks all live proxies if they reach a server, and counts the answers.
-func (peers *peers) Canvass(group spool.Group, server spool.Server) (asked, reached, unreached int) {
+// Canvass asks all live proxies if they reach a server as primary, or any if none is named.
+func (peers *peers) Canvass(group spool.Group, server spool.Server) elect.Canvass {
 	live := peers.proxy.members.live()
 	answers := make(chan bool, len(live))
 	peers.mutex.Lock()
@@ -252,27 +253,34 @@
 	for _, to := range live {
 		peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_ProbeRequest{ProbeRequest: request}})
 	}
+	canvass := elect.Canvass{Asked: len(live), Alone: len(peers.proxy.members.others()) == 0}
 	timer := time.NewTimer(probePatience)
 	defer timer.Stop()
 	for range live {
 		select {
 		case answer := <-answers:
 			if answer {
-				return len(live), reached + 1, unreached
+				canvass.Reached++
+				return canvass
 			}
-			unreached++
+			canvass.Unreached++
 		case <-timer.C:
-			return len(live), reached, unreached
+			return canvass
 		}
 	}
-	return len(live), reached, unreached
+	return canvass
 }
 
 func (peers *peers) answerProbe(from spool.VM, request *wire.ProbeRequest) {
 	group, server := spool.Group(request.Group), spool.Server(request.Server)
+	if server == "" {
+		server = peers.proxy.pool.View(group).Primary
+	}
 	err := peers.proxy.pool.AskPrimary(group, server, peers.proxy.operator())
+	testimony := elect.Testify(err)
 	answer := &wire.ProbeAnswer{
-		Group: request.Group, Server: request.Server, Sequence: request.Sequence, Reached: err == nil,
+		Group: request.Group, Server: request.Server, Sequence: request.Sequence,
+		Reached: testimony == elect.Acts || testimony == elect.Full,
 	}
 	peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ProbeAnswer{ProbeAnswer: answer}})
 }
@@ -295,6 +303,3 @@
 
 // Operator returns the team that connections of the proxy itself name.
 func (peers *peers) Operator() spool.Team { return peers.proxy.operator() }
-
-// Alone tells if no other proxy is registered.
-func (peers *peers) Alone() bool { return len(peers.proxy.members.others()) == 0 }
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -47,6 +47,7 @@
 	peers    *peers
 	warden   *warden.Warden
 	dial     spool.DialFunc
+	started  spool.Instant
 
 	mutex        sync.Mutex
 	revision     uint64              // of the deployment in force
@@ -60,6 +61,7 @@
 // New returns a proxy that has not started.
 func New(settings spool.FleetSettings, adapter spool.Adapter, timers spool.Timers, logger *zap.Logger) *Proxy {
 	proxy := &Proxy{settings: settings, adapter: adapter, timers: timers, logger: logger, limiter: newLimiter(timers)}
+	proxy.started = timers.Now()
 	proxy.dial = sock.Dialer(sock.DefaultSilence)
 	proxy.storeReached, proxy.latest = true, settings
 	proxy.pool = pool.New(adapter, proxy.dial, timers,
--- a/internal/warden/replace.go
+++ b/internal/warden/replace.go
@@ -18,63 +18,102 @@
 // catchUpTime is how long a candidate may take to receive what the paused replicas have: the lag of replication.
 const catchUpTime = 400 * time.Millisecond
 
+// nearDistance is the round trip up to which a server counts as near: that of a region.
+const nearDistance = 10 * time.Millisecond
+
 // replace promotes a replica in place of a primary that is gone.
 func (warden *Warden) replace(ctx context.Context, view pool.View, state *state) {
-	replicas := warden.statuses(view, state, view.Primary)
-	_, acked, complete := warden.fleet.Contact(view.Group, view.Primary, state.since)
-	situation := elect.Situation{
-		Replicas: replicas, SyncReplicas: view.SyncReplicas, Acked: acked.Max(view.Acked), AckedComplete: complete,
-	}
-	chosen, verdict := elect.Choose(situation)
-	warden.logChoice(view, chosen, verdict, replicas, situation.Acked)
-	if chosen == "" {
+	if warden.choose(view, state, "") == "" {
 		warden.retryLater(state)
 		return
 	}
-	if !warden.pauseOthers(view, state, replicas, chosen) {
-		warden.retryLater(state)
+	turn, ok := warden.take(ctx, view, state)
+	if !ok {
 		return
 	}
-	again := warden.statuses(view, state, view.Primary)
-	situation.Replicas = again
-	if better, verdict := elect.Choose(situation); better != chosen {
-		warden.logChoice(view, better, verdict, again, situation.Acked)
+	chosen := warden.choose(view, state, "")
+	if chosen == "" || !warden.pauseOthers(view, state, chosen) || warden.choose(view, state, chosen) != chosen {
 		warden.resume(view, state)
+		warden.retryLater(state)
 		return
 	}
-	warden.order(ctx, view, state, chosen)
+	warden.order(ctx, view, state, chosen, turn)
+}
+
+// choose asks the replicas for their positions and weighs them; an equal one that was chosen before stays chosen.
+func (warden *Warden) choose(view pool.View, state *state, before spool.Server) spool.Server {
+	replicas := warden.statuses(view)
+	_, acked, complete := warden.fleet.Contact(view.Group, view.Primary, state.since)
+	situation := elect.Situation{
+		Replicas: replicas, Before: before, SyncReplicas: view.SyncReplicas, Acked: acked.Max(view.Acked),
+		AckedComplete: complete,
+	}
+	chosen, verdict := elect.Choose(situation)
+	warden.logChoice(view, chosen, verdict, replicas, situation.Acked)
+	return chosen
 }
 
 // hand promotes a replica while the leaving primary still works, so that no commit waits.
 func (warden *Warden) hand(ctx context.Context, view pool.View, state *state) {
-	replicas := warden.statuses(view, state, view.Primary)
+	turn, ok := warden.take(ctx, view, state)
+	if !ok {
+		return
+	}
+	replicas := warden.statuses(view)
 	chosen, found := elect.Planned(replicas)
+	verdict := elect.Safe
 	if !found {
-		warden.logChoice(view, "", elect.NoReplica, replicas, view.Acked)
-		warden.retryLater(state)
-		return
+		verdict = elect.NoReplica
 	}
-	if !warden.pauseOthers(view, state, replicas, chosen) {
+	warden.logChoice(view, chosen, verdict, replicas, view.Acked)
+	if !found || !warden.pauseOthers(view, state, chosen) || !warden.catchUp(view, chosen) {
 		warden.resume(view, state)
 		warden.retryLater(state)
 		return
 	}
+	warden.order(ctx, view, state, chosen, turn)
+}
+
+// catchUp waits until a server has received all that the paused replicas have.
+func (warden *Warden) catchUp(view pool.View, chosen spool.Server) bool {
 	deadline := warden.timers.Now().Add(catchUpTime)
-	for {
-		replicas = warden.statuses(view, state, view.Primary)
-		best, _ := elect.Choose(elect.Situation{Replicas: replicas, SyncReplicas: view.SyncReplicas, AckedComplete: true})
-		if best == chosen || caughtUp(replicas, chosen) {
-			break
-		}
+	for !caughtUp(warden.statuses(view), chosen) {
 		if warden.timers.Now() > deadline {
-			warden.resume(view, state)
-			warden.retryLater(state)
-			return
+			return false
 		}
 		time.Sleep(lookPeriod / 5)
 	}
-	warden.logChoice(view, chosen, elect.Safe, replicas, view.Acked)
-	warden.order(ctx, view, state, chosen)
+	return true
+}
+
+// turn is a fencing token and when it was taken.
+type turn struct {
+	token uint64
+	taken spool.Instant
+}
+
+// take takes a fencing token; after another holder's turn it waits for the end of that one's promotion.
+func (warden *Warden) take(ctx context.Context, view pool.View, state *state) (turn, bool) {
+	token, recent, err := warden.tokens.Next(ctx, view.Group)
+	if err != nil {
+		event.Log(warden.logger, event.PromotionFailed, zap.String("Group", string(view.Group)), event.Cause(err))
+		warden.retryLater(state)
+		return turn{}, false
+	}
+	if !recent {
+		return turn{token: token, taken: warden.timers.Now()}, true
+	}
+	time.Sleep(turnWait)
+	for _, server := range view.Servers {
+		if server.Server == view.Primary {
+			continue
+		}
+		err := warden.pool.AskPrimary(view.Group, server.Server, warden.fleet.Operator())
+		if elect.Testify(err) == elect.Acts {
+			return turn{}, false
+		}
+	}
+	return turn{token: token, taken: warden.timers.Now()}, true
 }
 
 // caughtUp tells if a server has received all that the other replicas have.
@@ -93,20 +132,16 @@
 }
 
 // statuses asks all servers but the primary for their positions.
-func (warden *Warden) statuses(view pool.View, state *state, primary spool.Server) []elect.Replica {
-	return warden.askAll(view, state, primary, spool.Command{Verb: spool.VerbStatus})
-}
-
-func (warden *Warden) askAll(view pool.View, _ *state, except spool.Server, command spool.Command) []elect.Replica {
+func (warden *Warden) statuses(view pool.View) []elect.Replica {
 	var replicas []elect.Replica
 	var asking sync.WaitGroup
 	var mutex sync.Mutex
 	for _, server := range view.Servers {
-		if server.Server == except {
+		if server.Server == view.Primary {
 			continue
 		}
 		asking.Go(func() {
-			status, err := warden.ask(view.Group, server.Server, command)
+			status, err := warden.ask(view.Group, server.Server, spool.Command{Verb: spool.VerbStatus})
 			if err != nil {
 				event.Log(warden.logger, event.ServerUnasked, zap.String("Group", string(view.Group)),
 					zap.String("Server", string(server.Server)), event.Cause(err))
@@ -114,7 +149,8 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 			replicas = append(replicas, elect.Replica{
-				Server: server.Server, Seen: err == nil, Status: status, Leaving: server.Leaving, Near: server.Distance < statusWait/50,
+				Server: server.Server, Seen: err == nil, Status: status, Leaving: server.Leaving,
+				Near: server.Distance < nearDistance,
 			})
 		})
 	}
@@ -143,25 +179,25 @@
 }
 
 // pauseOthers stops the replicas besides the chosen one from receiving, so that no commit is confirmed without it.
-func (warden *Warden) pauseOthers(view pool.View, state *state, replicas []elect.Replica, chosen spool.Server) bool {
-	term := view.Term
-	for _, replica := range replicas {
-		term = max(term, replica.Status.Term, replica.Status.Held)
-	}
+func (warden *Warden) pauseOthers(view pool.View, state *state, chosen spool.Server) bool {
+	term := view.Term + 1
 	complete := true
-	for _, replica := range replicas {
-		if replica.Server == chosen || !replica.Seen {
+	for _, server := range view.Servers {
+		if server.Server == chosen || server.Server == view.Primary {
 			continue
 		}
-		state.paused[replica.Server] = true
-		_, err := warden.ask(view.Group, replica.Server, spool.Command{Verb: spool.VerbPause, Term: term + 1})
+		state.paused[server.Server] = true
+		_, err := warden.ask(view.Group, server.Server, spool.Command{Verb: spool.VerbPause, Term: term})
 		event.Log(warden.logger, event.ReplicaPaused, zap.String("Group", string(view.Group)),
-			zap.String("Server", string(replica.Server)), zap.Uint64("Term", uint64(term+1)), event.Cause(err))
-		complete = complete && err == nil
+			zap.String("Server", string(server.Server)), zap.Uint64("Term", uint64(term)), event.Cause(err))
+		complete = complete && (err == nil || !warden.reachable(err))
 	}
 	return complete
 }
 
+// reachable tells if an error is a server's own answer.
+func (*Warden) reachable(err error) bool { return elect.Testify(err) != elect.Silent }
+
 // resume lets paused replicas receive again.
 func (warden *Warden) resume(view pool.View, state *state) {
 	for server := range state.paused {
@@ -182,22 +218,19 @@
 	state.next = warden.timers.Now().Add(retryAfter)
 }
 
-// order takes a fencing token and orders the promotion.
-func (warden *Warden) order(ctx context.Context, view pool.View, state *state, chosen spool.Server) {
-	token, err := warden.tokens.Next(ctx, view.Group)
-	if err != nil {
-		event.Log(warden.logger, event.PromotionFailed, zap.String("Group", string(view.Group)),
-			zap.String("Server", string(chosen)), event.Cause(eris.Wrap(err, "take a fencing token")))
-		warden.resume(view, state)
-		warden.retryLater(state)
-		return
+// order orders the promotion unless the token was taken too long ago.
+func (warden *Warden) order(ctx context.Context, view pool.View, state *state, chosen spool.Server, turn turn) {
+	var err error
+	if late := warden.timers.Now().Sub(turn.taken); late > orderWithin {
+		err = eris.Errorf("the fencing token was taken %v ago", late)
+	} else {
+		err = warden.promoter.Promote(ctx, spool.Promotion{
+			Group: view.Group, Server: chosen, Holder: warden.vm, Token: turn.token,
+		})
 	}
-	err = warden.promoter.Promote(ctx, spool.Promotion{
-		Group: view.Group, Server: chosen, Holder: warden.vm, Token: token,
-	})
 	event.Log(warden.logger, event.PromotionOrdered, zap.String("Group", string(view.Group)),
 		zap.String("Server", string(chosen)), zap.String("Replaced", string(view.Primary)),
-		zap.Uint64("Token", token), event.Cause(err))
+		zap.Uint64("Token", turn.token), event.Cause(err))
 	if errors.Is(err, spool.ErrFenced) {
 		warden.resume(view, state)
 		warden.retryLater(state)
--- a/internal/warden/tokens.go
+++ b/internal/warden/tokens.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -13,6 +14,10 @@
 // KindDuty is the kind of the objects that hold the fencing tokens, one a group.
 const KindDuty = "corianderspool-duties"
 
+// recentTurn is how long another holder's turn counts as recent: orders may run up to 12 s late, and clocks may be off by
+// a few seconds.
+const recentTurn = 20 * time.Second
+
 // maxTokenTries bounds how often a lost race or answer is tried again.
 const maxTokenTries = 4
 
@@ -20,6 +25,7 @@
 type dutyBody struct {
 	Holder spool.VM
 	Token  uint64
+	Taken  int64  // Unix milliseconds by the holder's clock
 	Nonce  uint64 // tells an own update whose answer was lost from that of another proxy
 }
 
@@ -35,39 +41,42 @@
 	return &Tokens{store: store, vm: vm, nonce: nonce}
 }
 
-// Next takes the next token of a group; no other holder ever gets the same.
-func (tokens *Tokens) Next(ctx context.Context, group spool.Group) (uint64, error) {
+// Next takes the next token of a group; no other holder ever gets the same. Recent tells that another holder took the one
+// before a short while ago.
+func (tokens *Tokens) Next(ctx context.Context, group spool.Group) (token uint64, recent bool, err error) {
 	nonce := tokens.nonce()
 	var last error
 	for range maxTokenTries {
-		token, err := tokens.try(ctx, group, nonce)
+		token, recent, err = tokens.try(ctx, group, nonce)
 		if err == nil {
-			return token, nil
+			return token, recent, nil
 		}
 		last = err
 	}
-	return 0, eris.Wrapf(last, "duty of group %s", group)
+	return 0, false, eris.Wrapf(last, "duty of group %s", group)
 }
 
-func (tokens *Tokens) try(ctx context.Context, group spool.Group, nonce uint64) (uint64, error) {
+func (tokens *Tokens) try(ctx context.Context, group spool.Group, nonce uint64) (uint64, bool, error) {
 	object, err := tokens.store.Get(ctx, KindDuty, string(group))
 	missing := errors.Is(err, spool.ErrNotFound)
 	if err != nil && !missing {
-		return 0, err
+		return 0, false, err
 	}
 	var body dutyBody
 	if !missing {
 		if err := json.Unmarshal(object.Body, &body); err != nil {
-			return 0, eris.Wrap(err, "read the duty")
+			return 0, false, eris.Wrap(err, "read the duty")
 		}
 		if body.Nonce == nonce && body.Holder == tokens.vm {
-			return body.Token, nil // the update whose answer was lost
+			return body.Token, true, nil // the update whose answer was lost
 		}
 	}
-	next := dutyBody{Holder: tokens.vm, Token: body.Token + 1, Nonce: nonce}
+	now := time.Now()
+	recent := !missing && body.Holder != tokens.vm && now.Sub(time.UnixMilli(body.Taken)).Abs() < recentTurn
+	next := dutyBody{Holder: tokens.vm, Token: body.Token + 1, Taken: now.UnixMilli(), Nonce: nonce}
 	text, err := json.Marshal(next)
 	if err != nil {
-		return 0, eris.Wrap(err, "write the duty")
+		return 0, false, eris.Wrap(err, "write the duty")
 	}
 	update := spool.Object{Kind: KindDuty, Name: string(group), Version: object.Version, Body: text}
 	if missing {
@@ -76,7 +85,7 @@
 		_, err = tokens.store.Put(ctx, update)
 	}
 	if err != nil {
-		return 0, err // read again: it may have been done
+		return 0, false, err // read again: it may have been done
 	}
-	return next.Token, nil
+	return next.Token, recent, nil
 }
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	lookPeriod = 150 * time.Millisecond  // between looks at each group
-	idleProbe  = 400 * time.Millisecond  // a primary that nobody reached for so long is probed
-	statusWait = 500 * time.Millisecond  // for a server's status: a round trip and the work before it in its queue
-	settleTime = 1500 * time.Millisecond // after an accepted order until the server must act as primary; promotes take 1 s at most
-	retryAfter = 300 * time.Millisecond  // after an attempt that ended without an order
-	unsureFor  = 13 * time.Second        // after an order without an answer, which may run up to 12 s later
+	lookPeriod  = 150 * time.Millisecond  // between looks at each group
+	idleProbe   = 400 * time.Millisecond  // a primary that nobody reached for so long is probed
+	statusWait  = 500 * time.Millisecond  // for a server's status: a round trip and the work before it in its queue
+	settleTime  = 1500 * time.Millisecond // after an accepted order until the server must act as primary; promotes take 1 s at most
+	retryAfter  = 300 * time.Millisecond  // after an attempt that ended without an order
+	orderWithin = 800 * time.Millisecond  // of taking a fencing token; later the situation may be another holder's
+	turnWait    = 1300 * time.Millisecond // after another holder's turn: its order and the promotion that follows are done by then
 )
 
 // Fleet is what the warden asks the other proxies.
@@ -29,10 +30,8 @@
 	// Contact returns when any proxy last reached a primary and the newest acknowledged position; complete says that
 	// every registered proxy has told it since an instant.
 	Contact(group spool.Group, primary spool.Server, since spool.Instant) (spool.Instant, spool.LogPosition, bool)
-	// Canvass asks all live proxies if they reach a primary.
-	Canvass(group spool.Group, primary spool.Server) (asked, reached, unreached int)
-	// Alone tells if no other proxy is registered.
-	Alone() bool
+	// Canvass asks all live proxies if they reach a server as primary, or any if none is named.
+	Canvass(group spool.Group, primary spool.Server) elect.Canvass
 	// Operator returns the team that connections of the proxy itself name.
 	Operator() spool.Team
 }
@@ -54,15 +53,12 @@
 
 // state is what the warden remembers of a group.
 type state struct {
-	busy     bool
-	failed   spool.Instant // when the newest probe of the primary failed; zero if it succeeded
-	cause    error
-	next     spool.Instant // no look before
-	paused   map[spool.Server]bool
-	unsure   spool.Instant // until when an order without an answer may still run
-	expected spool.Server  // that was ordered to lead
-	primary  spool.Server  // that the newest probe asked
-	since    spool.Instant // when the primary fell silent
+	busy    bool
+	failed  spool.Instant // when the newest probe of the primary failed; zero if it succeeded
+	next    spool.Instant // no look before
+	paused  map[spool.Server]bool
+	primary spool.Server  // that the newest probe asked
+	since   spool.Instant // when the primary fell silent
 }
 
 // New returns a warden; the tokens come from the store.
@@ -155,44 +151,59 @@
 		warden.resume(view, state)
 		return
 	}
-	if err := warden.pool.AskPrimary(view.Group, view.Primary, warden.fleet.Operator()); err == nil {
+	err := warden.pool.AskPrimary(view.Group, view.Primary, warden.fleet.Operator())
+	switch elect.Testify(err) {
+	case elect.Acts, elect.Full:
 		state.failed = 0
 		warden.resume(view, state)
 		return
-	} else if state.cause = err; state.failed == 0 {
-		state.failed = warden.timers.Now()
-		state.since = max(contact, view.Contact)
+	case elect.Denies:
+		state.failed = 0 // the next look finds no primary
+		return
+	}
+	if state.failed == 0 {
+		state.failed, state.since = warden.timers.Now(), contact
 		event.Log(warden.logger, event.PrimarySuspected, zap.String("Group", string(view.Group)),
-			zap.String("Server", string(view.Primary)), zap.Duration("SinceContact", state.failed.Sub(contact)), event.Cause(err))
+			zap.String("Server", string(view.Primary)), zap.Duration("SinceContact", state.failed.Sub(contact)),
+			event.Cause(err))
 	}
-	suspicion := elect.Suspicion{Failed: max(state.failed, contact+1), Contact: contact, Alone: warden.fleet.Alone()}
-	if !suspicion.Suspect(warden.timers.Now()) {
-		return
+	if warden.confirmed(view, state, view.Primary) {
+		warden.replace(ctx, view, state)
 	}
-	suspicion.Asked, suspicion.Reached, suspicion.Unreached = warden.fleet.Canvass(view.Group, view.Primary)
-	dead := suspicion.Dead()
+}
+
+// confirmed asks the other proxies and tells if the primary is to be replaced.
+func (warden *Warden) confirmed(view pool.View, state *state, primary spool.Server) bool {
+	canvass := warden.fleet.Canvass(view.Group, primary)
+	dead := canvass.Dead()
 	event.Log(warden.logger, event.PrimaryCanvassed, zap.String("Group", string(view.Group)),
-		zap.String("Server", string(view.Primary)), zap.Int("Asked", suspicion.Asked),
-		zap.Int("Reached", suspicion.Reached), zap.Int("Unreached", suspicion.Unreached), zap.Bool("Dead", dead))
+		zap.String("Server", string(primary)), zap.Int("Asked", canvass.Asked), zap.Int("Reached", canvass.Reached),
+		zap.Int("Unreached", canvass.Unreached), zap.Bool("Dead", dead))
 	if !dead {
-		state.next = warden.timers.Now().Add(retryAfter)
-		return
+		warden.retryLater(state)
 	}
-	warden.replace(ctx, view, state)
+	return dead
 }
 
 // replaceMissing acts when no registered server is known to be the primary.
 func (warden *Warden) replaceMissing(ctx context.Context, view pool.View, state *state) {
 	for _, server := range view.Servers {
-		if warden.pool.AskPrimary(view.Group, server.Server, warden.fleet.Operator()) == nil {
+		err := warden.pool.AskPrimary(view.Group, server.Server, warden.fleet.Operator())
+		switch elect.Testify(err) {
+		case elect.Acts:
+			state.failed = 0
+			return
+		case elect.Full:
+			warden.retryLater(state)
 			return
 		}
 	}
-	now := warden.timers.Now()
 	if state.failed == 0 || state.primary != "" {
-		state.primary, state.failed, state.since = "", now, now
-		state.next = now.Add(retryAfter)
+		state.primary, state.failed, state.since = "", warden.timers.Now(), view.Contact
+		warden.retryLater(state)
 		return
 	}
-	warden.replace(ctx, view, state)
+	if warden.confirmed(view, state, "") {
+		warden.replace(ctx, view, state)
+	}
 }
