Read the store's version for the fleet and list anew what stays behind it

Ruled out: a watch cut with an empty answer (relisting after one changed nothing), a rejected configuration (no such line). One proxy now reads the store's version each second, heartbeats carry it, and a copy that is behind for 0.6 s is listed anew.

--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -72,6 +72,7 @@
 	RelayRefused     Number = 711
 	SettingsReloaded Number = 105
 	SettingsRejected Number = 106
+	StoreUnread      Number = 712
 	ConfigAccepted   Number = 501
 	ConfigRejected   Number = 502
 	KeyWithdrawn     Number = 503
@@ -132,6 +133,7 @@
 	RelayRefused:     {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
 	SettingsReloaded: {Level: zapcore.InfoLevel, Text: "settings reloaded"},
 	SettingsRejected: {Level: zapcore.ErrorLevel, Text: "settings rejected"},
+	StoreUnread:      {Level: zapcore.WarnLevel, Text: "store not read", PerSecond: serverLimit},
 	ConfigAccepted:   {Level: zapcore.InfoLevel, Text: "manifest accepted"},
 	ConfigRejected:   {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
 	KeyWithdrawn:     {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -135,9 +135,10 @@
 // collect removes the registration of a proxy that was silent for long; a proxy that still runs registers again.
 func (members *members) collect(ctx context.Context) {
 	now := members.proxy.timers.Now()
+	fit := members.proxy.fit() // before the lock of the members, which others take while they hold the proxy's
 	members.mutex.Lock()
 	gone := members.roster.Gone(now)
-	supervises := members.roster.Supervises(kindMember, members.proxy.fit(), now)
+	supervises := members.roster.Supervises(kindMember, fit, now)
 	members.mutex.Unlock()
 	if len(gone) == 0 || !supervises {
 		return
@@ -178,9 +179,10 @@
 
 // supervises tells if this proxy looks after a group.
 func (members *members) supervises(group spool.Group) bool {
+	fit := members.proxy.fit() // before the lock, as in collect
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	return members.roster.Supervises(string(group), members.proxy.fit(), members.proxy.timers.Now())
+	return members.roster.Supervises(string(group), fit, members.proxy.timers.Now())
 }
 
 // sleep waits and tells if the context still runs.
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -89,6 +89,7 @@
 	proxy := peers.proxy
 	now := proxy.timers.Now()
 	pulse := proxy.describe(now)
+	version, confirmed := proxy.reader.state()
 	for _, to := range proxy.members.others() {
 		peers.mutex.Lock()
 		view, known := peers.views[to]
@@ -96,6 +97,7 @@
 		copied := &wire.Pulse{
 			Domain: pulse.Domain, Address: pulse.Address, Leaving: pulse.Leaving, SentNanos: int64(now),
 			Revision: pulse.Revision, StoreReached: pulse.StoreReached, Groups: pulse.Groups,
+			StoreVersion: uint64(version), ConfirmedAgeNanos: int64(now.Sub(confirmed)),
 		}
 		if known {
 			copied.EchoNanos = view.sent
@@ -187,6 +189,9 @@
 	peers.mutex.Lock()
 	peers.views[from] = view
 	peers.mutex.Unlock()
+	if sent != 0 {
+		proxy.reader.learn(spool.Version(pulse.StoreVersion), sent.Add(-time.Duration(pulse.ConfirmedAgeNanos)))
+	}
 	if pulse.Revision > proxy.currentRevision() {
 		peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{ConfigRequest: &wire.ConfigRequest{}}})
 	}
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -46,6 +46,9 @@
 	members  *members
 	peers    *peers
 	warden   *warden.Warden
+	reader   *reader
+	configs  *mirror.Mirror
+	servers  *mirror.Mirror
 	dial     spool.DialFunc
 	started  spool.Instant
 
@@ -69,6 +72,7 @@
 	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(logger))
 	proxy.members = newMembers(proxy)
 	proxy.peers = newPeers(proxy)
+	proxy.reader = newReader(proxy)
 	proxy.limiter.request = proxy.peers.askTokens
 	tokens := warden.NewTokens(adapter, settings.VM, rand.Uint64)
 	proxy.warden = warden.New(settings.VM, proxy.pool, adapter, tokens, adapter, proxy.peers, timers, logger)
@@ -124,12 +128,13 @@
 // follow copies configuration, servers and members from the store.
 func (proxy *Proxy) follow(ctx context.Context) {
 	kind, _ := proxy.adapter.ConfigObject()
-	config := mirror.New(proxy.adapter, proxy.timers, kind, configObserver{reach{proxy, kind}})
+	proxy.configs = mirror.New(proxy.adapter, proxy.timers, kind, configObserver{reach{proxy, kind}})
 	kind = proxy.adapter.ServerKind()
-	servers := mirror.New(proxy.adapter, proxy.timers, kind, serverObserver{reach{proxy, kind}})
-	go config.Run(ctx)
-	go servers.Run(ctx)
+	proxy.servers = mirror.New(proxy.adapter, proxy.timers, kind, serverObserver{reach{proxy, kind}})
+	go proxy.configs.Run(ctx)
+	go proxy.servers.Run(ctx)
 	go proxy.members.run(ctx)
+	go proxy.reader.run(ctx)
 	proxy.timers.Every(collectPeriod, spool.TimerFunc(func(spool.Instant) { proxy.members.collect(ctx) }))
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -14,6 +14,8 @@
 	shortestPause = 150 * time.Millisecond  // between calls while the store refuses; doubled up to longestPause
 	longestPause  = 900 * time.Millisecond  // so that the end of an outage is seen within a second
 	lapsePause    = 2200 * time.Millisecond // entries that lapsed in an outage are back two seconds after it
+	watchWait     = 25 * time.Second        // longest wait of a watch; the store allows 30 s
+	hintPatience  = 600 * time.Millisecond  // for a watch to tell of a version that others know; a slow answer takes 240 ms
 	lostAfter     = 2                       // failed calls in a row after which the store counts as lost
 )
 
@@ -39,6 +41,10 @@
 	mutex    sync.Mutex
 	versions map[string]spool.Version
 	missing  map[string]func() // stops the timer that will report the object as deleted
+	version  spool.Version     // that the copy shows
+	cancel   func()            // ends the watch that waits; nil while none does
+	hinted   bool              // a look at a hint is due
+	cut      bool              // the watch was ended because of a hint
 	failed   spool.Instant     // when the store last failed; zero if never
 	failures int
 	lost     bool
@@ -84,16 +90,73 @@
 	for _, name := range mirror.absent(present) {
 		mirror.remove(name)
 	}
+	mirror.reached(version)
 	mirror.observer.Listed(version)
 	return version, nil
 }
 
+// Hint tells the newest version of the store that is known. A copy that stays behind it is listed anew: a watch may hear
+// nothing while the store drops its history.
+func (mirror *Mirror) Hint(version spool.Version) {
+	mirror.mutex.Lock()
+	behind := mirror.version < version && mirror.cancel != nil && !mirror.hinted
+	mirror.hinted = mirror.hinted || behind
+	mirror.mutex.Unlock()
+	if !behind {
+		return
+	}
+	mirror.timers.After(hintPatience, spool.TimerFunc(func(spool.Instant) { mirror.relist(version) }))
+}
+
+func (mirror *Mirror) relist(version spool.Version) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.hinted = false
+	if mirror.version < version && mirror.cancel != nil {
+		mirror.cut = true
+		mirror.cancel()
+	}
+}
+
+// reached notes the version that the copy shows.
+func (mirror *Mirror) reached(version spool.Version) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.version = max(mirror.version, version)
+}
+
+// begin makes a watch that waits known to Hint.
+func (mirror *Mirror) begin(cancel func()) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.cancel, mirror.cut = cancel, false
+}
+
+// end tells if a watch was cut because of a hint.
+func (mirror *Mirror) end() bool {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.cancel = nil
+	return mirror.cut
+}
+
+// watch waits for changes once. A watch that ends early without any was cut off and may have missed some.
 func (mirror *Mirror) watch(ctx context.Context, after spool.Version) (spool.Version, error) {
-	changes, version, err := mirror.store.Watch(ctx, mirror.kind, after)
+	began := mirror.timers.Now()
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	mirror.begin(cancel)
+	changes, version, err := mirror.store.Watch(watching, mirror.kind, after, watchWait)
+	if mirror.end() {
+		return 0, spool.ErrCompacted
+	}
 	if err != nil {
 		return 0, err
 	}
 	mirror.succeed()
+	if len(changes) == 0 && mirror.timers.Now().Sub(began) < watchWait {
+		return 0, spool.ErrCompacted
+	}
 	for _, change := range changes {
 		if change.Deleted {
 			mirror.remove(change.Name)
@@ -101,6 +164,7 @@
 		}
 		mirror.put(change.Object)
 	}
+	mirror.reached(version)
 	return max(after, version), nil
 }
 
--- a/pkg/spool/store.go
+++ b/pkg/spool/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // ErrCompacted says that the store no longer has the history that a watch asked for.
@@ -28,8 +29,8 @@
 	Put(ctx context.Context, object Object) (Object, error)
 	// Delete removes the object if its stored version equals object.Version, else ErrConflict.
 	Delete(ctx context.Context, object Object) error
-	// Watch waits for changes of a kind after a version.
-	Watch(ctx context.Context, kind string, after Version) ([]Change, Version, error)
+	// Watch waits for changes of a kind after a version, and returns none when the wait ends.
+	Watch(ctx context.Context, kind string, after Version, wait time.Duration) ([]Change, Version, error)
 }
 
 // Promoter orders promotions at the platform.
