--- /dev/null
+++ b/internal/core/place/place_test.go
@@ -0,0 +1,78 @@
+package place
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+func TestBestPrefersNearAndIdleServers(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(Best(nil), qt.Equals, -1)
+	near := Candidate{Expected: 25 * time.Millisecond}
+	far := Candidate{Expected: 65 * time.Millisecond}
+	c.Assert(Best([]Candidate{far, near}), qt.Equals, 1)
+	near.InFlight = 4
+	c.Assert(Best([]Candidate{far, near}), qt.Equals, 0)
+	primary := Candidate{Expected: 20 * time.Millisecond, Reserved: true}
+	c.Assert(Best([]Candidate{primary, {Expected: 50 * time.Millisecond}}), qt.Equals, 1)
+}
+
+func TestFailedServerIsLeftAloneForAWhileThatGrows(t *testing.T) {
+	c := qt.New(t)
+	var health Health
+	now := spool.Instant(time.Hour)
+	c.Assert(health.Blocked(now), qt.IsFalse)
+	health.Failed(now)
+	c.Assert(health.Blocked(now.Add(shortestBlock-1)), qt.IsTrue)
+	c.Assert(health.Blocked(now.Add(shortestBlock)), qt.IsFalse)
+	for range 10 {
+		health.Failed(now)
+	}
+	c.Assert(health.Blocked(now.Add(longestBlock-1)), qt.IsTrue)
+	c.Assert(health.Blocked(now.Add(longestBlock)), qt.IsFalse)
+	health.Succeeded(30*time.Millisecond, now)
+	c.Assert(health.Blocked(now), qt.IsFalse)
+}
+
+// TestSlowServerGetsLittle plays three servers, one of them ten times slower, and counts where 1,000 reads go.
+func TestSlowServerGetsLittle(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	work := []time.Duration{30 * time.Millisecond, 300 * time.Millisecond, 30 * time.Millisecond}
+	healths := make([]Health, len(work))
+	chosen := make([]int, len(work))
+	now := spool.Instant(time.Hour)
+	for range 1000 {
+		candidates := make([]Candidate, len(work))
+		for i := range candidates {
+			candidates[i].Expected = healths[i].Expected(now)
+		}
+		best := Best(candidates)
+		chosen[best]++
+		took := time.Duration(float64(work[best]) * (0.5 + random.Float64()))
+		now = now.Add(took)
+		healths[best].Succeeded(took, now)
+	}
+	c.Assert(chosen[1] < 50, qt.IsTrue, qt.Commentf("%v", chosen))
+}
+
+// TestAllotmentsAddUp checks that the parts of all proxies use a server's connections exactly, so that none is refused.
+func TestAllotmentsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.SampledFrom([]float64{NearWeight, FarWeight}), 1, 20).Draw(t, "weights")
+		connections := rapid.IntRange(len(weights)*NearWeight, 300).Draw(t, "connections")
+		sum := 0
+		for self := range weights {
+			sum += Allot(connections, weights, self)
+		}
+		if sum > connections {
+			t.Fatalf("%d of %d connections were given away", sum, connections)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/quota/quota_test.go
@@ -0,0 +1,126 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	team   = spool.Team("team")
+	start  = spool.Instant(time.Hour)
+	window = 5 * time.Second
+)
+
+func ledger(now spool.Instant, fleet int, rate, burst float64) *Ledger {
+	ledger := NewLedger()
+	ledger.SetFleet(fleet, now)
+	ledger.SetTeams(map[spool.Team]spool.TeamSpec{team: {Name: team, RatePerSecond: rate, Burst: burst}}, now)
+	return ledger
+}
+
+func TestRestartedProxyStartsEmpty(t *testing.T) {
+	c := qt.New(t)
+	ledger := ledger(start, 2, 10, 10)
+	c.Assert(ledger.Admit(team, false, start).Admitted, qt.IsFalse)
+	decision := ledger.Admit(team, true, start.Add(100*time.Millisecond))
+	c.Assert(decision.Admitted, qt.IsFalse)
+	c.Assert(decision.Wait, qt.Equals, 100*time.Millisecond)
+	c.Assert(ledger.Admit(team, true, start.Add(200*time.Millisecond)).Admitted, qt.IsTrue)
+	c.Assert(ledger.Admit("other", false, start).Wait, qt.Equals, maxWait)
+}
+
+func TestLoweredRateTakesTokensAway(t *testing.T) {
+	c := qt.New(t)
+	ledger := ledger(start, 1, 100, 100)
+	now := start.Add(time.Minute)
+	ledger.SetTeams(map[spool.Team]spool.TeamSpec{team: {Name: team, RatePerSecond: 1, Burst: 2}}, now)
+	admitted := 0
+	for ledger.Admit(team, false, now).Admitted {
+		admitted++
+	}
+	c.Assert(admitted, qt.Equals, 2)
+}
+
+// TestBoundHoldsOverTheFleet plays proxies that admit, restart and give tokens away, some of which get lost, and checks
+// every window of five seconds against the pages' bound.
+func TestBoundHoldsOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(2, 7).Draw(t, "size")
+		rate := float64(rapid.IntRange(5, 200).Draw(t, "rate"))
+		burst := float64(rapid.IntRange(5, 200).Draw(t, "burst"))
+		ledgers := make([]*Ledger, size)
+		for i := range ledgers {
+			ledgers[i] = ledger(start, size, rate, burst)
+		}
+		now := start
+		var admitted []spool.Instant
+		for step := range rapid.IntRange(50, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 120).Draw(t, "pause")) * time.Millisecond)
+			asker := rapid.IntRange(0, size-1).Draw(t, "asker")
+			if rapid.IntRange(0, 60).Draw(t, "restart") == 0 {
+				ledgers[asker] = ledger(now, size, rate, burst)
+			}
+			ask := 0.0
+			for range rapid.IntRange(1, 40).Draw(t, "demand") {
+				decision := ledgers[asker].Admit(team, false, now)
+				ask = max(ask, decision.Ask)
+				if decision.Admitted {
+					admitted = append(admitted, now)
+				}
+			}
+			giver := (asker + 1 + step%(size-1)) % size
+			if tokens := ledgers[giver].Spare(team, ask, now); ask > 0 && rapid.IntRange(0, 9).Draw(t, "lost") > 0 {
+				ledgers[asker].Give(team, tokens, now)
+			}
+		}
+		most := (rate*window.Seconds()+burst)*1.1 + 20
+		first := 0
+		for i, at := range admitted {
+			for at.Sub(admitted[first]) > window {
+				first++
+			}
+			if count := i - first + 1; float64(count) > most {
+				t.Fatalf("%d operations in %v, allowed are %v", count, window, most)
+			}
+		}
+	})
+}
+
+// TestTokensFollowDemand sends all of a team's operations, 90 % of its rate, to one of seven proxies: with exchange hardly
+// any is refused, without it most are.
+func TestTokensFollowDemand(t *testing.T) {
+	const fleet, rate, demand = 7, 70.0, 63
+	play := func(exchange bool) float64 {
+		ledgers := make([]*Ledger, fleet)
+		for i := range ledgers {
+			ledgers[i] = ledger(start, fleet, rate, rate)
+		}
+		now := start.Add(10 * time.Second)
+		asked, refused, next := 0, 0, 0
+		for range demand * 20 {
+			now = now.Add(time.Second / demand)
+			asked++
+			decision := ledgers[0].Admit(team, false, now)
+			if decision.Ask > 0 && exchange {
+				for range 3 {
+					next++
+					giver := ledgers[1+next%(fleet-1)]
+					ledgers[0].Give(team, giver.Spare(team, decision.Ask, now), now)
+				}
+			}
+			if !decision.Admitted && !ledgers[0].Admit(team, true, now).Admitted {
+				refused++
+			}
+		}
+		return float64(refused) / float64(asked)
+	}
+	with, without := play(true), play(false)
+	qt.Assert(t, with < 0.03, qt.IsTrue, qt.Commentf("%s", fmt.Sprint(with)))
+	qt.Assert(t, without > 0.5, qt.IsTrue, qt.Commentf("%s", fmt.Sprint(without)))
+}
