--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,411 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/internal/clock"
+	"corianderspool.example/spool/internal/engine"
+	"corianderspool.example/spool/internal/fake/linesrv"
+	"corianderspool.example/spool/internal/pool"
+	"corianderspool.example/spool/internal/sock"
+	"corianderspool.example/spool/pkg/spool"
+	"corianderspool.example/spool/platform"
+)
+
+// open admits every operation.
+type open struct{}
+
+func (open) Admit(context.Context, spool.Team) *spool.Refusal { return nil }
+
+// world is an engine before a group of servers.
+type world struct {
+	*testing.T
+	group      *linesrv.Group
+	pool       *pool.Pool
+	engine     *engine.Engine
+	deployment spool.Deployment
+	callers    int
+}
+
+func newWorld(t *testing.T) *world {
+	group, err := linesrv.NewGroup("g1", "a", "b", "c")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(group.Close)
+	connections := pool.New(platform.Linker{}, sock.Dialer(time.Second), clock.Real{})
+	world := &world{T: t, group: group, pool: connections}
+	world.engine = engine.New(connections, clock.Real{}, open{})
+	route := func(name string, kind spool.RouteKind) spool.Route {
+		return spool.Route{
+			Name: name, Group: "g1", Kind: kind, MaxAge: 2 * time.Second, Timeout: 700 * time.Millisecond,
+			Target: 2 * time.Second,
+		}
+	}
+	world.deployment = spool.Deployment{
+		Revision: 1,
+		Routes: map[string]spool.Route{
+			"primary": route("primary", spool.RoutePrimary),
+			"bounded": route("bounded", spool.RouteBounded),
+			"session": route("session", spool.RouteSession),
+		},
+		Groups: map[spool.Group]spool.GroupLimits{"g1": {Connections: 10, SyncReplicas: 1}},
+		Teams:  map[spool.Team]spool.TeamSpec{"red": {Name: "red"}, "blue": {Name: "blue"}},
+		Keys:   map[string]spool.Team{"key-red": "red", "key-blue": "blue"},
+		TxIdle: 300 * time.Millisecond,
+	}
+	connections.SetLimits(world.deployment.Groups)
+	world.apply(world.deployment)
+	world.register()
+	t.Cleanup(func() { connections.Close(context.Background()) })
+	return world
+}
+
+func (world *world) apply(deployment spool.Deployment) { world.engine.SetDeployment(&deployment) }
+
+// register tells the pool of the servers as the registry shows them.
+func (world *world) register() {
+	for _, server := range world.group.Servers() {
+		world.pool.SetServer(spool.RegisteredServer{
+			Server: server.ID, Group: "g1", Address: server.Address, Domain: "d", Slots: server.Slots,
+			Primary: server.ID == world.group.Primary(), Born: 1,
+		})
+	}
+}
+
+// caller is a connected caller.
+type caller struct {
+	*testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+	next   int
+	prefix string
+}
+
+func (world *world) call(route, key string) *caller {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(world, err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(world, err, qt.IsNil)
+	accepted, err := listener.Accept()
+	qt.Assert(world, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		world.engine.Serve(ctx, platform.NewCaller(accepted))
+	}()
+	world.Cleanup(func() {
+		_ = conn.Close()
+		cancel()
+		<-done
+	})
+	world.callers++
+	caller := &caller{T: world.T, conn: conn, reader: bufio.NewReader(conn), prefix: fmt.Sprintf("c%d-", world.callers)}
+	caller.send("START " + strings.TrimSpace(route+" "+key))
+	return caller
+}
+
+// connect opens a session that is accepted.
+func (world *world) connect(route, key string) *caller {
+	caller := world.call(route, key)
+	qt.Assert(world, caller.line(), qt.Equals, "READY I -")
+	return caller
+}
+
+func (caller *caller) send(line string) {
+	_, err := caller.conn.Write([]byte(line + "\r\n"))
+	qt.Assert(caller, err, qt.IsNil)
+}
+
+func (caller *caller) line() string {
+	_ = caller.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	line, err := caller.reader.ReadString('\n')
+	if err != nil {
+		return "closed"
+	}
+	return strings.TrimRight(line, "\r\n")
+}
+
+// ask sends a statement and returns the rows, the verdict's first word or two, and the state.
+func (caller *caller) ask(text string) (row, verdict, state string) {
+	caller.Helper()
+	caller.next++
+	caller.send(fmt.Sprintf("QUERY %s%d %s", caller.prefix, caller.next, text))
+	for {
+		line := caller.line()
+		word, rest, _ := strings.Cut(line, " ")
+		switch word {
+		case "ROW":
+			row = rest
+		case "DONE":
+			verdict = "DONE"
+		case "ERR":
+			code, _, _ := strings.Cut(rest, " ")
+			verdict = code
+		default:
+			_, state, _ = strings.Cut(line, " ")
+			return row, verdict, strings.Fields(state + " closed")[0]
+		}
+	}
+}
+
+func (caller *caller) expect(text, verdict, state string) string {
+	caller.Helper()
+	row, found, foundState := caller.ask(text)
+	qt.Assert(caller, found+" "+foundState, qt.Equals, verdict+" "+state, qt.Commentf("%s", text))
+	return row
+}
+
+func TestOpening(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	c.Assert(world.call("nowhere", "key-red").line(), qt.Equals, "ERR NODB no such database")
+	c.Assert(world.call("primary", "wrong").line(), qt.Equals, "ERR NOAUTH unknown key")
+	c.Assert(world.call("primary", "").line(), qt.Equals, "ERR NOAUTH unknown key")
+	caller := world.connect("primary", "key-red")
+	caller.send("NOISE")
+	c.Assert(caller.line(), qt.Matches, "ERR MALFORMED .*")
+	c.Assert(caller.line(), qt.Equals, "closed")
+}
+
+func TestReadsSeeWrites(t *testing.T) {
+	for _, route := range []string{"primary", "bounded", "session"} {
+		t.Run(route, func(t *testing.T) {
+			caller := newWorld(t).connect(route, "key-red")
+			caller.expect("WRITE item one", "DONE", "I")
+			qt.Assert(t, caller.expect("READ item", "DONE", "I"), qt.Equals, "one")
+		})
+	}
+}
+
+// TestPreparedStatementsAndValues lets two callers of one team use the same names for different things.
+func TestPreparedStatementsAndValues(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	one, two := world.connect("primary", "key-red"), world.connect("primary", "key-red")
+	one.expect("PREPARE s WRITE q1", "DONE", "I")
+	two.expect("PREPARE s READ q2", "DONE", "I")
+	one.expect("SET zone north", "DONE", "I")
+	for range 3 {
+		one.expect("EXEC s item one", "DONE", "I")
+		two.expect("EXEC s item", "DONE", "I")
+	}
+	two.expect("EXEC other item", "NOSTMT", "I")
+	two.expect("DEALLOC s", "DONE", "I")
+	two.expect("DEALLOC s", "NOSTMT", "I")
+	for _, run := range world.group.Runs() {
+		if run.Shape == "WRITE q1" {
+			c.Assert(run.Values, qt.DeepEquals, map[string]string{"zone": "north"})
+		} else {
+			c.Assert(run.Shape, qt.Equals, "READ q2")
+			c.Assert(run.Values, qt.HasLen, 0)
+		}
+	}
+}
+
+func TestTransactions(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	caller, other := world.connect("session", "key-red"), world.connect("session", "key-blue")
+	caller.expect("BEGIN", "DONE", "T")
+	caller.expect("WRITE item one", "DONE", "T")
+	c.Assert(other.expect("READ item", "DONE", "I"), qt.Equals, "none")
+	caller.expect("COMMIT", "DONE", "I")
+	c.Assert(caller.expect("READ item", "DONE", "I"), qt.Equals, "one")
+	caller.expect("BEGIN", "DONE", "T")
+	caller.expect("WRITE item two", "DONE", "T")
+	caller.expect("ROLLBACK", "DONE", "I")
+	c.Assert(world.group.Written("item"), qt.DeepEquals, []string{"one"})
+	caller.expect("BEGIN READ", "DONE", "T")
+	c.Assert(caller.expect("READ item", "DONE", "T"), qt.Equals, "one")
+	caller.expect("WRITE item three", "READONLY", "E")
+	caller.expect("READ item", "MALFORMED", "E")
+	caller.expect("COMMIT", "ABORTED", "I")
+	caller.expect("COMMIT", "MALFORMED", "I")
+	caller.expect("ROLLBACK", "MALFORMED", "I")
+	caller.expect("NONSENSE", "MALFORMED", "I")
+}
+
+// TestLeftAndIdleTransactionsAreRolledBack frees the connection of a caller that left or rests too long.
+func TestLeftAndIdleTransactionsAreRolledBack(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	leaving := world.connect("primary", "key-red")
+	leaving.expect("BEGIN", "DONE", "T")
+	leaving.expect("WRITE item one", "DONE", "T")
+	leaving.send("BYE")
+	c.Assert(leaving.line(), qt.Equals, "closed")
+	resting := world.connect("primary", "key-red")
+	resting.expect("BEGIN", "DONE", "T")
+	resting.expect("WRITE item two", "DONE", "T")
+	time.Sleep(2 * world.deployment.TxIdle)
+	resting.expect("COMMIT", "ABORTED", "I")
+	c.Assert(world.group.Written("item"), qt.HasLen, 0)
+	resting.expect("WRITE item three", "DONE", "I")
+}
+
+// TestLostAnswers says what is true of each statement whose server gave no answer.
+func TestLostAnswers(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	caller := world.connect("primary", "key-red")
+	caller.expect("WRITE item zero", "DONE", "I")
+	primary := world.group.Server("a")
+	primary.LoseAnswers(1)
+	caller.expect("WRITE item one", "INDOUBT", "I")
+	primary.LoseAnswers(1)
+	c.Assert(caller.expect("READ item", "DONE", "I"), qt.Equals, "one")
+	caller.expect("BEGIN", "DONE", "T")
+	primary.LoseAnswers(1)
+	caller.expect("WRITE item two", "ABORTED", "E")
+	caller.expect("ROLLBACK", "DONE", "I")
+	caller.expect("BEGIN", "DONE", "T")
+	caller.expect("WRITE item three", "DONE", "T")
+	primary.LoseAnswers(1)
+	caller.expect("COMMIT", "INDOUBT", "I")
+	caller.expect("BEGIN", "DONE", "T")
+	caller.expect("READ item", "DONE", "T")
+	primary.LoseAnswers(1)
+	caller.expect("COMMIT", "ABORTED", "I")
+	c.Assert(world.group.Written("item"), qt.DeepEquals, []string{"zero", "one", "three"})
+}
+
+// TestWritesRunOnce counts the effects of writes through busy answers and a change of the primary.
+func TestWritesRunOnce(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	caller := world.connect("session", "key-red")
+	caller.expect("WRITE item zero", "DONE", "I")
+	world.group.Server("a").RefuseBusy(2)
+	caller.expect("WRITE item one", "DONE", "I")
+	world.group.Promote("b")
+	caller.expect("WRITE item two", "DONE", "I")
+	world.group.Promote("c")
+	caller.expect("BEGIN", "DONE", "T")
+	caller.expect("WRITE item three", "DONE", "T")
+	world.group.Promote("a")
+	caller.expect("COMMIT", "READONLY", "I")
+	c.Assert(world.group.Written("item"), qt.DeepEquals, []string{"zero", "one", "two"})
+}
+
+// TestStaleReplicasAreNotRead has replicas that apply nothing: reads that ask for newer data go to the primary.
+func TestStaleReplicasAreNotRead(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	for _, server := range world.group.Servers() {
+		server.Lagging = true
+	}
+	for _, route := range []string{"primary", "session"} {
+		caller := world.connect(route, "key-red")
+		for i := range 5 {
+			caller.expect(fmt.Sprintf("WRITE item %s%d", route, i), "DONE", "I")
+			c.Assert(caller.expect("READ item", "DONE", "I"), qt.Equals, fmt.Sprint(route, i))
+		}
+	}
+}
+
+// TestReplacedPrimaryIsNotRead leaves the proxy in the belief that a replaced server is the primary.
+func TestReplacedPrimaryIsNotRead(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	caller := world.connect("primary", "key-red")
+	caller.expect("WRITE item one", "DONE", "I")
+	world.group.Promote("b")
+	world.group.Server("a").Lagging = true
+	second := world.connect("primary", "key-blue")
+	second.expect("WRITE item two", "DONE", "I")
+	c.Assert(caller.expect("READ item", "DONE", "I"), qt.Equals, "two")
+}
+
+// TestServersLearnTheTeamAndNotTheKey looks at what reached the servers.
+func TestServersLearnTheTeamAndNotTheKey(t *testing.T) {
+	world := newWorld(t)
+	for _, team := range []string{"red", "blue"} {
+		caller := world.connect("session", "key-"+team)
+		caller.expect("WRITE item "+team, "DONE", "I")
+		caller.expect("READ item", "DONE", "I")
+	}
+	for _, run := range world.group.Runs() {
+		qt.Check(t, run.Team == "red" || run.Team == "blue", qt.IsTrue)
+		if strings.HasPrefix(run.ID, "c1-") {
+			qt.Check(t, run.Team, qt.Equals, "red")
+		} else {
+			qt.Check(t, run.Team, qt.Equals, "blue")
+		}
+	}
+}
+
+// TestWithdrawnKey ends the sessions of a key, also one in a transaction.
+func TestWithdrawnKey(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	idle, busy := world.connect("primary", "key-red"), world.connect("primary", "key-red")
+	busy.expect("BEGIN", "DONE", "T")
+	busy.expect("WRITE item one", "DONE", "T")
+	deployment := world.deployment
+	deployment.Keys = map[string]spool.Team{"key-blue": "blue"}
+	world.apply(deployment)
+	c.Assert(idle.line(), qt.Matches, "ERR NOAUTH .*")
+	busy.expect("COMMIT", "ABORTED", "I")
+	busy.expect("READ item", "NOAUTH", "I")
+	c.Assert(world.call("primary", "key-red").line(), qt.Equals, "ERR NOAUTH unknown key")
+	c.Assert(world.group.Written("item"), qt.HasLen, 0)
+}
+
+// TestDrainCutsNothing drains while one session rests, one is in a transaction and one waits for its answer.
+func TestDrainCutsNothing(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	idle, busy := world.connect("primary", "key-red"), world.connect("primary", "key-red")
+	working := world.connect("primary", "key-blue")
+	busy.expect("BEGIN", "DONE", "T")
+	busy.expect("WRITE item one", "DONE", "T")
+	world.group.Server("a").Work = 150 * time.Millisecond
+	answered := make(chan string)
+	go func() {
+		_, verdict, _ := working.ask("READ item")
+		answered <- verdict
+	}()
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	drained := make(chan struct{})
+	go func() {
+		world.engine.Drain(ctx)
+		close(drained)
+	}()
+	c.Assert(idle.line(), qt.Equals, "closed")
+	c.Assert(<-answered, qt.Equals, "DONE")
+	busy.expect("COMMIT", "DONE", "I")
+	c.Assert(busy.line(), qt.Equals, "closed")
+	<-drained
+	c.Assert(ctx.Err(), qt.IsNil)
+	c.Assert(world.group.Written("item"), qt.DeepEquals, []string{"one"})
+}
+
+// TestFullServersAreRefusedAtOnce says so soon, and nothing runs.
+func TestFullServersAreRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	deployment := world.deployment
+	deployment.TxIdle = time.Minute
+	world.apply(deployment)
+	for range 9 {
+		holder := world.connect("primary", "key-red")
+		holder.expect("BEGIN", "DONE", "T")
+		holder.expect("READ item", "DONE", "T")
+	}
+	caller := world.connect("primary", "key-red")
+	began := time.Now()
+	caller.expect("WRITE item one", "BUSY", "I")
+	c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+	c.Assert(world.group.Written("item"), qt.HasLen, 0)
+}
