--- /dev/null
+++ b/internal/warden/warden_test.go
@@ -0,0 +1,260 @@
+package warden_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/clock"
+	"corianderspool.example/spool/internal/core/elect"
+	"corianderspool.example/spool/internal/fake/kvsrv"
+	"corianderspool.example/spool/internal/fake/linesrv"
+	"corianderspool.example/spool/internal/pool"
+	"corianderspool.example/spool/internal/sock"
+	"corianderspool.example/spool/internal/warden"
+	"corianderspool.example/spool/pkg/spool"
+	"corianderspool.example/spool/platform"
+)
+
+// others stands for the other proxies.
+type others struct {
+	canvass  elect.Canvass
+	acked    spool.LogPosition
+	complete bool
+}
+
+func (others others) Supervises(spool.Group) bool { return true }
+
+func (others others) Contact(spool.Group, spool.Server, spool.Instant) (spool.Instant, spool.LogPosition, bool) {
+	return 0, others.acked, others.complete
+}
+
+func (others others) Canvass(spool.Group, spool.Server) elect.Canvass { return others.canvass }
+
+func (others others) Operator() spool.Team { return "operator" }
+
+// world is a warden before a group of servers and the platform.
+type world struct {
+	*testing.T
+	group  *linesrv.Group
+	store  *kvsrv.Server
+	client *platform.Client
+	pool   *pool.Pool
+	mutex  sync.Mutex
+	orders []string
+}
+
+func newWorld(t *testing.T) *world {
+	group, err := linesrv.NewGroup("g1", "a", "b", "c")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(group.Close)
+	world := &world{T: t, group: group}
+	world.store = kvsrv.New(func(_, server string) bool {
+		world.mutex.Lock()
+		defer world.mutex.Unlock()
+		world.orders = append(world.orders, server)
+		group.Promote(spool.Server(server))
+		return true
+	})
+	t.Cleanup(world.store.Close)
+	world.client = platform.NewClient(world.store.Address(), world.store.Address(), sock.Dialer(time.Second))
+	world.pool = pool.New(platform.Linker{}, sock.Dialer(time.Second), clock.Real{})
+	t.Cleanup(func() { world.pool.Close(context.Background()) })
+	world.pool.SetLimits(map[spool.Group]spool.GroupLimits{"g1": {Connections: 10, SyncReplicas: 1}})
+	world.register("a", false)
+	return world
+}
+
+// register tells the pool of the servers, of which one calls itself primary and may be leaving.
+func (world *world) register(primary spool.Server, leaving bool) {
+	for _, server := range world.group.Servers() {
+		spec := spool.RegisteredServer{
+			Server: server.ID, Group: "g1", Address: server.Address, Domain: "d", Slots: 5,
+			Primary: server.ID == primary, Born: 1,
+		}
+		if leaving && spec.Primary {
+			spec.Mode = spool.ServerLeaving
+		}
+		world.pool.SetServer(spec)
+	}
+}
+
+func (world *world) start(vm spool.VM, others others) {
+	ctx, cancel := context.WithCancel(context.Background())
+	world.Cleanup(cancel)
+	nonce := uint64(len(vm)) * 1000
+	tokens := warden.NewTokens(world.client, vm, func() uint64 { nonce++; return nonce })
+	go warden.New(
+		vm, world.pool, platform.Linker{}, tokens, world.client, others, clock.Real{}, zap.NewNop(),
+	).Run(ctx)
+}
+
+func (world *world) ordered() []string {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return append([]string(nil), world.orders...)
+}
+
+func (world *world) eventually(condition func() bool) {
+	world.Helper()
+	deadline := time.Now().Add(8 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			world.Fatalf("the condition did not come about; orders %v", world.ordered())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+var allUnreached = elect.Canvass{Asked: 3, Unreached: 3}
+
+func TestCrashedPrimaryIsReplaced(t *testing.T) {
+	world := newWorld(t)
+	world.start("vm1", others{canvass: allUnreached})
+	time.Sleep(300 * time.Millisecond)
+	qt.Assert(t, world.ordered(), qt.HasLen, 0)
+	began := time.Now()
+	world.group.Server("a").Kill()
+	world.eventually(func() bool { return world.group.Primary() != "a" })
+	qt.Assert(t, time.Since(began) < 2500*time.Millisecond, qt.IsTrue)
+	time.Sleep(500 * time.Millisecond)
+	qt.Assert(t, world.ordered(), qt.HasLen, 1)
+}
+
+func TestPrimaryThatOthersReachStays(t *testing.T) {
+	world := newWorld(t)
+	world.start("vm1", others{canvass: elect.Canvass{Asked: 3, Unreached: 2, Reached: 1}})
+	world.group.Server("a").Kill()
+	time.Sleep(1500 * time.Millisecond)
+	qt.Assert(t, world.ordered(), qt.HasLen, 0)
+}
+
+// TestFullPrimaryStays fills all connections of the primary, as those of a fleet that lost power do.
+func TestFullPrimaryStays(t *testing.T) {
+	world := newWorld(t)
+	world.group.Server("a").Limit = 0
+	world.start("vm1", others{canvass: allUnreached})
+	time.Sleep(1500 * time.Millisecond)
+	qt.Assert(t, world.ordered(), qt.HasLen, 0)
+}
+
+// TestCommitOfAnUnseenReplicaIsNotLost has a replica out of reach that may alone hold an acknowledged commit.
+func TestCommitOfAnUnseenReplicaIsNotLost(t *testing.T) {
+	world := newWorld(t)
+	world.group.Server("c").Kill()
+	world.start("vm1", others{canvass: allUnreached})
+	world.group.Server("a").Kill()
+	time.Sleep(1500 * time.Millisecond)
+	qt.Assert(t, world.ordered(), qt.HasLen, 0)
+	qt.Assert(t, world.group.Server("c").Start(), qt.IsNil)
+	world.eventually(func() bool { return len(world.ordered()) == 1 })
+}
+
+func TestUnseenReplicaDoesNotMatterWhenAllProxiesTold(t *testing.T) {
+	world := newWorld(t)
+	world.group.Server("c").Kill()
+	world.start("vm1", others{canvass: allUnreached, complete: true})
+	world.group.Server("a").Kill()
+	world.eventually(func() bool { return len(world.ordered()) == 1 })
+	qt.Assert(t, world.ordered(), qt.DeepEquals, []string{"b"})
+}
+
+func TestLeavingPrimaryHandsOverWhileItServes(t *testing.T) {
+	world := newWorld(t)
+	world.start("vm1", others{})
+	world.register("a", true)
+	world.eventually(func() bool { return world.group.Primary() != "a" })
+	qt.Assert(t, world.ordered(), qt.HasLen, 1)
+}
+
+// TestTwoWardensOrderOnce starts two proxies that both believe they look after the group.
+func TestTwoWardensOrderOnce(t *testing.T) {
+	world := newWorld(t)
+	world.start("vm1", others{canvass: allUnreached})
+	world.start("vm-two", others{canvass: allUnreached})
+	world.group.Server("a").Kill()
+	world.eventually(func() bool { return world.group.Primary() != "a" })
+	time.Sleep(2500 * time.Millisecond)
+	qt.Assert(t, world.ordered(), qt.HasLen, 1)
+}
+
+func TestNothingIsOrderedWithoutAToken(t *testing.T) {
+	world := newWorld(t)
+	world.store.SetFaults(kvsrv.Faults{Status: 503})
+	world.start("vm1", others{canvass: allUnreached})
+	world.group.Server("a").Kill()
+	time.Sleep(1500 * time.Millisecond)
+	qt.Assert(t, world.ordered(), qt.HasLen, 0)
+	world.store.SetFaults(kvsrv.Faults{})
+	world.eventually(func() bool { return len(world.ordered()) == 1 })
+}
+
+// memory is a store of one object whose changes may take effect without an answer.
+type memory struct {
+	spool.Store
+	object spool.Object
+	exists bool
+	lose   int
+}
+
+var errLost = errors.New("no answer")
+
+func (memory *memory) Get(context.Context, string, string) (spool.Object, error) {
+	if !memory.exists {
+		return spool.Object{}, spool.ErrNotFound
+	}
+	return memory.object, nil
+}
+
+func (memory *memory) Create(_ context.Context, object spool.Object) (spool.Object, error) {
+	if memory.exists {
+		return spool.Object{}, spool.ErrConflict
+	}
+	return memory.write(object)
+}
+
+func (memory *memory) Put(_ context.Context, object spool.Object) (spool.Object, error) {
+	if object.Version != memory.object.Version {
+		return spool.Object{}, spool.ErrConflict
+	}
+	return memory.write(object)
+}
+
+func (memory *memory) write(object spool.Object) (spool.Object, error) {
+	object.Version = memory.object.Version + 1
+	memory.object, memory.exists = object, true
+	if memory.lose > 0 {
+		memory.lose--
+		return spool.Object{}, errLost
+	}
+	return object, nil
+}
+
+// TestTokensRiseThroughLostAnswers takes tokens by turns while answers get lost; none is ever given twice.
+func TestTokensRiseThroughLostAnswers(t *testing.T) {
+	c := qt.New(t)
+	store := &memory{}
+	nonce := uint64(0)
+	next := func() uint64 { nonce++; return nonce }
+	holders := []*warden.Tokens{warden.NewTokens(store, "vm1", next), warden.NewTokens(store, "vm2", next)}
+	last := uint64(0)
+	for i := range 40 {
+		store.lose = i % 3
+		token, recent, err := holders[i/2%2].Next(context.Background(), "g1")
+		c.Assert(err, qt.IsNil)
+		c.Assert(token > last, qt.IsTrue)
+		if i > 0 && i%2 == 0 {
+			c.Assert(recent, qt.IsTrue)
+		}
+		last = token
+	}
+	store.object.Body = json.RawMessage(`"noise"`)
+	_, _, err := holders[0].Next(context.Background(), "g1")
+	c.Assert(err, qt.IsNotNil)
+}
