--- a/internal/engine/handle.go
+++ b/internal/engine/handle.go
@@ -183,13 +183,12 @@
 		number, code = event.RequestRefused, answer.Refusal.Code
 	}
 	fields := []zap.Field{
-		zap.String("Request", statement.ID), zap.String("Route", session.name),
+		zap.String("Request", statement.ID), zap.String("Route", session.name), zap.String("Team", string(session.team)),
 		zap.String("Server", string(statement.server)), zap.Int("Attempts", statement.attempts),
 		zap.Duration("Took", took), zap.Stringer("After", statement.After), zap.Stringer("Position", answer.Position),
 	}
 	if answer.Refusal != nil {
-		fields = append(fields, zap.String("Team", string(session.team)), zap.String("Code", code),
-			zap.String("Reason", answer.Refusal.Message), event.Cause(answer.Refusal.Cause))
+		fields = append(fields, zap.String("Code", code), zap.String("Reason", answer.Refusal.Message), event.Cause(answer.Refusal.Cause))
 	}
 	event.Log(session.engine.logger, number, fields...)
 }
