Replace a silent primary sooner

Ruled out: the choice and the order (0.4 s together). Probes are bounded to 0.4 s, proxies that failed lately say so at once, a primary that nobody reached for 0.25 s is probed.

--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -281,11 +281,13 @@
 	if server == "" {
 		server = peers.proxy.pool.View(group).Primary
 	}
-	err := peers.proxy.pool.AskPrimary(group, server, peers.proxy.operator())
-	testimony := elect.Testify(err)
+	reached, sure := peers.proxy.pool.Recently(group, server)
+	if !sure {
+		testimony := elect.Testify(peers.proxy.pool.AskPrimary(group, server, peers.proxy.operator()))
+		reached = testimony == elect.Acts || testimony == elect.Full
+	}
 	answer := &wire.ProbeAnswer{
-		Group: request.Group, Server: request.Server, Sequence: request.Sequence,
-		Reached: testimony == elect.Acts || testimony == elect.Full,
+		Group: request.Group, Server: request.Server, Sequence: request.Sequence, Reached: reached,
 	}
 	peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ProbeAnswer{ProbeAnswer: answer}})
 }
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -307,7 +307,7 @@
 
 func (pool *Pool) probeOnce(group *group, team spool.Team) {
 	for _, server := range pool.probeable(group) {
-		if pool.ask(server, team) == nil {
+		if pool.ask(server, team, ProbeTimeout) == nil {
 			return
 		}
 	}
@@ -335,17 +335,18 @@
 }
 
 // ask begins and rolls back a transaction on a server, which only the primary allows, and notes its position.
-func (pool *Pool) ask(server *server, team spool.Team) error {
-	conn, err := pool.borrow(server, team)
+func (pool *Pool) ask(server *server, team spool.Team, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	conn, err := pool.borrow(server, team, timeout)
 	if err != nil {
 		return err
 	}
 	defer pool.Release(conn)
-	return pool.askPrimary(conn)
+	return pool.askPrimary(conn, deadline)
 }
 
 // borrow returns a connection to one server without waiting for a free one.
-func (pool *Pool) borrow(server *server, team spool.Team) (*Conn, error) {
+func (pool *Pool) borrow(server *server, team spool.Team, timeout time.Duration) (*Conn, error) {
 	pool.mutex.Lock()
 	group := pool.group(server.spec.Group)
 	want := Want{Group: group.name, Team: team}
@@ -359,14 +360,13 @@
 	if granted.conn != nil {
 		return granted.conn, nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return pool.open(ctx, want, granted)
 }
 
-func (pool *Pool) askPrimary(conn *Conn) error {
+func (pool *Pool) askPrimary(conn *Conn, deadline time.Time) error {
 	sent := pool.timers.Now()
-	deadline := time.Now().Add(beginTimeout)
 	if err := conn.Settle(deadline); err != nil {
 		pool.Failed(conn, err)
 		return err
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	maxPrepared  = 64                     // prepared statements that a connection keeps; more cost memory at the server
-	preparedName = "p"                    // begins the names of prepared statements on connections
-	beginTimeout = 700 * time.Millisecond // for statements that need no slot: a round trip of 40 ms and two retransmissions
+	maxPrepared  = 64  // prepared statements that a connection keeps; more cost memory at the server
+	preparedName = "p" // begins the names of prepared statements on connections
 )
 
 // Conn is a connection to a backend server that one session uses at a time.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// ProbeTimeout bounds the question whether a server acts as primary: a round trip and the handshake behind a short
+	// queue. A lost packet makes one proxy's probe fail, which the other proxies' word makes up for.
+	ProbeTimeout  = 400 * time.Millisecond
 	openTimeout   = time.Second             // a round trip, its retransmission, and the handshake behind a full queue
 	leavingMargin = 1500 * time.Millisecond // between the last new work for a leaving server and its bound
 	spareConns    = 1                       // connections of each server that no proxy counts on, for orders to it
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -85,7 +85,24 @@
 	if known == nil {
 		return eris.Errorf("server %s of group %s is not registered", server, name)
 	}
-	return pool.ask(known, team)
+	return pool.ask(known, team, ProbeTimeout)
+}
+
+// Recently tells what this proxy saw of a group's primary of late without asking it: reached, or in vain since it last
+// was; sure is false if neither.
+func (pool *Pool) Recently(name spool.Group, id spool.Server) (reached, sure bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group := pool.group(name)
+	server := group.servers[id]
+	if server == nil || group.primary != id {
+		return false, false
+	}
+	silence := pool.timers.Now().Sub(group.contact)
+	if silence < ProbeTimeout/2 {
+		return true, true
+	}
+	return false, server.health.Failures() > 0 && silence > 2*ProbeTimeout
 }
 
 // Order sends statements of the proxy itself to a server and returns its answers.
@@ -96,7 +113,7 @@
 	if known == nil {
 		return nil, eris.Errorf("server %s of group %s is not registered", server, name)
 	}
-	conn, err := pool.borrow(known, team)
+	conn, err := pool.borrow(known, team, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -12,6 +12,7 @@
 // Limits after which a far end that confirms nothing counts as gone.
 const (
 	DefaultSilence    = 1500 * time.Millisecond // three retransmissions on a link with 20 ms each way
+	connectTimeout    = 400 * time.Millisecond  // ten round trips between regions; a lost packet is sent again after a second
 	keepAliveIdle     = time.Second             // smallest value of the socket option
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
@@ -19,7 +20,7 @@
 
 // Dialer returns a function that dials TCP; sent bytes that stay unconfirmed for longer than silence end a connection.
 func Dialer(silence time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: keepAlive(), Control: control(silence)}
+	dialer := net.Dialer{KeepAliveConfig: keepAlive(), Control: control(silence), Timeout: connectTimeout}
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp4", address)
 	}
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -15,7 +15,7 @@
 
 const (
 	lookPeriod  = 150 * time.Millisecond  // between looks at each group
-	idleProbe   = 400 * time.Millisecond  // a primary that nobody reached for so long is probed
+	idleProbe   = 250 * time.Millisecond  // a primary that nobody reached for so long is probed; five times a round trip
 	statusWait  = 500 * time.Millisecond  // for a server's status: a round trip and the work before it in its queue
 	settleTime  = 1500 * time.Millisecond // after an accepted order until the server must act as primary; promotes take 1 s at most
 	retryAfter  = 300 * time.Millisecond  // after an attempt that ended without an order
