--- a/cmd/corianderspool/fleet.go
+++ b/cmd/corianderspool/fleet.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/clock"
-	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/fleet"
 	"corianderspool.example/spool/internal/sock"
 	"corianderspool.example/spool/pkg/spool"
@@ -26,8 +25,7 @@
 		return eris.Wrapf(faults, "settings %s", path)
 	}
 	adapter := platform.New(settings, sock.Dialer(sock.DefaultSilence))
-	limited := event.Limit(logger, func(event.Number) {})
-	proxy := fleet.New(settings, adapter, clock.Real{}, limited)
+	proxy := fleet.New(settings, adapter, clock.Real{}, logger)
 	proxy.WatchSettings(ctx, func() (spool.FleetSettings, spool.Faults) { return platform.LoadSettings(path) })
 	return proxy.Run(ctx)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -20,7 +20,7 @@
 
 // Observer is told what became of statements.
 type Observer interface {
-	Finished(route spool.Route, refusal *spool.Refusal, took time.Duration)
+	Finished(team spool.Team, refusal *spool.Refusal, took time.Duration)
 }
 
 // Engine runs sessions.
@@ -64,7 +64,7 @@
 type nobody struct{}
 
 // Finished does nothing.
-func (nobody) Finished(spool.Route, *spool.Refusal, time.Duration) {}
+func (nobody) Finished(spool.Team, *spool.Refusal, time.Duration) {}
 
 // SetDeployment puts a deployment in force and ends idle sessions that it no longer allows.
 func (engine *Engine) SetDeployment(deployment *spool.Deployment) {
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -26,7 +26,7 @@
 // single runs a statement outside of a transaction.
 func (session *session) single(ctx context.Context, statement *statement) spool.Answer {
 	var avoid []spool.Server
-	last := &spool.Refusal{Code: spool.CodeNoSlot, Message: "no server could run the statement", RetryAfter: busyPause}
+	last := spool.Refuse(spool.CodeNoSlot, "no server could run the statement").Later(busyPause)
 	for statement.attempts < maxAttempts && time.Now().Before(statement.deadline) {
 		primary := statement.writes || session.route.Kind == spool.RoutePrimary || session.needsPrimary(statement)
 		conn, refusal := session.acquire(ctx, statement, primary, avoid)
@@ -96,13 +96,11 @@
 
 // lost answers a statement whose connection broke or whose time ended.
 func (session *session) lost(statement *statement, err error) spool.Answer {
-	refusal := &spool.Refusal{Code: spool.CodeOutcomeUnknown, Verdict: spool.Unknown, Message: "the server gave no answer", Cause: err}
+	refusal := &spool.Refusal{Verdict: spool.Unknown, Code: spool.CodeOutcomeUnknown, Message: "the server gave no answer", Cause: err}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		refusal.Code, refusal.Message = spool.CodeDeadlineExpired, "the statement took too long"
 	} else if !statement.writes {
-		refusal = &spool.Refusal{
-			Code: spool.CodeRolledBack, Message: "the server's connection broke", RetryAfter: busyPause, Cause: err,
-		}
+		refusal = spool.Refuse(spool.CodeRolledBack, "the server's connection broke").Later(busyPause).Because(err)
 	}
 	return spool.Answer{Refusal: refusal, State: spool.TxIdle}
 }
@@ -188,9 +186,7 @@
 // unprepared gives up a connection on which nothing of the caller was sent.
 func (session *session) unprepared(conn *pool.Conn, cause error) *spool.Refusal {
 	session.engine.pool.Failed(conn, cause)
-	return &spool.Refusal{
-		Code: spool.CodeNoSlot, Message: errNotBegun.Error(), RetryAfter: beginPatience, Cause: cause,
-	}
+	return spool.Refuse(spool.CodeNoSlot, errNotBegun.Error()).Later(beginPatience).Because(cause)
 }
 
 // exchange sends the statement and waits for the whole answer; an error means that its outcome is not known.
--- a/internal/engine/handle.go
+++ b/internal/engine/handle.go
@@ -25,7 +25,7 @@
 	case spool.VerbRead, spool.VerbWrite, spool.VerbExecute, spool.VerbCommit:
 		return session.work(ctx, command)
 	}
-	return session.refuse(&spool.Refusal{Code: spool.CodeProtocol, Message: "unknown statement"})
+	return session.refuse(spool.Refuse(spool.CodeProtocol, "unknown statement"))
 }
 
 // handleFailed answers in a failed transaction, which only its end leaves.
@@ -36,9 +36,9 @@
 		return session.done()
 	case spool.VerbCommit:
 		session.state = spool.TxIdle
-		return session.refuse(&spool.Refusal{Code: spool.CodeRolledBack, Message: "the transaction has failed"})
+		return session.refuse(spool.Refuse(spool.CodeRolledBack, "the transaction has failed"))
 	}
-	return session.refuse(&spool.Refusal{Code: spool.CodeProtocol, Message: "the transaction has failed"})
+	return session.refuse(spool.Refuse(spool.CodeProtocol, "the transaction has failed"))
 }
 
 // handleState answers statements that change only the session.
@@ -46,17 +46,17 @@
 	switch command.Verb {
 	case spool.VerbSet:
 		if !session.fitsState(command, len(session.values), maxValues) {
-			return session.refuse(&spool.Refusal{Code: spool.CodeProtocol, Message: "too many session values"})
+			return session.refuse(spool.Refuse(spool.CodeProtocol, "too many session values"))
 		}
 		session.values[command.Name] = command.Text
 	case spool.VerbPrepare:
 		if !session.fitsState(command, len(session.prepared), maxStatements) {
-			return session.refuse(&spool.Refusal{Code: spool.CodeProtocol, Message: "too many prepared statements"})
+			return session.refuse(spool.Refuse(spool.CodeProtocol, "too many prepared statements"))
 		}
 		session.prepared[command.Name] = command
 	case spool.VerbDeallocate:
 		if _, known := session.prepared[command.Name]; !known {
-			return session.refuse(&spool.Refusal{Code: spool.CodeNoStatement, Message: command.Name})
+			return session.refuse(spool.Refuse(spool.CodeNoStatement, command.Name))
 		}
 		delete(session.prepared, command.Name)
 	}
@@ -96,7 +96,7 @@
 // begin opens a transaction; the server learns of it with the first statement.
 func (session *session) begin(ctx context.Context, command spool.Command) spool.Answer {
 	if session.state == spool.TxOpen {
-		return session.refuse(&spool.Refusal{Code: spool.CodeProtocol, Message: "a transaction is open"})
+		return session.refuse(spool.Refuse(spool.CodeProtocol, "a transaction is open"))
 	}
 	if refusal := session.admit(ctx); refusal != nil {
 		session.logRefusal(command, refusal)
@@ -109,7 +109,7 @@
 
 func (session *session) rollback() spool.Answer {
 	if session.state != spool.TxOpen {
-		return session.refuse(&spool.Refusal{Code: spool.CodeProtocol, Message: "no transaction is open"})
+		return session.refuse(spool.Refuse(spool.CodeProtocol, "no transaction is open"))
 	}
 	session.free()
 	session.state = spool.TxIdle
@@ -130,7 +130,7 @@
 		statement.deadline = time.Now().Add(session.route.Timeout)
 		answer = session.step(ctx, statement)
 	case command.Verb == spool.VerbCommit:
-		return session.refuse(&spool.Refusal{Code: spool.CodeProtocol, Message: "no transaction is open"})
+		return session.refuse(spool.Refuse(spool.CodeProtocol, "no transaction is open"))
 	default:
 		if refusal := session.admit(ctx); refusal != nil {
 			session.logRefusal(command, refusal)
@@ -140,7 +140,7 @@
 		answer = session.single(ctx, statement)
 	}
 	took := session.engine.timers.Now().Sub(received)
-	session.engine.observer.Finished(session.route, answer.Refusal, took)
+	session.engine.observer.Finished(session.team, answer.Refusal, took)
 	session.logAnswer(statement, answer, took)
 	return answer
 }
@@ -164,13 +164,14 @@
 	}
 	prepared, known := session.prepared[command.Name]
 	if !known {
-		return nil, &spool.Refusal{Code: spool.CodeNoStatement, Message: command.Name}
+		return nil, spool.Refuse(spool.CodeNoStatement, command.Name)
 	}
 	statement.shape, statement.writes = prepared.Text, prepared.Writes
 	return statement, nil
 }
 
 func (session *session) logRefusal(command spool.Command, refusal *spool.Refusal) {
+	session.engine.observer.Finished(session.team, refusal, 0)
 	event.Log(session.engine.logger, event.RequestRefused, zap.String("Request", command.ID),
 		zap.String("Route", session.name), zap.String("Team", string(session.team)), zap.String("Code", refusal.Code),
 		zap.String("Reason", refusal.Message), zap.Duration("RetryAfter", refusal.RetryAfter), event.Cause(refusal.Cause))
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -80,7 +80,7 @@
 		return session.caller.Answer(answer) == nil
 	case spool.CallInvalid:
 		event.Log(session.engine.logger, event.CallerFault, zap.String("Reason", call.Reason))
-		_ = session.caller.Reject(&spool.Refusal{Code: spool.CodeProtocol, Message: call.Reason}) // closed next
+		_ = session.caller.Reject(spool.Refuse(spool.CodeProtocol, call.Reason)) // closed next
 		return false
 	}
 	return false
@@ -93,14 +93,12 @@
 		return false
 	}
 	if call.Kind != spool.CallOpen {
-		_ = session.caller.Reject(&spool.Refusal{Code: spool.CodeProtocol, Message: "no session is open"}) // closed next
+		_ = session.caller.Reject(spool.Refuse(spool.CodeProtocol, "no session is open")) // closed next
 		return false
 	}
 	deployment := session.engine.await(ctx)
 	if deployment == nil {
-		return session.reject(&spool.Refusal{
-			Code: spool.CodeNoPrimary, Message: "no configuration yet", RetryAfter: time.Second,
-		})
+		return session.reject(spool.Refuse(spool.CodeNoPrimary, "no configuration yet").Later(time.Second))
 	}
 	route, team, refusal := deployment.Login(call.Key, call.Route)
 	if refusal != nil {
@@ -159,7 +157,7 @@
 	}
 	if session.state == spool.TxIdle {
 		if !session.allowed(session.engine.deployment.Load()) {
-			session.reject(&spool.Refusal{Code: spool.CodeBadKey, Message: "the key or route was withdrawn"})
+			session.reject(spool.Refuse(spool.CodeBadKey, "the key or route was withdrawn"))
 			return true
 		}
 		return session.engine.draining.Load()
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -12,7 +12,7 @@
 // step runs a statement of an open transaction.
 func (session *session) step(ctx context.Context, statement *statement) spool.Answer {
 	if !session.allowed(session.engine.deployment.Load()) {
-		return session.refuse(&spool.Refusal{Code: spool.CodeRolledBack, Message: "the key or route was withdrawn"})
+		return session.refuse(spool.Refuse(spool.CodeRolledBack, "the key or route was withdrawn"))
 	}
 	command := statement.Command
 	var refusal *spool.Refusal
@@ -55,9 +55,7 @@
 	if session.tx.conn == nil {
 		return refusal
 	}
-	return &spool.Refusal{
-		Code: spool.CodeRolledBack, Message: refusal.Message, RetryAfter: refusal.RetryAfter, Cause: refusal.Cause,
-	}
+	return spool.Refuse(spool.CodeRolledBack, refusal.Message).Later(refusal.RetryAfter).Because(refusal.Cause)
 }
 
 // end fails the transaction with an answer; after a COMMIT the session is idle, else its end is awaited.
@@ -75,22 +73,20 @@
 	switch {
 	case statement.Verb == spool.VerbCommit && session.tx.wrote:
 		return spool.Answer{Refusal: &spool.Refusal{
-			Code: spool.CodeOutcomeUnknown, Verdict: spool.Unknown, Message: "no answer to the commit", Cause: err,
+			Verdict: spool.Unknown, Code: spool.CodeOutcomeUnknown, Message: "no answer to the commit", Cause: err,
 		}}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return spool.Answer{Refusal: &spool.Refusal{
-			Code: spool.CodeDeadlineExpired, Message: "the statement took too long", Cause: err,
+			Verdict: spool.Unknown, Code: spool.CodeDeadlineExpired, Message: "the statement took too long", Cause: err,
 		}}
 	}
-	return spool.Answer{Refusal: &spool.Refusal{
-		Code: spool.CodeRolledBack, Message: "the server's connection broke", RetryAfter: busyPause, Cause: err,
-	}}
+	return spool.Answer{Refusal: spool.Refuse(spool.CodeRolledBack, "the server's connection broke").Later(busyPause).Because(err)}
 }
 
 // enter begins the transaction on a server and prepares its first statement.
 func (session *session) enter(ctx context.Context, statement *statement) (spool.Command, *spool.Refusal) {
 	var avoid []spool.Server
-	last := &spool.Refusal{Code: spool.CodeNoSlot, Message: "no server began the transaction", RetryAfter: busyPause}
+	last := spool.Refuse(spool.CodeNoSlot, "no server began the transaction").Later(busyPause)
 	for range maxAttempts {
 		if time.Now().After(statement.deadline) {
 			break
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -50,9 +50,7 @@
 			return nil
 		}
 	}
-	return &spool.Refusal{
-		Code: spool.CodeRateExceeded, Message: "the team's rate is exceeded", RetryAfter: decision.Wait,
-	}
+	return spool.Refuse(spool.CodeRateExceeded, "the team's rate is exceeded").Later(decision.Wait)
 }
 
 func (limiter *limiter) decide(team spool.Team, again bool) (quota.Decision, <-chan struct{}) {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -53,7 +53,7 @@
 func newPeers(proxy *Proxy) *peers {
 	peers := &peers{proxy: proxy, views: map[spool.VM]peerView{}, probes: map[uint64]chan bool{}}
 	guard := peer.NewPlainGuard(proxy.settings.VM, sock.Dialer(sock.DefaultSilence))
-	peers.transport = peer.New(proxy.settings.VM, guard, proxy.members.address, peer.WithLogger(proxy.logger))
+	peers.transport = peer.New(proxy.settings.VM, guard, proxy.members.address, peer.WithLogger(proxy.logger), peer.WithObserver(proxy.metrics.PeerBytes))
 	return peers
 }
 
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -15,6 +15,7 @@
 
 	"corianderspool.example/spool/internal/engine"
 	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/metric"
 	"corianderspool.example/spool/internal/mirror"
 	"corianderspool.example/spool/internal/pool"
 	"corianderspool.example/spool/internal/sock"
@@ -42,6 +43,7 @@
 	logger   *zap.Logger
 	pool     *pool.Pool
 	engine   *engine.Engine
+	metrics  *metric.Metrics
 	limiter  *limiter
 	members  *members
 	peers    *peers
@@ -67,15 +69,17 @@
 	proxy.started = timers.Now()
 	proxy.dial = sock.Dialer(sock.DefaultSilence)
 	proxy.storeReached, proxy.latest = true, settings
-	proxy.pool = pool.New(adapter, proxy.dial, timers,
-		pool.WithLogger(logger), pool.WithDistance(proxy.distance), pool.WithDrain(settings.Bounds.Drain))
-	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(logger))
+	proxy.measure()
+	proxy.pool = pool.New(proxy.adapter, proxy.dial, timers,
+		pool.WithLogger(proxy.logger), pool.WithDistance(proxy.distance), pool.WithDrain(settings.Bounds.Drain))
+	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(proxy.logger),
+		engine.WithObserver(observer{proxy.metrics}))
 	proxy.members = newMembers(proxy)
 	proxy.peers = newPeers(proxy)
 	proxy.reader = newReader(proxy)
 	proxy.limiter.request = proxy.peers.askTokens
-	tokens := warden.NewTokens(adapter, settings.VM, rand.Uint64)
-	proxy.warden = warden.New(settings.VM, proxy.pool, adapter, tokens, adapter, proxy.peers, timers, logger)
+	tokens := warden.NewTokens(proxy.adapter, settings.VM, rand.Uint64)
+	proxy.warden = warden.New(settings.VM, proxy.pool, proxy.adapter, tokens, proxy.adapter, proxy.peers, timers, proxy.logger)
 	return proxy
 }
 
@@ -113,6 +117,7 @@
 	go proxy.serveReadiness(readiness)
 	go proxy.peers.run(background, peers)
 	go proxy.warden.Run(background)
+	go proxy.serveMetrics(background)
 	sessions := make(chan struct{})
 	go func() {
 		defer close(sessions)
--- a/internal/metric/platform.go
+++ b/internal/metric/platform.go
@@ -14,6 +14,9 @@
 	callPut   = "put"
 	callWatch = "watch"
 
+	callCreate = "create"
+	callDelete = "delete"
+
 	kindsWatched = "watched"
 
 	resultDone     = "done"
@@ -67,6 +70,17 @@
 }
 
 func (platform *platform) count(ctx context.Context, call, kind string, err error) {
+	result := platform.metrics.countCall(ctx, call, kind, err)
+	switch result {
+	case resultFailed:
+		platform.told(err)
+	case resultDone, resultConflict, resultNotFound:
+		platform.told(nil)
+	}
+}
+
+// countCall counts a call of an object API by its result, which it returns.
+func (metrics *Metrics) countCall(ctx context.Context, call, kind string, err error) string {
 	result := resultFailed
 	switch {
 	case err == nil:
@@ -78,11 +92,6 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		result = resultCanceled
 	}
-	platform.metrics.platformCalls.WithLabelValues(call, kind, result).Inc()
-	switch result {
-	case resultFailed:
-		platform.told(err)
-	case resultDone, resultConflict, resultNotFound:
-		platform.told(nil)
-	}
+	metrics.platformCalls.WithLabelValues(call, kind, result).Inc()
+	return result
 }
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -58,9 +58,7 @@
 			return conn, nil
 		}
 		if ctx.Err() != nil || time.Now().After(want.Deadline) {
-			return nil, &spool.Refusal{
-				Code: spool.CodeNoSlot, Message: "no connection to a server in time", RetryAfter: retryPause, Cause: err,
-			}
+			return nil, spool.Refuse(spool.CodeNoSlot, "no connection to a server in time").Later(retryPause).Because(err)
 		}
 	}
 }
@@ -105,9 +103,9 @@
 	}
 	group.waiters = slices.DeleteFunc(group.waiters, func(other *waiter) bool { return other == waiting })
 	if waiting.Primary && (group.primaryServer() == nil || !pool.usable(group.primaryServer(), pool.timers.Now())) {
-		return grant{}, &spool.Refusal{Code: spool.CodeNoPrimary, Message: "no primary", RetryAfter: 2 * retryPause}
+		return grant{}, spool.Refuse(spool.CodeNoPrimary, "no primary").Later(2 * retryPause)
 	}
-	return grant{}, &spool.Refusal{Code: spool.CodeNoSlot, Message: "all connections are in use", RetryAfter: retryPause}
+	return grant{}, spool.Refuse(spool.CodeNoSlot, "all connections are in use").Later(retryPause)
 }
 
 // try reserves a connection for a want if one is free; the caller holds the mutex.
--- a/pkg/spool/adapter.go
+++ b/pkg/spool/adapter.go
@@ -7,6 +7,11 @@
 	Linker
 	Store
 	Promoter
+	Translator
+}
+
+// Translator reads what the platform writes.
+type Translator interface {
 	// ConfigObject locates the configuration in the store.
 	ConfigObject() (kind, name string)
 	// ServerKind is the kind of the registered backend servers in the store.
--- a/pkg/spool/outcome.go
+++ b/pkg/spool/outcome.go
@@ -22,6 +22,23 @@
 	Cause      error         // for the log; callers do not see it, since it may name addresses and accounts
 }
 
+// Refuse returns a refusal of a request that no server ran.
+func Refuse(code, message string) *Refusal {
+	return &Refusal{Verdict: NotRun, Code: code, Message: message}
+}
+
+// Later says when trying again may help.
+func (refusal *Refusal) Later(retryAfter time.Duration) *Refusal {
+	refusal.RetryAfter = retryAfter
+	return refusal
+}
+
+// Because adds the cause, which only the log shows.
+func (refusal *Refusal) Because(cause error) *Refusal {
+	refusal.Cause = cause
+	return refusal
+}
+
 // Error returns the refusal's message.
 func (refusal *Refusal) Error() string { return refusal.Message }
 
