--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	GO="$(GO)" scripts/test.sh
 
 lint:
-	@unformatted=$$($(GO) tool gofumpt -l cmd examples internal pkg); \
+	@unformatted=$$($(GO) tool gofumpt -l cmd examples internal pkg platform); \
 	if [ -n "$$unformatted" ]; then echo "gofumpt: $$unformatted"; exit 1; fi
 	$(GO) tool revive -config revive.toml -set_exit_status ./...
 	$(GO) vet ./...
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -17,6 +17,7 @@
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/metric"
 	"corianderspool.example/spool/internal/mirror"
+	"corianderspool.example/spool/internal/oper"
 	"corianderspool.example/spool/internal/pool"
 	"corianderspool.example/spool/internal/sock"
 	"corianderspool.example/spool/internal/warden"
@@ -114,10 +115,11 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	proxy.follow(background)
-	go proxy.serveReadiness(readiness)
-	go proxy.peers.run(background, peers)
+	var serving sync.WaitGroup
+	serving.Go(func() { proxy.serveReadiness(background, readiness) })
+	serving.Go(func() { proxy.peers.run(background, peers) })
+	serving.Go(func() { proxy.serveMetrics(background) })
 	go proxy.warden.Run(background)
-	go proxy.serveMetrics(background)
 	sessions := make(chan struct{})
 	go func() {
 		defer close(sessions)
@@ -126,6 +128,8 @@
 	<-ctx.Done()
 	proxy.drain(callers)
 	<-sessions
+	stop()
+	serving.Wait()
 	event.Log(proxy.logger, event.ProxyStopped, zap.Int("Sessions", proxy.engine.Sessions()))
 	return nil
 }
@@ -176,16 +180,13 @@
 	return proxy.revision > 0 && !proxy.draining
 }
 
-func (proxy *Proxy) serveReadiness(listener net.Listener) {
-	server := &http.Server{
-		ReadHeaderTimeout: time.Second,
-		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-			if !proxy.ready() {
-				writer.WriteHeader(http.StatusServiceUnavailable)
-			}
-		}),
-	}
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+func (proxy *Proxy) serveReadiness(ctx context.Context, listener net.Listener) {
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		if !proxy.ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	if err := oper.Serve(ctx, listener, handler); err != nil {
 		event.Log(proxy.logger, event.ListenerFailed, event.Cause(err))
 	}
 }
