--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -73,6 +73,7 @@
 	SettingsReloaded Number = 105
 	SettingsRejected Number = 106
 	StoreUnread      Number = 712
+	ServerDetoured   Number = 311
 	ConfigAccepted   Number = 501
 	ConfigRejected   Number = 502
 	KeyWithdrawn     Number = 503
@@ -134,6 +135,7 @@
 	SettingsReloaded: {Level: zapcore.InfoLevel, Text: "settings reloaded"},
 	SettingsRejected: {Level: zapcore.ErrorLevel, Text: "settings rejected"},
 	StoreUnread:      {Level: zapcore.WarnLevel, Text: "store not read", PerSecond: serverLimit},
+	ServerDetoured:   {Level: zapcore.WarnLevel, Text: "primary reached through another proxy", PerSecond: serverLimit},
 	ConfigAccepted:   {Level: zapcore.InfoLevel, Text: "manifest accepted"},
 	ConfigRejected:   {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
 	KeyWithdrawn:     {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -166,12 +166,21 @@
 	return member.Address, true
 }
 
-// live returns the proxies that were heard lately.
-func (members *members) live() []spool.VM {
+// liveMembers returns the proxies that were heard lately.
+func (members *members) liveMembers() []roster.Member {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	var vms []spool.VM
+	var live []roster.Member
 	for _, member := range members.roster.Live(members.proxy.timers.Now()) {
+		live = append(live, *member)
+	}
+	return live
+}
+
+// live returns the names of the proxies that were heard lately.
+func (members *members) live() []spool.VM {
+	var vms []spool.VM
+	for _, member := range members.liveMembers() {
 		vms = append(vms, member.VM)
 	}
 	return vms
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -72,7 +72,7 @@
 	proxy.storeReached, proxy.latest = true, settings
 	proxy.measure()
 	proxy.pool = pool.New(proxy.adapter, proxy.dial, timers,
-		pool.WithLogger(proxy.logger), pool.WithDistance(proxy.distance), pool.WithDrain(settings.Bounds.Drain))
+		pool.WithLogger(proxy.logger), pool.WithDistance(proxy.distance), pool.WithDrain(settings.Bounds.Drain), pool.WithDetour(proxy.detour))
 	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(proxy.logger),
 		engine.WithObserver(observer{proxy.metrics}))
 	proxy.members = newMembers(proxy)
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -181,7 +181,7 @@
 	spec := granted.server.spec
 	target := spool.LinkTarget{Group: spec.Group, Server: spec.Server, Address: spec.Address, Team: want.Team}
 	began := pool.timers.Now()
-	link, position, err := pool.linker.Open(ctx, pool.dial, target)
+	link, position, err := pool.link(ctx, granted.server, target)
 	if err != nil {
 		pool.openFailed(granted.server, err, began)
 		return nil, err
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -24,7 +24,6 @@
 	owed     int  // answers to discard before the next one
 	broken   bool // may hold a transaction or unread answers
 	idleAt   spool.Instant
-	relayed  bool
 }
 
 // Server returns the name of the connection's server.
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -22,6 +22,7 @@
 	health   place.Health
 	denied   spool.Instant // when it last refused to act as primary
 	leaving  spool.Instant // when it was first seen leaving; zero if it is not
+	detoured spool.Instant // until when connections go through another proxy
 	gone     bool
 }
 
@@ -42,7 +43,7 @@
 
 // usable tells if a server takes new work.
 func (pool *Pool) usable(server *server, now spool.Instant) bool {
-	if server.gone || server.health.Blocked(now) {
+	if server.gone || server.health.Blocked(now) && now >= server.detoured {
 		return false
 	}
 	return server.leaving == 0 || now.Sub(server.leaving) < pool.leavingUse
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -33,6 +33,7 @@
 	logger     *zap.Logger
 	distance   func(domain spool.Domain) time.Duration
 	leavingUse time.Duration
+	detour     Detour
 
 	mutex  sync.Mutex
 	groups map[spool.Group]*group
@@ -56,12 +57,15 @@
 	return func(pool *Pool) { pool.SetDrain(drain) }
 }
 
+// WithDetour sets the way round a cut to a primary.
+func WithDetour(detour Detour) Option { return func(pool *Pool) { pool.detour = detour } }
+
 // New returns a pool without servers.
 func New(linker spool.Linker, dial spool.DialFunc, timers spool.Timers, options ...Option) *Pool {
 	pool := &Pool{
 		linker: linker, dial: dial, timers: timers, logger: zap.NewNop(),
-		distance: func(spool.Domain) time.Duration { return 0 },
-		groups:   map[spool.Group]*group{}, fleet: []spool.Domain{""},
+		distance: func(spool.Domain) time.Duration { return 0 }, detour: noDetour,
+		groups: map[spool.Group]*group{}, fleet: []spool.Domain{""},
 	}
 	for _, option := range options {
 		option(pool)
