--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -19,6 +19,7 @@
 type Situation struct {
 	Replicas      []Replica         // all registered servers but the primary
 	Before        spool.Server      // chosen earlier; stays so among equals
+	Unsettled     bool              // the registry may lack a server that runs
 	SyncReplicas  int               // replicas that confirm a commit before it is acknowledged
 	Acked         spool.LogPosition // newest position that any proxy is known to have acknowledged
 	AckedComplete bool              // every registered proxy has told its newest acknowledged position since the primary fell silent
@@ -31,7 +32,7 @@
 const (
 	Safe          Verdict = "every acknowledged commit is on the server"
 	NoReplica     Verdict = "no replica answers"
-	ReplicaUnseen Verdict = "a replica that does not answer may alone hold an acknowledged commit"
+	ReplicaUnseen Verdict = "a replica that does not answer or is not registered may alone hold an acknowledged commit"
 	BehindAcked   Verdict = "all replicas that answer lack an acknowledged commit"
 )
 
@@ -45,6 +46,9 @@
 		return "", BehindAcked
 	}
 	unseen := 0
+	if situation.Unsettled {
+		unseen++
+	}
 	for _, replica := range situation.Replicas {
 		if !replica.Seen {
 			unseen++
--- a/internal/core/elect/elect_test.go
+++ b/internal/core/elect/elect_test.go
@@ -46,6 +46,10 @@
 			Situation{Replicas: []Replica{replica("a", 5), unseen}, SyncReplicas: 1, Acked: acked(6), AckedComplete: true},
 			"", BehindAcked,
 		},
+		{
+			"Unregistered", Situation{Replicas: []Replica{replica("a", 5)}, Unsettled: true, SyncReplicas: 1},
+			"", ReplicaUnseen,
+		},
 		{"TwoConfirm", Situation{Replicas: []Replica{replica("a", 5), unseen}, SyncReplicas: 2}, "a", Safe},
 	}
 	for _, test := range tests {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -310,3 +310,6 @@
 
 // Operator returns the team that connections of the proxy itself name.
 func (peers *peers) Operator() spool.Team { return peers.proxy.operator() }
+
+// Settled tells if the registry shows all servers that run.
+func (peers *peers) Settled() bool { return peers.proxy.servers.Settled() }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -230,6 +230,13 @@
 	mirror.observer.Deleted(name)
 }
 
+// Settled tells if the store has answered for long enough for lapsed objects to be back.
+func (mirror *Mirror) Settled() bool {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	return mirror.failures == 0 && (mirror.failed == 0 || mirror.timers.Now().Sub(mirror.failed) > lapsePause)
+}
+
 func (mirror *Mirror) fail(err error) {
 	mirror.mutex.Lock()
 	mirror.failed = mirror.timers.Now()
--- a/internal/warden/replace.go
+++ b/internal/warden/replace.go
@@ -45,7 +45,8 @@
 	replicas := warden.statuses(view)
 	_, acked, complete := warden.fleet.Contact(view.Group, view.Primary, state.since)
 	situation := elect.Situation{
-		Replicas: replicas, Before: before, SyncReplicas: view.SyncReplicas, Acked: acked.Max(view.Acked),
+		Replicas: replicas, Before: before, Unsettled: !warden.fleet.Settled(), SyncReplicas: view.SyncReplicas,
+		Acked:         acked.Max(view.Acked),
 		AckedComplete: complete,
 	}
 	chosen, verdict := elect.Choose(situation)
@@ -55,6 +56,10 @@
 
 // hand promotes a replica while the leaving primary still works, so that no commit waits.
 func (warden *Warden) hand(ctx context.Context, view pool.View, state *state) {
+	if !warden.fleet.Settled() {
+		warden.retryLater(state)
+		return
+	}
 	turn, ok := warden.take(ctx, view, state)
 	if !ok {
 		return
@@ -220,6 +225,10 @@
 
 // order orders the promotion unless the token was taken too long ago.
 func (warden *Warden) order(ctx context.Context, view pool.View, state *state, chosen spool.Server, turn turn) {
+	if !warden.sameServers(view) {
+		warden.resume(view, state)
+		return // a new replica confirms commits as well; the next look counts it in
+	}
 	var err error
 	if late := warden.timers.Now().Sub(turn.taken); late > orderWithin {
 		err = eris.Errorf("the fencing token was taken %v ago", late)
@@ -239,6 +248,16 @@
 	warden.await(view, state, chosen)
 }
 
+// sameServers tells if no server joined the group since the view was taken.
+func (warden *Warden) sameServers(view pool.View) bool {
+	for _, server := range warden.pool.View(view.Group).Servers {
+		if find(view, server.Server) == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // await waits until the chosen server acts as primary.
 func (warden *Warden) await(view pool.View, state *state, chosen spool.Server) {
 	deadline := warden.timers.Now().Add(settleTime)
--- a/internal/warden/tokens.go
+++ b/internal/warden/tokens.go
@@ -18,6 +18,10 @@
 // a few seconds.
 const recentTurn = 20 * time.Second
 
+// tokenTimeout bounds one try: a store that is sixty times slower than usual answers both calls in 480 ms, and an answer
+// that is lost is not worth a longer wait.
+const tokenTimeout = 600 * time.Millisecond
+
 // maxTokenTries bounds how often a lost race or answer is tried again.
 const maxTokenTries = 4
 
@@ -57,6 +61,8 @@
 }
 
 func (tokens *Tokens) try(ctx context.Context, group spool.Group, nonce uint64) (uint64, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+	defer cancel()
 	object, err := tokens.store.Get(ctx, KindDuty, string(group))
 	missing := errors.Is(err, spool.ErrNotFound)
 	if err != nil && !missing {
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -32,6 +32,8 @@
 	Contact(group spool.Group, primary spool.Server, since spool.Instant) (spool.Instant, spool.LogPosition, bool)
 	// Canvass asks all live proxies if they reach a server as primary, or any if none is named.
 	Canvass(group spool.Group, primary spool.Server) elect.Canvass
+	// Settled tells if the registry shows all servers that run: the store has answered for a while.
+	Settled() bool
 	// Operator returns the team that connections of the proxy itself name.
 	Operator() spool.Team
 }
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	canvass  elect.Canvass
 	acked    spool.LogPosition
 	complete bool
+	settled  *atomic.Bool // nil for always
 }
 
 func (others others) Supervises(spool.Group) bool { return true }
@@ -37,6 +39,8 @@
 
 func (others others) Canvass(spool.Group, spool.Server) elect.Canvass { return others.canvass }
 
+func (others others) Settled() bool { return others.settled == nil || others.settled.Load() }
+
 func (others others) Operator() spool.Team { return "operator" }
 
 // world is a warden before a group of servers and the platform.
@@ -74,10 +78,7 @@
 // register tells the pool of the servers, of which one calls itself primary and may be leaving.
 func (world *world) register(primary spool.Server, leaving bool) {
 	for _, server := range world.group.Servers() {
-		spec := spool.RegisteredServer{
-			Server: server.ID, Group: "g1", Address: server.Address, Domain: "d", Slots: 5,
-			Primary: server.ID == primary, Born: 1,
-		}
+		spec := world.spec(server.ID, primary)
 		if leaving && spec.Primary {
 			spec.Mode = spool.ServerLeaving
 		}
@@ -85,6 +86,14 @@
 	}
 }
 
+// spec is the entry of a server.
+func (world *world) spec(id, primary spool.Server) spool.RegisteredServer {
+	return spool.RegisteredServer{
+		Server: id, Group: "g1", Address: world.group.Server(id).Address, Domain: "d", Slots: 5,
+		Primary: id == primary, Born: 1,
+	}
+}
+
 func (world *world) start(vm spool.VM, others others) {
 	ctx, cancel := context.WithCancel(context.Background())
 	world.Cleanup(cancel)
@@ -173,6 +182,29 @@
 	qt.Assert(t, world.ordered(), qt.HasLen, 1)
 }
 
+// TestUnregisteredReplicaIsNotForgotten has a new replica that runs, confirms commits and is registered only when the
+// store is back: neither a hand-over nor a replacement goes on without it.
+func TestUnregisteredReplicaIsNotForgotten(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		world := newWorld(t)
+		world.pool.RemoveServer("c")
+		settled := &atomic.Bool{}
+		world.start("vm1", others{canvass: allUnreached, settled: settled})
+		if crash {
+			world.group.Server("a").Kill()
+		} else {
+			leaving := world.spec("a", "a")
+			leaving.Mode = spool.ServerLeaving
+			world.pool.SetServer(leaving)
+		}
+		time.Sleep(1200 * time.Millisecond)
+		qt.Assert(t, world.ordered(), qt.HasLen, 0)
+		world.pool.SetServer(world.spec("c", "a"))
+		settled.Store(true)
+		world.eventually(func() bool { return len(world.ordered()) == 1 })
+	}
+}
+
 // TestTwoWardensOrderOnce starts two proxies that both believe they look after the group.
 func TestTwoWardensOrderOnce(t *testing.T) {
 	world := newWorld(t)
