Send heartbeats to other regions one in four, and only what all need

What others know of a primary now comes with their answer to a canvass, other regions hear a heartbeat every 2 s, idle connections between proxies carry no probes. The supervisor of a group sits in the region of its primary, where heartbeats are frequent; one proxy a region reads the store's version. An operation also waits for a token that this proxy mints soon; before, a proxy that knew no other one refused at once.

--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -132,10 +132,12 @@
 
 // Canvass is what the other proxies say of a group's primary.
 type Canvass struct {
-	Alone     bool // no other proxy is registered
-	Asked     int  // live proxies that were asked
-	Reached   int  // of those that answered: reached the primary
-	Unreached int  // of those that answered: did not
+	Alone     bool              // no other proxy is registered
+	Asked     int               // live proxies that were asked
+	Reached   int               // of those that answered: reached the primary
+	Unreached int               // of those that answered: did not
+	Acked     spool.LogPosition // newest position that any proxy acknowledged a commit at
+	Complete  bool              // every registered proxy answered
 }
 
 // Dead tells if the primary is to be replaced: nobody reaches it, as most of the live proxies say. A proxy that hears no
--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -15,6 +15,7 @@
 	shortestPause = 50 * time.Millisecond  // between requests for tokens of a team: a round trip between regions
 	longestPause  = 800 * time.Millisecond // between requests that brought nothing
 	spentPause    = 4 * shortestPause      // two requests in a row brought nothing
+	Patience      = 120 * time.Millisecond // that an operation waits for a token: three round trips between regions
 	leastAsked    = 2                      // tokens
 )
 
@@ -86,6 +87,11 @@
 	return given
 }
 
+// mints tells if the bucket has or mints some tokens within a time.
+func (bucket *Bucket) mints(tokens int, within time.Duration) bool {
+	return bucket.level+bucket.rate*within.Seconds() >= float64(tokens)
+}
+
 // Wait returns how long the bucket takes to mint the next whole token.
 func (bucket *Bucket) Wait(now spool.Instant) time.Duration {
 	bucket.fill(now)
--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -55,8 +55,9 @@
 	Ask      float64       // tokens to ask other proxies for now; zero for none
 }
 
-// Admit spends a token of the team if there is one; again tells that the operation asked before.
-func (ledger *Ledger) Admit(team spool.Team, again bool, now spool.Instant) Decision {
+// Admit spends a token of the team if there is one; again tells that the operation asked before, and waiting how many
+// operations wait for a token.
+func (ledger *Ledger) Admit(team spool.Team, again bool, waiting int, now spool.Instant) Decision {
 	bucket := ledger.buckets[team]
 	if bucket == nil {
 		return Decision{Wait: maxWait}
@@ -65,7 +66,7 @@
 		bucket.Want(now)
 	}
 	decision := Decision{Admitted: bucket.Take(now), Wait: bucket.Wait(now)}
-	decision.Spent = ledger.fleet == 1 || bucket.pause >= spentPause
+	decision.Spent = (ledger.fleet == 1 || bucket.pause >= spentPause) && !bucket.mints(waiting+1, Patience)
 	if ledger.fleet > 1 {
 		decision.Ask = bucket.Ask(now)
 	}
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -27,12 +27,22 @@
 func TestRestartedProxyStartsEmpty(t *testing.T) {
 	c := qt.New(t)
 	ledger := ledger(start, 2, 10, 10)
-	c.Assert(ledger.Admit(team, false, start).Admitted, qt.IsFalse)
-	decision := ledger.Admit(team, true, start.Add(100*time.Millisecond))
+	c.Assert(ledger.Admit(team, false, 0, start).Admitted, qt.IsFalse)
+	decision := ledger.Admit(team, true, 0, start.Add(100*time.Millisecond))
 	c.Assert(decision.Admitted, qt.IsFalse)
 	c.Assert(decision.Wait, qt.Equals, 100*time.Millisecond)
-	c.Assert(ledger.Admit(team, true, start.Add(200*time.Millisecond)).Admitted, qt.IsTrue)
-	c.Assert(ledger.Admit("other", false, start).Wait, qt.Equals, maxWait)
+	c.Assert(ledger.Admit(team, true, 0, start.Add(200*time.Millisecond)).Admitted, qt.IsTrue)
+	c.Assert(ledger.Admit("other", false, 0, start).Wait, qt.Equals, maxWait)
+}
+
+// TestWaitingIsRefusedWhenItCannotHelp lets as many operations wait as get a token in time.
+func TestWaitingIsRefusedWhenItCannotHelp(t *testing.T) {
+	c := qt.New(t)
+	ledger := ledger(start, 1, 50, 50)
+	for waiting := range 6 {
+		c.Assert(ledger.Admit(team, false, waiting, start).Spent, qt.IsFalse)
+	}
+	c.Assert(ledger.Admit(team, false, 6, start).Spent, qt.IsTrue)
 }
 
 func TestLoweredRateTakesTokensAway(t *testing.T) {
@@ -41,7 +51,7 @@
 	now := start.Add(time.Minute)
 	ledger.SetTeams(map[spool.Team]spool.TeamSpec{team: {Name: team, RatePerSecond: 1, Burst: 2}}, now)
 	admitted := 0
-	for ledger.Admit(team, false, now).Admitted {
+	for ledger.Admit(team, false, 0, now).Admitted {
 		admitted++
 	}
 	c.Assert(admitted, qt.Equals, 2)
@@ -68,7 +78,7 @@
 			}
 			ask := 0.0
 			for range rapid.IntRange(1, 40).Draw(t, "demand") {
-				decision := ledgers[asker].Admit(team, false, now)
+				decision := ledgers[asker].Admit(team, false, 0, now)
 				ask = max(ask, decision.Ask)
 				if decision.Admitted {
 					admitted = append(admitted, now)
@@ -106,7 +116,7 @@
 		for range demand * 20 {
 			now = now.Add(time.Second / demand)
 			asked++
-			decision := ledgers[0].Admit(team, false, now)
+			decision := ledgers[0].Admit(team, false, 0, now)
 			if decision.Ask > 0 && exchange {
 				for range 3 {
 					next++
@@ -114,7 +124,7 @@
 					ledgers[0].Give(team, giver.Spare(team, decision.Ask, now), now)
 				}
 			}
-			if !decision.Admitted && !ledgers[0].Admit(team, true, now).Admitted {
+			if !decision.Admitted && !ledgers[0].Admit(team, true, 0, now).Admitted {
 				refused++
 			}
 		}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -11,8 +11,14 @@
 )
 
 const (
-	// LiveFor is how long a proxy counts as live after a heartbeat: three of them, 500 ms apart.
-	LiveFor = 1500 * time.Millisecond
+	// NearPeriod is the time between heartbeats within a region.
+	NearPeriod = 500 * time.Millisecond
+	// FarPeriod is the time between heartbeats to other regions, where bytes are dear.
+	FarPeriod = 2 * time.Second
+	// LiveFor is how long a proxy of the region counts as live after a heartbeat.
+	LiveFor = 3 * NearPeriod
+	// farLiveFor is the same for a proxy of another region.
+	farLiveFor = 3 * FarPeriod
 	// goneAfter is how long a proxy must be silent before its registration is removed: longer than outages and restarts.
 	goneAfter = 20 * time.Second
 )
@@ -30,14 +36,18 @@
 // Roster holds the registered proxies, this one left out.
 type Roster struct {
 	self    spool.VM
+	near    func(domain spool.Domain) bool
 	members map[spool.VM]*Member
 }
 
-// New returns a roster without other proxies.
-func New(self spool.VM) *Roster {
-	return &Roster{self: self, members: map[spool.VM]*Member{}}
+// New returns a roster without other proxies; near tells which failure domains are in this proxy's region.
+func New(self spool.VM, near func(domain spool.Domain) bool) *Roster {
+	return &Roster{self: self, near: near, members: map[spool.VM]*Member{}}
 }
 
+// Near tells if a proxy is in this one's region.
+func (roster *Roster) Near(member *Member) bool { return roster.near(member.Domain) }
+
 // Add registers a proxy and tells if it is new or moved.
 func (roster *Roster) Add(member spool.Member, now spool.Instant) bool {
 	if member.VM == roster.self || member.VM == "" {
@@ -96,7 +106,11 @@
 
 func (roster *Roster) live(vm spool.VM, now spool.Instant) bool {
 	member := roster.members[vm]
-	return member.Heard != 0 && now.Sub(member.Heard) < LiveFor
+	life := time.Duration(farLiveFor)
+	if roster.near(member.Domain) {
+		life = LiveFor
+	}
+	return member.Heard != 0 && now.Sub(member.Heard) < life
 }
 
 // Gone returns the proxies that were silent for so long that their registration is to be removed.
@@ -112,23 +126,32 @@
 }
 
 // Supervises tells if this proxy is the one that looks after a subject: the first by a hash of both among the live ones
-// that reach the store.
-func (roster *Roster) Supervises(subject string, selfFit bool, now spool.Instant) bool {
+// that reach the store. Proxies of preferred failure domains come first.
+func (roster *Roster) Supervises(
+	subject string, own spool.Domain, prefer func(domain spool.Domain) bool, selfFit bool, now spool.Instant,
+) bool {
 	if !selfFit {
 		return false
 	}
-	own := weight(subject, roster.self)
+	least := weight(subject, roster.self, prefer(own))
 	for _, member := range roster.Live(now) {
 		if member.Leaving || !member.StoreReached {
 			continue
 		}
-		if weight(subject, member.VM) > own {
+		if weight(subject, member.VM, prefer(member.Domain)) > least {
 			return false
 		}
 	}
 	return true
 }
 
-func weight(subject string, vm spool.VM) uint64 {
-	return xxhash.Sum64String(subject + "\x00" + string(vm))
+// preferred is the part of a weight that puts preferred proxies before all others.
+const preferred = 1 << 63
+
+func weight(subject string, vm spool.VM, prefer bool) uint64 {
+	hash := xxhash.Sum64String(subject+"\x00"+string(vm)) &^ preferred
+	if prefer {
+		return hash | preferred
+	}
+	return hash
 }
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -11,13 +11,17 @@
 
 const start = spool.Instant(time.Hour)
 
+func anywhere(spool.Domain) bool { return true }
+
+func domain(vm spool.VM) spool.Domain { return spool.Domain("d-" + vm) }
+
 // fleet returns the rosters of proxies that hear each other.
 func fleet(now spool.Instant, vms ...spool.VM) map[spool.VM]*Roster {
 	rosters := map[spool.VM]*Roster{}
 	for _, self := range vms {
-		roster := New(self)
+		roster := New(self, func(spool.Domain) bool { return true })
 		for _, vm := range vms {
-			roster.Add(spool.Member{VM: vm, Domain: spool.Domain("d-" + vm)}, now)
+			roster.Add(spool.Member{VM: vm, Domain: domain(vm)}, now)
 			if member := roster.Get(vm); member != nil {
 				member.Heard, member.StoreReached = now, true
 			}
@@ -30,7 +34,7 @@
 func supervisors(rosters map[spool.VM]*Roster, subject string, now spool.Instant) []spool.VM {
 	var found []spool.VM
 	for vm, roster := range rosters {
-		if roster.Supervises(subject, true, now) {
+		if roster.Supervises(subject, domain(vm), anywhere, true, now) {
 			found = append(found, vm)
 		}
 	}
@@ -65,11 +69,34 @@
 			roster.Get(first).StoreReached = false
 		}
 	}
-	c.Assert(rosters[first].Supervises("group", false, start), qt.IsFalse)
+	c.Assert(rosters[first].Supervises("group", domain(first), anywhere, false, start), qt.IsFalse)
 	delete(rosters, first)
 	c.Assert(supervisors(rosters, "group", start), qt.HasLen, 1)
 }
 
+func TestPreferredProxySupervises(t *testing.T) {
+	c := qt.New(t)
+	rosters := fleet(start, "vm1", "vm2", "vm3", "vm4")
+	for _, preferred := range []spool.VM{"vm1", "vm3"} {
+		prefer := func(candidate spool.Domain) bool { return candidate == domain(preferred) }
+		for vm, roster := range rosters {
+			c.Assert(roster.Supervises("group", domain(vm), prefer, true, start), qt.Equals, vm == preferred)
+		}
+	}
+}
+
+// TestFarProxiesAreHeardLessOften keeps a proxy of another region live between its rarer heartbeats.
+func TestFarProxiesAreHeardLessOften(t *testing.T) {
+	c := qt.New(t)
+	roster := New("vm1", func(domain spool.Domain) bool { return domain == "near" })
+	roster.Add(spool.Member{VM: "vm2", Domain: "near"}, start)
+	roster.Add(spool.Member{VM: "vm3", Domain: "far"}, start)
+	roster.Get("vm2").Heard, roster.Get("vm3").Heard = start, start
+	c.Assert(roster.Live(start.Add(LiveFor-1)), qt.HasLen, 2)
+	c.Assert(roster.Live(start.Add(LiveFor)), qt.HasLen, 1)
+	c.Assert(roster.Live(start.Add(farLiveFor)), qt.HasLen, 0)
+}
+
 func TestRegistrationsOfSilentProxiesAreRemoved(t *testing.T) {
 	c := qt.New(t)
 	roster := fleet(start, "vm1", "vm2", "vm3")["vm1"]
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -9,9 +9,6 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// tokenPatience is how long an operation waits for tokens of other proxies: three round trips between regions.
-const tokenPatience = 120 * time.Millisecond
-
 // limiter admits operations of teams; it implements engine.Limiter.
 type limiter struct {
 	timers  spool.Timers
@@ -20,31 +17,34 @@
 	mutex   sync.Mutex
 	ledger  *quota.Ledger
 	arrived map[spool.Team]chan struct{} // closed when tokens come
+	waiting map[spool.Team]int
 }
 
 func newLimiter(timers spool.Timers) *limiter {
 	return &limiter{
 		timers: timers, ledger: quota.NewLedger(), request: func(spool.Team, float64) {},
-		arrived: map[spool.Team]chan struct{}{},
+		arrived: map[spool.Team]chan struct{}{}, waiting: map[spool.Team]int{},
 	}
 }
 
-// Admit spends a token of the team, waits shortly for one of another proxy, or refuses.
+// Admit spends a token of the team, waits shortly for one to be minted here or given by another proxy, or refuses.
 func (limiter *limiter) Admit(ctx context.Context, team spool.Team) *spool.Refusal {
 	decision, arrived := limiter.decide(team, false)
 	if decision.Admitted {
 		return nil
 	}
-	timer := time.NewTimer(tokenPatience)
-	defer timer.Stop()
-	for waiting := !decision.Spent; waiting; {
+	limiter.wait(team, 1)
+	defer limiter.wait(team, -1)
+	deadline := time.Now().Add(quota.Patience)
+	for !decision.Spent && time.Now().Before(deadline) {
+		timer := time.NewTimer(min(decision.Wait, time.Until(deadline)) + time.Millisecond)
 		select {
 		case <-arrived:
 		case <-timer.C:
-			waiting = false
 		case <-ctx.Done():
-			waiting = false
+			deadline = time.Now()
 		}
+		timer.Stop()
 		decision, arrived = limiter.decide(team, true)
 		if decision.Admitted {
 			return nil
@@ -53,10 +53,16 @@
 	return spool.Refuse(spool.CodeRateExceeded, "the team's rate is exceeded").Later(decision.Wait)
 }
 
+func (limiter *limiter) wait(team spool.Team, change int) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	limiter.waiting[team] += change
+}
+
 func (limiter *limiter) decide(team spool.Team, again bool) (quota.Decision, <-chan struct{}) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	decision := limiter.ledger.Admit(team, again, limiter.timers.Now())
+	decision := limiter.ledger.Admit(team, again, limiter.waiting[team], limiter.timers.Now())
 	if decision.Ask > 0 {
 		limiter.request(team, decision.Ask)
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -36,7 +36,7 @@
 }
 
 func newMembers(proxy *Proxy) *members {
-	return &members{proxy: proxy, roster: roster.New(proxy.settings.VM)}
+	return &members{proxy: proxy, roster: roster.New(proxy.settings.VM, proxy.near)}
 }
 
 // run registers this VM, lists the others and removes those that are gone, until the context ends.
@@ -138,7 +138,7 @@
 	fit := members.proxy.fit() // before the lock of the members, which others take while they hold the proxy's
 	members.mutex.Lock()
 	gone := members.roster.Gone(now)
-	supervises := members.roster.Supervises(kindMember, fit, now)
+	supervises := members.roster.Supervises(kindMember, members.proxy.settings.Domain, anywhere, fit, now)
 	members.mutex.Unlock()
 	if len(gone) == 0 || !supervises {
 		return
@@ -186,12 +186,16 @@
 	return vms
 }
 
-// supervises tells if this proxy looks after a group.
-func (members *members) supervises(group spool.Group) bool {
+// anywhere prefers no failure domain.
+func anywhere(spool.Domain) bool { return false }
+
+// supervises tells if this proxy looks after a subject; proxies of preferred failure domains come first.
+func (members *members) supervises(subject string, prefer func(domain spool.Domain) bool) bool {
 	fit := members.proxy.fit() // before the lock, as in collect
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	return members.roster.Supervises(string(group), fit, members.proxy.timers.Now())
+	own := members.proxy.settings.Domain
+	return members.roster.Supervises(subject, own, prefer, fit, members.proxy.timers.Now())
 }
 
 // sleep waits and tells if the context still runs.
@@ -206,26 +210,30 @@
 	}
 }
 
-// others returns all other registered proxies.
-func (members *members) others() []spool.VM {
+// all returns all other registered proxies.
+func (members *members) all() []roster.Member {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	var vms []spool.VM
+	var all []roster.Member
 	for _, member := range members.roster.Others() {
-		vms = append(vms, member.VM)
+		all = append(all, *member)
 	}
-	return vms
+	return all
 }
 
-// heard notes a heartbeat; its sender joins the fleet if it is new.
-func (members *members) heard(from spool.VM, pulse *wire.Pulse, sent, now spool.Instant) {
-	members.add(spool.Member{VM: from, Domain: spool.Domain(pulse.Domain), Address: pulse.Address})
+// heard notes a heartbeat, and tells if it is the first of its sender, who joins the fleet if it is new.
+func (members *members) heard(from spool.VM, pulse *wire.Pulse, sent, now spool.Instant) (first bool) {
+	if pulse.Address != "" {
+		members.add(spool.Member{VM: from, Domain: spool.Domain(pulse.Domain), Address: pulse.Address})
+	}
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
 	member := members.roster.Get(from)
 	if member == nil {
-		return
+		return false
 	}
+	first = member.Heard == 0
 	member.Heard, member.Sent = now, sent
 	member.Leaving, member.StoreReached, member.Revision = pulse.Leaving, pulse.StoreReached, pulse.Revision
+	return first
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/core/elect"
-	"corianderspool.example/spool/internal/core/fresh"
+	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/peer"
 	"corianderspool.example/spool/internal/sock"
@@ -19,10 +19,13 @@
 )
 
 const (
-	pulsePeriod   = 500 * time.Millisecond // between heartbeats; three missed ones count as silence
-	tokenPeers    = 3                      // proxies asked for tokens at once
-	probePatience = 600 * time.Millisecond // for the other proxies' word on a primary: a probe and a round trip
-	seedTimeout   = time.Second
+	introduction     = 3 * time.Second        // after the start: heartbeats to all, until all proxies of a fleet have started
+	introduceBeats   = 8                      // rounds between heartbeats that name the address, for proxies that missed it
+	sessionKeepAlive = 15 * time.Second       // heartbeats show sooner that a connection is silent
+	lastAnswers      = 100 * time.Millisecond // for proxies that are not live, after all live ones have answered
+	tokenPeers       = 3                      // proxies asked for tokens at once
+	probePatience    = 600 * time.Millisecond // for the other proxies' word on a primary: a probe and a round trip
+	seedTimeout      = time.Second
 )
 
 // peers exchanges heartbeats, configuration and tokens with the other proxies.
@@ -32,28 +35,23 @@
 
 	mutex  sync.Mutex
 	views  map[spool.VM]peerView
-	probes map[uint64]chan bool
+	probes map[uint64]chan *wire.ProbeAnswer
 	last   uint64 // number of the newest probe
+	beats  uint64 // rounds of heartbeats so far
 }
 
-// peerView is what another proxy told in its newest heartbeat.
+// peerView is the newest heartbeat of another proxy.
 type peerView struct {
-	heard  spool.Instant
-	sent   int64 // by the other proxy's clock
-	groups map[spool.Group]peerGroup
-}
-
-// peerGroup is what another proxy has seen of a group's primary.
-type peerGroup struct {
-	primary spool.Server
-	contact spool.Instant // by this VM's clock, late by the way of the heartbeat
-	acked   spool.LogPosition
+	heard spool.Instant
+	sent  int64 // by the other proxy's clock
 }
 
 func newPeers(proxy *Proxy) *peers {
-	peers := &peers{proxy: proxy, views: map[spool.VM]peerView{}, probes: map[uint64]chan bool{}}
-	guard := peer.NewPlainGuard(proxy.settings.VM, sock.Dialer(sock.DefaultSilence))
-	peers.transport = peer.New(proxy.settings.VM, guard, proxy.members.address, peer.WithLogger(proxy.logger), peer.WithObserver(proxy.metrics.PeerBytes))
+	peers := &peers{proxy: proxy, views: map[spool.VM]peerView{}, probes: map[uint64]chan *wire.ProbeAnswer{}}
+	dial := sock.Dialer(sock.DefaultSilence, sock.WithoutKeepAlive())
+	guard := peer.NewPlainGuard(proxy.settings.VM, dial)
+	peers.transport = peer.New(proxy.settings.VM, guard, proxy.members.address, peer.WithLogger(proxy.logger),
+		peer.WithKeepAlive(sessionKeepAlive), peer.WithObserver(proxy.metrics.PeerBytes))
 	return peers
 }
 
@@ -61,7 +59,7 @@
 func (peers *peers) run(ctx context.Context, listener net.Listener) {
 	peers.transport.Listen(listener, peers)
 	go peers.meetSeeds(ctx)
-	stop := peers.proxy.timers.Every(pulsePeriod, spool.TimerFunc(func(spool.Instant) { peers.pulse() }))
+	stop := peers.proxy.timers.Every(roster.NearPeriod, spool.TimerFunc(func(spool.Instant) { peers.pulse() }))
 	<-ctx.Done()
 	stop()
 	peers.transport.Close()
@@ -84,50 +82,52 @@
 	}
 }
 
-// pulse sends a heartbeat to every other proxy.
+// pulse sends the heartbeats that are due: all within the region, and to other regions one in several.
 func (peers *peers) pulse() {
 	proxy := peers.proxy
 	now := proxy.timers.Now()
-	pulse := proxy.describe(now)
-	version, confirmed := proxy.reader.state()
-	for _, to := range proxy.members.others() {
-		peers.mutex.Lock()
-		view, known := peers.views[to]
-		peers.mutex.Unlock()
-		copied := &wire.Pulse{
-			Domain: pulse.Domain, Address: pulse.Address, Leaving: pulse.Leaving, SentNanos: int64(now),
-			Revision: pulse.Revision, StoreReached: pulse.StoreReached, Groups: pulse.Groups,
-			StoreVersion: uint64(version), ConfirmedAgeNanos: int64(now.Sub(confirmed)),
-		}
-		if known {
-			copied.EchoNanos = view.sent
-			copied.HoldNanos = int64(now.Sub(view.heard))
+	peers.mutex.Lock()
+	peers.beats++
+	beat := peers.beats
+	peers.mutex.Unlock()
+	const farBeats = uint64(roster.FarPeriod / roster.NearPeriod)
+	introducing := now.Sub(proxy.started) < introduction
+	for i, member := range proxy.members.all() {
+		if introducing || proxy.near(member.Domain) || (beat+uint64(i))%farBeats == 0 {
+			peers.beat(member.VM, now, introducing || beat%introduceBeats == 0)
 		}
-		peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_Pulse{Pulse: copied}})
 	}
 }
 
-// describe returns what this proxy tells the others.
-func (proxy *Proxy) describe(now spool.Instant) *wire.Pulse {
+// announce tells all other proxies at once that this one leaves.
+func (peers *peers) announce() {
+	now := peers.proxy.timers.Now()
+	for _, member := range peers.proxy.members.all() {
+		peers.beat(member.VM, now, false)
+	}
+}
+
+// beat sends one heartbeat; whole ones name this proxy's address and failure domain.
+func (peers *peers) beat(to spool.VM, now spool.Instant, whole bool) {
+	proxy := peers.proxy
+	version, confirmed := proxy.reader.state()
 	proxy.mutex.Lock()
 	pulse := &wire.Pulse{
-		Domain: string(proxy.settings.Domain), Address: proxy.settings.Peers, Leaving: proxy.draining,
-		Revision: proxy.revision, StoreReached: proxy.storeReached,
+		Leaving: proxy.draining, SentNanos: int64(now), Revision: proxy.revision, StoreReached: proxy.storeReached,
+		StoreVersion: uint64(version), ConfirmedAgeNanos: int64(now.Sub(confirmed)),
 	}
 	proxy.mutex.Unlock()
-	for _, name := range proxy.pool.Groups() {
-		view := proxy.pool.View(name)
-		if view.Contact == 0 {
-			continue
-		}
-		pulse.Groups = append(pulse.Groups, &wire.GroupPulse{
-			Group: string(name), Primary: string(view.Primary),
-			Term: uint64(view.Newest.Position.Term), Number: uint64(view.Newest.Position.Number),
-			MarkAgeNanos: int64(now.Sub(view.Newest.Sent)), ContactAgeNanos: int64(now.Sub(view.Contact)),
-			AckedTerm: uint64(view.Acked.Term), AckedNumber: uint64(view.Acked.Number),
-		})
+	if whole {
+		pulse.Domain, pulse.Address = string(proxy.settings.Domain), proxy.settings.Peers
 	}
-	return pulse
+	peers.mutex.Lock()
+	view, known := peers.views[to]
+	peers.mutex.Unlock()
+	if known {
+		pulse.EchoNanos = view.sent
+		pulse.HoldNanos = int64(now.Sub(view.heard))
+	}
+	peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_Pulse{Pulse: pulse}})
 }
 
 // Receive handles a message of another proxy.
@@ -170,25 +170,13 @@
 	if pulse.EchoNanos != 0 {
 		sent = spool.Instant(pulse.EchoNanos).Add(time.Duration(pulse.HoldNanos))
 	}
-	proxy.members.heard(from, pulse, sent, now)
-	view := peerView{heard: now, sent: pulse.SentNanos, groups: map[spool.Group]peerGroup{}}
-	for _, group := range pulse.Groups {
-		name, primary := spool.Group(group.Group), spool.Server(group.Primary)
-		acked := spool.LogPosition{Term: spool.Term(group.AckedTerm), Number: spool.Position(group.AckedNumber)}
-		mark := fresh.Mark{Position: spool.LogPosition{
-			Term: spool.Term(group.Term), Number: spool.Position(group.Number),
-		}}
-		if sent != 0 {
-			mark.Sent = sent.Add(-time.Duration(group.MarkAgeNanos))
-		}
-		proxy.pool.Learn(name, primary, mark, acked)
-		view.groups[name] = peerGroup{
-			primary: primary, contact: now.Add(-time.Duration(group.ContactAgeNanos)), acked: acked,
-		}
-	}
+	first := proxy.members.heard(from, pulse, sent, now)
 	peers.mutex.Lock()
-	peers.views[from] = view
+	peers.views[from] = peerView{heard: now, sent: pulse.SentNanos}
 	peers.mutex.Unlock()
+	if first {
+		peers.beat(from, now, true)
+	}
 	if sent != 0 {
 		proxy.reader.learn(spool.Version(pulse.StoreVersion), sent.Add(-time.Duration(pulse.ConfirmedAgeNanos)))
 	}
@@ -218,32 +206,10 @@
 	}
 }
 
-// Contact returns when any proxy last reached a group's primary, and the newest acknowledged position that any told;
-// complete says that every registered proxy has told it since an instant.
-func (peers *peers) Contact(
-	group spool.Group, primary spool.Server, since spool.Instant,
-) (contact spool.Instant, acked spool.LogPosition, complete bool) {
-	complete = true
-	for _, vm := range peers.proxy.members.others() {
-		peers.mutex.Lock()
-		view := peers.views[vm]
-		peers.mutex.Unlock()
-		if view.heard <= since {
-			complete = false
-		}
-		seen := view.groups[group]
-		acked = acked.Max(seen.acked)
-		if seen.primary == primary {
-			contact = max(contact, seen.contact)
-		}
-	}
-	return contact, acked, complete
-}
-
-// Canvass asks all live proxies if they reach a server as primary, or any if none is named.
+// Canvass asks all proxies if they reach a server as primary, or any if none is named.
 func (peers *peers) Canvass(group spool.Group, server spool.Server) elect.Canvass {
-	live := peers.proxy.members.live()
-	answers := make(chan bool, len(live))
+	registered := peers.proxy.members.all()
+	answers := make(chan *wire.ProbeAnswer, len(registered))
 	peers.mutex.Lock()
 	peers.last++
 	sequence := peers.last
@@ -255,16 +221,23 @@
 		peers.mutex.Unlock()
 	}()
 	request := &wire.ProbeRequest{Group: string(group), Server: string(server), Sequence: sequence}
-	for _, to := range live {
-		peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_ProbeRequest{ProbeRequest: request}})
+	for _, member := range registered {
+		peers.transport.Send(member.VM, &wire.Envelope{Body: &wire.Envelope_ProbeRequest{ProbeRequest: request}})
 	}
-	canvass := elect.Canvass{Asked: len(live), Alone: len(peers.proxy.members.others()) == 0}
+	live := len(peers.proxy.members.liveMembers())
+	canvass := elect.Canvass{Asked: live, Alone: len(registered) == 0}
 	timer := time.NewTimer(probePatience)
 	defer timer.Stop()
-	for range live {
+	for count := range registered {
+		if count == live {
+			timer.Reset(lastAnswers)
+		}
 		select {
 		case answer := <-answers:
-			if answer {
+			canvass.Acked = canvass.Acked.Max(spool.LogPosition{
+				Term: spool.Term(answer.AckedTerm), Number: spool.Position(answer.AckedNumber),
+			})
+			if answer.Reached {
 				canvass.Reached++
 				return canvass
 			}
@@ -273,6 +246,7 @@
 			return canvass
 		}
 	}
+	canvass.Complete = true
 	return canvass
 }
 
@@ -286,8 +260,10 @@
 		testimony := elect.Testify(peers.proxy.pool.AskPrimary(group, server, peers.proxy.operator()))
 		reached = testimony == elect.Acts || testimony == elect.Full
 	}
+	acked := peers.proxy.pool.View(group).Acked
 	answer := &wire.ProbeAnswer{
 		Group: request.Group, Server: request.Server, Sequence: request.Sequence, Reached: reached,
+		AckedTerm: uint64(acked.Term), AckedNumber: uint64(acked.Number),
 	}
 	peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ProbeAnswer{ProbeAnswer: answer}})
 }
@@ -300,13 +276,18 @@
 		return // the answer came too late
 	}
 	select {
-	case answers <- answer.Reached:
+	case answers <- answer:
 	default: // a duplicate; there is room for one answer a proxy
 	}
 }
 
-// Supervises tells if this proxy looks after a group.
-func (peers *peers) Supervises(group spool.Group) bool { return peers.proxy.members.supervises(group) }
+// Supervises tells if this proxy looks after a group; those in the region of its primary come first.
+func (peers *peers) Supervises(group spool.Group, primary spool.Domain) bool {
+	region := peers.proxy.settings.Regions[primary]
+	return peers.proxy.members.supervises(string(group), func(domain spool.Domain) bool {
+		return peers.proxy.settings.Regions[domain] == region
+	})
+}
 
 // Operator returns the team that connections of the proxy itself name.
 func (peers *peers) Operator() spool.Team { return peers.proxy.operator() }
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -89,12 +89,17 @@
 	switch {
 	case domain == proxy.settings.Domain:
 		return sameDomain
-	case proxy.settings.Regions[domain] == proxy.settings.Region:
+	case proxy.near(domain):
 		return sameRegion
 	}
 	return otherRegion
 }
 
+// near tells if a failure domain is in this proxy's region.
+func (proxy *Proxy) near(domain spool.Domain) bool {
+	return proxy.settings.Regions[domain] == proxy.settings.Region
+}
+
 // Run serves until the context ends, then drains.
 func (proxy *Proxy) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(memoryLimit(proxy.settings))
@@ -106,7 +111,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for readiness probes")
 	}
-	peers, err := sock.Listen(ctx, proxy.settings.Peers, sock.DefaultSilence)
+	peers, err := sock.Listen(ctx, proxy.settings.Peers, sock.DefaultSilence, sock.WithoutKeepAlive())
 	if err != nil {
 		return eris.Wrap(err, "listen for other proxies")
 	}
@@ -196,6 +201,7 @@
 	proxy.mutex.Lock()
 	proxy.draining = true
 	proxy.mutex.Unlock()
+	proxy.peers.announce()
 	event.Log(proxy.logger, event.ProxyDraining, zap.Int("Sessions", proxy.engine.Sessions()))
 	grace := time.Duration(float64(proxy.settings.Bounds.Grace) * drainPart)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	readPeriod  = time.Second             // between reads of the proxy that reads for the fleet
+	readPeriod  = time.Second             // between reads of the proxy that reads for its region
 	confirmLife = 1800 * time.Millisecond // a confirmation that is older makes a proxy read itself: two reads and a heartbeat
 	readJitter  = 400 * time.Millisecond  // so that proxies without a confirmation do not read in step
-	readerDuty  = "reader"
+	readerDuty  = "reader"                // of one proxy in each region
 )
 
-// reader keeps the newest version of the store known, since a watch may hear nothing for seconds. One proxy reads for the
-// fleet; heartbeats carry what it saw, and a proxy that hears of no read for a while reads itself.
+// reader keeps the newest version of the store known, since a watch may hear nothing for seconds. One proxy reads for each
+// region; heartbeats carry what it saw, and a proxy that hears of no read for a while reads itself.
 type reader struct {
 	proxy     *Proxy
 	mutex     sync.Mutex
@@ -35,7 +35,7 @@
 	for sleep(ctx, readPeriod-readJitter/2+rand.N(readJitter)) {
 		_, confirmed := reader.state()
 		lapsed := reader.proxy.timers.Now().Sub(confirmed) > confirmLife
-		if !lapsed && !reader.proxy.members.supervises(readerDuty) {
+		if !lapsed && !reader.proxy.members.supervises(readerDuty, reader.proxy.near) {
 			continue
 		}
 		if err := reader.read(ctx); err != nil {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -4,42 +4,66 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
 	relayTimeout = 800 * time.Millisecond // two round trips between regions and a connection's handshake
-	relayContact = time.Second            // a proxy that reached the server within this time may relay: two heartbeats
+	relayTries   = 2                      // proxies tried in turn
 	relayOK      = "OK"
 )
 
-// detour connects to a group's primary through another proxy that reached it lately.
+// detour connects to a group's primary through another proxy that reaches it.
 func (proxy *Proxy) detour(
 	ctx context.Context, group spool.Group, server spool.Server, address string,
 ) (net.Conn, error) {
-	vm, found := proxy.peers.whoReaches(group, server)
-	if !found {
-		return nil, eris.Errorf("no other proxy reaches server %s", server)
-	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	stream, err := proxy.peers.transport.Open(ctx, vm)
-	if err != nil {
-		return nil, err
+	last := eris.Errorf("no other proxy is live to reach server %s", server)
+	for _, vm := range proxy.relays(proxy.pool.PrimaryDomain(group)) {
+		stream, err := proxy.peers.transport.Open(ctx, vm)
+		if err == nil {
+			if err = askRelay(stream, address); err == nil {
+				return stream, nil
+			}
+			_ = stream.Close() // it never came into use
+		}
+		last = eris.Wrapf(err, "relay by %s", vm)
 	}
-	if err := askRelay(stream, address); err != nil {
-		_ = stream.Close() // it never came into use
-		return nil, eris.Wrapf(err, "relay by %s", vm)
+	return nil, last
+}
+
+// relays returns live proxies to try in turn, those of the server's region first.
+func (proxy *Proxy) relays(domain spool.Domain) []spool.VM {
+	live := proxy.members.liveMembers()
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	region := proxy.settings.Regions[domain]
+	slices.SortStableFunc(live, func(left, right roster.Member) int {
+		return boolRank(proxy.settings.Regions[right.Domain] == region) - boolRank(proxy.settings.Regions[left.Domain] == region)
+	})
+	var vms []spool.VM
+	for _, member := range live[:min(len(live), relayTries)] {
+		vms = append(vms, member.VM)
 	}
-	return stream, nil
+	return vms
+}
+
+func boolRank(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
 }
 
 func askRelay(stream net.Conn, address string) error {
@@ -56,25 +80,6 @@
 	return stream.SetDeadline(time.Time{})
 }
 
-// whoReaches returns a live proxy that reached a group's primary lately, a near one first.
-func (peers *peers) whoReaches(group spool.Group, server spool.Server) (spool.VM, bool) {
-	now := peers.proxy.timers.Now()
-	var best spool.VM
-	shortest := time.Duration(0)
-	for _, member := range peers.proxy.members.liveMembers() {
-		peers.mutex.Lock()
-		seen := peers.views[member.VM].groups[group]
-		peers.mutex.Unlock()
-		if seen.primary != server || now.Sub(seen.contact) > relayContact || member.Leaving {
-			continue
-		}
-		if distance := peers.proxy.distance(member.Domain); best == "" || distance < shortest {
-			best, shortest = member.VM, distance
-		}
-	}
-	return best, best != ""
-}
-
 // relayed connects a stream of another proxy to the backend server whose address it names, and copies both ways.
 func (proxy *Proxy) relayed(stream net.Conn) {
 	defer func() { _ = stream.Close() }() // either side has ended
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -25,6 +25,7 @@
 	queueLength      = 512 // envelopes
 	maxEnvelope      = 20 << 20
 	streamWindow     = 1 << 20
+	defaultKeepAlive = 2 * time.Second
 )
 
 // Kinds of connections: control messages have a connection of their own, so that bulk data never delays them.
@@ -50,6 +51,8 @@
 	resolve func(spool.VM) (string, bool)
 	observe func(bytes int)
 
+	keepAlive time.Duration
+
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -67,6 +70,11 @@
 	return func(transport *Transport) { transport.logger = logger }
 }
 
+// WithKeepAlive sets the time between probes of a session.
+func WithKeepAlive(keepAlive time.Duration) Option {
+	return func(transport *Transport) { transport.keepAlive = keepAlive }
+}
+
 // WithObserver sets a function that is told the size of each control message sent, in bytes.
 func WithObserver(observe func(bytes int)) Option {
 	return func(transport *Transport) { transport.observe = observe }
@@ -77,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	transport := &Transport{
 		self: self, guard: guard, resolve: resolve,
-		logger: zap.NewNop(), observe: func(int) {},
+		logger: zap.NewNop(), observe: func(int) {}, keepAlive: defaultKeepAlive,
 		ctx: ctx, cancel: cancel,
 		outboxes: map[spool.VM]*outbox{},
 		sessions: map[spool.VM]*yamux.Session{},
@@ -120,7 +128,7 @@
 		_ = accepted.Close()
 		return
 	}
-	session, err := yamux.Server(conn, settings())
+	session, err := yamux.Server(conn, transport.settings())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -246,7 +254,7 @@
 		_ = conn.Close()
 		return nil, eris.Wrapf(err, "greet %s", to)
 	}
-	session, err := yamux.Client(conn, settings())
+	session, err := yamux.Client(conn, transport.settings())
 	if err != nil {
 		_ = conn.Close()
 		return nil, eris.Wrapf(err, "open a session with %s", to)
@@ -271,10 +279,10 @@
 	event.Log(transport.logger, number, zap.String("Peer", string(to)), zap.Error(err))
 }
 
-func settings() *yamux.Config {
+func (transport *Transport) settings() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.EnableKeepAlive = true
-	config.KeepAliveInterval = 2 * time.Second
+	config.KeepAliveInterval = transport.keepAlive
 	config.ConnectionWriteTimeout = writeTimeout
 	config.MaxStreamWindowSize = streamWindow
 	config.StreamOpenTimeout = 5 * time.Second
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -63,20 +63,15 @@
 	return names
 }
 
-// Learn takes over what another proxy knows of a group's primary; a zero mark carries no date.
-func (pool *Pool) Learn(name spool.Group, primary spool.Server, mark fresh.Mark, acked spool.LogPosition) {
+// PrimaryDomain returns the failure domain of a group's primary, or none if it is not known.
+func (pool *Pool) PrimaryDomain(name spool.Group) spool.Domain {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	group := pool.group(name)
-	group.acked = group.acked.Max(acked)
-	if mark.Position.Term > group.term && group.servers[primary] != nil {
-		group.term = mark.Position.Term
-		group.primary = primary
-		pool.dispatch(group, pool.timers.Now())
-	}
-	if mark.Sent != 0 && mark.Position.Term == group.term {
-		group.marks.Note(mark)
+	primary := pool.group(name).primaryServer()
+	if primary == nil {
+		return ""
 	}
+	return primary.spec.Domain
 }
 
 // AskPrimary tells if a server acts as the primary of a group now.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -18,24 +18,36 @@
 	keepAliveCount    = 2
 )
 
+// Option changes how connections are opened.
+type Option func(config *net.KeepAliveConfig)
+
+// WithoutKeepAlive leaves out the probes on idle connections, for those that carry heartbeats anyway.
+func WithoutKeepAlive() Option {
+	return func(config *net.KeepAliveConfig) { config.Enable = false }
+}
+
 // Dialer returns a function that dials TCP; sent bytes that stay unconfirmed for longer than silence end a connection.
-func Dialer(silence time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: keepAlive(), Control: control(silence), Timeout: connectTimeout}
+func Dialer(silence time.Duration, options ...Option) func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive(options), KeepAlive: -1, Control: control(silence), Timeout: connectTimeout}
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp4", address)
 	}
 }
 
 // Listen listens on a TCP address; accepted connections notice a silent far end as those of Dialer do.
-func Listen(ctx context.Context, address string, silence time.Duration) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control(silence)}
+func Listen(ctx context.Context, address string, silence time.Duration, options ...Option) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive(options), KeepAlive: -1, Control: control(silence)}
 	return config.Listen(ctx, "tcp4", address)
 }
 
-func keepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{
+func keepAlive(options []Option) net.KeepAliveConfig {
+	config := net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}
+	for _, option := range options {
+		option(&config)
+	}
+	return config
 }
 
 func control(silence time.Duration) func(network, address string, raw syscall.RawConn) error {
--- a/internal/warden/replace.go
+++ b/internal/warden/replace.go
@@ -43,11 +43,11 @@
 // choose asks the replicas for their positions and weighs them; an equal one that was chosen before stays chosen.
 func (warden *Warden) choose(view pool.View, state *state, before spool.Server) spool.Server {
 	replicas := warden.statuses(view)
-	_, acked, complete := warden.fleet.Contact(view.Group, view.Primary, state.since)
+	acked := state.canvass.Acked.Max(view.Acked)
 	situation := elect.Situation{
 		Replicas: replicas, Before: before, Unsettled: !warden.fleet.Settled(), SyncReplicas: view.SyncReplicas,
 		Acked:         acked.Max(view.Acked),
-		AckedComplete: complete,
+		AckedComplete: state.canvass.Complete,
 	}
 	chosen, verdict := elect.Choose(situation)
 	warden.logChoice(view, chosen, verdict, replicas, situation.Acked)
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -25,12 +25,9 @@
 
 // Fleet is what the warden asks the other proxies.
 type Fleet interface {
-	// Supervises tells if this proxy looks after a group.
-	Supervises(group spool.Group) bool
-	// Contact returns when any proxy last reached a primary and the newest acknowledged position; complete says that
-	// every registered proxy has told it since an instant.
-	Contact(group spool.Group, primary spool.Server, since spool.Instant) (spool.Instant, spool.LogPosition, bool)
-	// Canvass asks all live proxies if they reach a server as primary, or any if none is named.
+	// Supervises tells if this proxy looks after a group whose primary is in a failure domain.
+	Supervises(group spool.Group, primary spool.Domain) bool
+	// Canvass asks all proxies if they reach a server as primary, or any if none is named.
 	Canvass(group spool.Group, primary spool.Server) elect.Canvass
 	// Settled tells if the registry shows all servers that run: the store has answered for a while.
 	Settled() bool
@@ -60,7 +57,7 @@
 	next    spool.Instant // no look before
 	paused  map[spool.Server]bool
 	primary spool.Server  // that the newest probe asked
-	since   spool.Instant // when the primary fell silent
+	canvass elect.Canvass // what the other proxies said of the silent primary
 }
 
 // New returns a warden; the tokens come from the store.
@@ -83,7 +80,7 @@
 
 func (warden *Warden) look(ctx context.Context, now spool.Instant) {
 	for _, group := range warden.pool.Groups() {
-		if !warden.fleet.Supervises(group) {
+		if !warden.fleet.Supervises(group, warden.pool.PrimaryDomain(group)) {
 			continue
 		}
 		state := warden.claim(group, now)
@@ -144,8 +141,7 @@
 
 // check probes a primary that nobody reached lately and replaces it if it is dead.
 func (warden *Warden) check(ctx context.Context, view pool.View, state *state, now spool.Instant) {
-	contact, _, _ := warden.fleet.Contact(view.Group, view.Primary, now)
-	contact = max(contact, view.Contact)
+	contact := view.Contact
 	if state.primary != view.Primary {
 		state.primary, state.failed = view.Primary, 0
 	}
@@ -164,7 +160,7 @@
 		return
 	}
 	if state.failed == 0 {
-		state.failed, state.since = warden.timers.Now(), contact
+		state.failed = warden.timers.Now()
 		event.Log(warden.logger, event.PrimarySuspected, zap.String("Group", string(view.Group)),
 			zap.String("Server", string(view.Primary)), zap.Duration("SinceContact", state.failed.Sub(contact)),
 			event.Cause(err))
@@ -177,10 +173,11 @@
 // confirmed asks the other proxies and tells if the primary is to be replaced.
 func (warden *Warden) confirmed(view pool.View, state *state, primary spool.Server) bool {
 	canvass := warden.fleet.Canvass(view.Group, primary)
+	state.canvass = canvass
 	dead := canvass.Dead()
 	event.Log(warden.logger, event.PrimaryCanvassed, zap.String("Group", string(view.Group)),
 		zap.String("Server", string(primary)), zap.Int("Asked", canvass.Asked), zap.Int("Reached", canvass.Reached),
-		zap.Int("Unreached", canvass.Unreached), zap.Bool("Dead", dead))
+		zap.Int("Unreached", canvass.Unreached), zap.Bool("Complete", canvass.Complete), zap.Bool("Dead", dead))
 	if !dead {
 		warden.retryLater(state)
 	}
@@ -201,7 +198,7 @@
 		}
 	}
 	if state.failed == 0 || state.primary != "" {
-		state.primary, state.failed, state.since = "", warden.timers.Now(), view.Contact
+		state.primary, state.failed = "", warden.timers.Now()
 		warden.retryLater(state)
 		return
 	}
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -25,17 +25,11 @@
 
 // others stands for the other proxies.
 type others struct {
-	canvass  elect.Canvass
-	acked    spool.LogPosition
-	complete bool
-	settled  *atomic.Bool // nil for always
+	canvass elect.Canvass
+	settled *atomic.Bool // nil for always
 }
 
-func (others others) Supervises(spool.Group) bool { return true }
-
-func (others others) Contact(spool.Group, spool.Server, spool.Instant) (spool.Instant, spool.LogPosition, bool) {
-	return 0, others.acked, others.complete
-}
+func (others others) Supervises(spool.Group, spool.Domain) bool { return true }
 
 func (others others) Canvass(spool.Group, spool.Server) elect.Canvass { return others.canvass }
 
@@ -168,7 +162,7 @@
 func TestUnseenReplicaDoesNotMatterWhenAllProxiesTold(t *testing.T) {
 	world := newWorld(t)
 	world.group.Server("c").Kill()
-	world.start("vm1", others{canvass: allUnreached, complete: true})
+	world.start("vm1", others{canvass: elect.Canvass{Asked: 3, Unreached: 3, Complete: true}})
 	world.group.Server("a").Kill()
 	world.eventually(func() bool { return len(world.ordered()) == 1 })
 	qt.Assert(t, world.ordered(), qt.DeepEquals, []string{"b"})
