Gather changes before the next watch, and hint only where servers may have changed

A watch goes on 0.15 s after changes, up to 1.2 s while they go on; a version that the configuration alone made gives no hint.

--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -50,7 +50,6 @@
 	peers    *peers
 	warden   *warden.Warden
 	reader   *reader
-	configs  *mirror.Mirror
 	servers  *mirror.Mirror
 	dial     spool.DialFunc
 	started  spool.Instant
@@ -142,10 +141,10 @@
 // follow copies configuration, servers and members from the store.
 func (proxy *Proxy) follow(ctx context.Context) {
 	kind, _ := proxy.adapter.ConfigObject()
-	proxy.configs = mirror.New(proxy.adapter, proxy.timers, kind, configObserver{reach{proxy, kind}})
+	configs := mirror.New(proxy.adapter, proxy.timers, kind, configObserver{reach{proxy, kind}})
 	kind = proxy.adapter.ServerKind()
 	proxy.servers = mirror.New(proxy.adapter, proxy.timers, kind, serverObserver{reach{proxy, kind}})
-	go proxy.configs.Run(ctx)
+	go configs.Run(ctx)
 	go proxy.servers.Run(ctx)
 	go proxy.members.run(ctx)
 	go proxy.reader.run(ctx)
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -24,7 +24,8 @@
 type reader struct {
 	proxy     *Proxy
 	mutex     sync.Mutex
-	version   spool.Version
+	read      spool.Version // newest version that this proxy read itself
+	version   spool.Version // newest version that may have changed a backend server's entry
 	confirmed spool.Instant // when the store was last read, here or elsewhere
 }
 
@@ -38,43 +39,58 @@
 		if !lapsed && !reader.proxy.members.supervises(readerDuty, reader.proxy.near) {
 			continue
 		}
-		if err := reader.read(ctx); err != nil {
+		if err := reader.fetch(ctx); err != nil {
 			event.Log(reader.proxy.logger, event.StoreUnread, zap.Duration("SinceConfirmed",
 				reader.proxy.timers.Now().Sub(confirmed)), event.Cause(err))
 		}
 	}
 }
 
-func (reader *reader) read(ctx context.Context) error {
+func (reader *reader) fetch(ctx context.Context) error {
 	began := reader.proxy.timers.Now()
 	kind, name := reader.proxy.adapter.ConfigObject()
 	objects, version, err := reader.proxy.adapter.List(ctx, kind)
 	if err != nil {
 		return err
 	}
+	byConfig := false
 	for _, object := range objects {
 		if object.Name == name {
 			reader.proxy.applyConfig(object)
+			byConfig = object.Version == version
 		}
 	}
-	reader.learn(version, began)
+	reader.learn(reader.concerning(version, byConfig), began)
 	return nil
 }
 
-// state returns the newest version known and when the store was last read.
+// concerning returns the newest version that may concern backend servers: a single change that the configuration made
+// does not, and spares all proxies a list.
+func (reader *reader) concerning(version spool.Version, byConfig bool) spool.Version {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	single := byConfig && version == reader.read+1
+	reader.read = version
+	if single {
+		return reader.version
+	}
+	return version
+}
+
+// state returns the newest version that may concern backend servers, and when the store was last read.
 func (reader *reader) state() (spool.Version, spool.Instant) {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
 	return reader.version, reader.confirmed
 }
 
-// learn takes over a read of this or another proxy and tells the copies of the store.
+// learn takes over a read of this or another proxy and tells the copy of the servers' entries. The configuration needs no
+// hint: the read itself and the heartbeats bring it.
 func (reader *reader) learn(version spool.Version, confirmed spool.Instant) {
 	reader.mutex.Lock()
 	reader.version = max(reader.version, version)
 	reader.confirmed = max(reader.confirmed, confirmed)
 	version = reader.version
 	reader.mutex.Unlock()
-	reader.proxy.configs.Hint(version)
 	reader.proxy.servers.Hint(version)
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -13,6 +13,8 @@
 const (
 	shortestPause = 150 * time.Millisecond  // between calls while the store refuses; doubled up to longestPause
 	longestPause  = 900 * time.Millisecond  // so that the end of an outage is seen within a second
+	gatherPause   = 150 * time.Millisecond  // after changes, for more that come with them: one call tells many
+	gatherLongest = 1200 * time.Millisecond // while changes come one after the other, as when all servers register
 	lapsePause    = 2200 * time.Millisecond // entries that lapsed in an outage are back two seconds after it
 	watchWait     = 25 * time.Second        // longest wait of a watch; the store allows 30 s
 	hintPatience  = 600 * time.Millisecond  // for a watch to tell of a version that others know; a slow answer takes 240 ms
@@ -38,6 +40,9 @@
 	kind     string
 	observer Observer
 
+	gathered  spool.Instant // when changes last came
+	gathering time.Duration // the pause after them
+
 	mutex    sync.Mutex
 	versions map[string]spool.Version
 	missing  map[string]func() // stops the timer that will report the object as deleted
@@ -64,6 +69,9 @@
 		version, err := mirror.list(ctx)
 		for err == nil {
 			version, err = mirror.watch(ctx, version)
+			if err == nil {
+				mirror.gather(ctx)
+			}
 		}
 		if ctx.Err() != nil {
 			return
@@ -262,6 +270,21 @@
 	}
 }
 
+// gather waits for changes that come close together, longer while they go on.
+func (mirror *Mirror) gather(ctx context.Context) {
+	now := mirror.timers.Now()
+	if now.Sub(mirror.gathered) < 2*gatherLongest {
+		mirror.gathering = min(2*mirror.gathering, gatherLongest)
+	} else {
+		mirror.gathering = gatherPause
+	}
+	mirror.gathered = now
+	select {
+	case <-ctx.Done():
+	case <-time.After(mirror.gathering):
+	}
+}
+
 // pause waits before the next call, longer with each failure and never in step with other proxies.
 func (mirror *Mirror) pause(ctx context.Context) {
 	mirror.mutex.Lock()
