--- a/internal/core/elect/elect_test.go
+++ b/internal/core/elect/elect_test.go
@@ -47,7 +47,8 @@
 			"", BehindAcked,
 		},
 		{
-			"Unregistered", Situation{Replicas: []Replica{replica("a", 5)}, Unsettled: true, SyncReplicas: 1},
+			"Unregistered",
+			Situation{Replicas: []Replica{replica("a", 5)}, Unsettled: true, SyncReplicas: 1},
 			"", ReplicaUnseen,
 		},
 		{"TwoConfirm", Situation{Replicas: []Replica{replica("a", 5), unseen}, SyncReplicas: 2}, "a", Safe},
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,11 +1,9 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +11,7 @@
 
 	"corianderspool.example/spool/internal/clock"
 	"corianderspool.example/spool/internal/engine"
+	"corianderspool.example/spool/internal/fake/linecl"
 	"corianderspool.example/spool/internal/fake/linesrv"
 	"corianderspool.example/spool/internal/pool"
 	"corianderspool.example/spool/internal/sock"
@@ -32,7 +31,6 @@
 	pool       *pool.Pool
 	engine     *engine.Engine
 	deployment spool.Deployment
-	callers    int
 }
 
 func newWorld(t *testing.T) *world {
@@ -89,17 +87,15 @@
 // caller is a connected caller.
 type caller struct {
 	*testing.T
-	conn   net.Conn
-	reader *bufio.Reader
-	next   int
-	prefix string
+	*linecl.Client
+	opened string // the answer to its opening
 }
 
 func (world *world) call(route, key string) *caller {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(world, err, qt.IsNil)
 	defer func() { _ = listener.Close() }()
-	conn, err := net.Dial("tcp", listener.Addr().String())
+	client, err := linecl.Dial(listener.Addr().String())
 	qt.Assert(world, err, qt.IsNil)
 	accepted, err := listener.Accept()
 	qt.Assert(world, err, qt.IsNil)
@@ -110,77 +106,37 @@
 		world.engine.Serve(ctx, platform.NewCaller(accepted))
 	}()
 	world.Cleanup(func() {
-		_ = conn.Close()
+		client.Close()
 		cancel()
 		<-done
 	})
-	world.callers++
-	caller := &caller{T: world.T, conn: conn, reader: bufio.NewReader(conn), prefix: fmt.Sprintf("c%d-%p-", world.callers, world)}
-	caller.send("START " + strings.TrimSpace(route+" "+key))
-	return caller
+	return &caller{T: world.T, Client: client, opened: client.Open(route, key)}
 }
 
 // connect opens a session that is accepted.
 func (world *world) connect(route, key string) *caller {
 	caller := world.call(route, key)
-	qt.Assert(world, caller.line(), qt.Equals, "READY I -")
+	qt.Assert(world, caller.opened, qt.Equals, "READY I -")
 	return caller
 }
 
-func (caller *caller) send(line string) {
-	_, err := caller.conn.Write([]byte(line + "\r\n"))
-	qt.Assert(caller, err, qt.IsNil)
-}
-
-func (caller *caller) line() string {
-	_ = caller.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-	line, err := caller.reader.ReadString('\n')
-	if err != nil {
-		return "closed"
-	}
-	return strings.TrimRight(line, "\r\n")
-}
-
-// ask sends a statement and returns the rows, the verdict's first word or two, and the state.
-func (caller *caller) ask(text string) (row, verdict, state string) {
-	caller.Helper()
-	caller.next++
-	caller.send(fmt.Sprintf("QUERY %s%d %s", caller.prefix, caller.next, text))
-	for {
-		line := caller.line()
-		word, rest, _ := strings.Cut(line, " ")
-		switch word {
-		case "ROW":
-			row = rest
-		case "DONE":
-			verdict = "DONE"
-		case "ERR":
-			code, _, _ := strings.Cut(rest, " ")
-			verdict = code
-		default:
-			_, state, _ = strings.Cut(line, " ")
-			return row, verdict, strings.Fields(state + " closed")[0]
-		}
-	}
-}
-
 func (caller *caller) expect(text, verdict, state string) string {
 	caller.Helper()
-	row, found, foundState := caller.ask(text)
-	qt.Assert(caller, found+" "+foundState, qt.Equals, verdict+" "+state, qt.Commentf("%s", text))
-	return row
+	reply := caller.Ask(text)
+	qt.Assert(caller, reply.Code+" "+reply.State, qt.Equals, verdict+" "+state, qt.Commentf("%s", text))
+	return reply.Row
 }
 
 func TestOpening(t *testing.T) {
 	c := qt.New(t)
 	world := newWorld(t)
-	c.Assert(world.call("nowhere", "key-red").line(), qt.Equals, "ERR NODB no such database")
-	c.Assert(world.call("primary", "wrong").line(), qt.Equals, "ERR NOAUTH unknown key")
-	c.Assert(world.call("primary", "").line(), qt.Equals, "ERR NOAUTH unknown key")
+	c.Assert(world.call("nowhere", "key-red").opened, qt.Equals, "ERR NODB no such database")
+	c.Assert(world.call("primary", "wrong").opened, qt.Equals, "ERR NOAUTH unknown key")
+	c.Assert(world.call("primary", "").opened, qt.Equals, "ERR NOAUTH unknown key")
 	caller := world.connect("primary", "key-red")
-	caller.send("NOISE")
-	c.Assert(caller.line(), qt.Matches, "ERR MALFORMED .*")
-	c.Assert(caller.line(), qt.Equals, "closed")
+	caller.Send("NOISE")
+	c.Assert(caller.Line(), qt.Matches, "ERR MALFORMED .*")
+	c.Assert(caller.Line(), qt.Equals, "closed")
 }
 
 func TestReadsSeeWrites(t *testing.T) {
@@ -248,8 +204,8 @@
 	leaving := world.connect("primary", "key-red")
 	leaving.expect("BEGIN", "DONE", "T")
 	leaving.expect("WRITE item one", "DONE", "T")
-	leaving.send("BYE")
-	c.Assert(leaving.line(), qt.Equals, "closed")
+	leaving.Send("BYE")
+	c.Assert(leaving.Line(), qt.Equals, "closed")
 	resting := world.connect("primary", "key-red")
 	resting.expect("BEGIN", "DONE", "T")
 	resting.expect("WRITE item two", "DONE", "T")
@@ -338,18 +294,18 @@
 // TestServersLearnTheTeamAndNotTheKey looks at what reached the servers.
 func TestServersLearnTheTeamAndNotTheKey(t *testing.T) {
 	world := newWorld(t)
+	teams := map[string]string{} // by the statement's id
 	for _, team := range []string{"red", "blue"} {
 		caller := world.connect("session", "key-"+team)
 		caller.expect("WRITE item "+team, "DONE", "I")
+		teams[caller.Last] = team
 		caller.expect("READ item", "DONE", "I")
+		teams[caller.Last] = team
 	}
-	for _, run := range world.group.Runs() {
-		qt.Check(t, run.Team == "red" || run.Team == "blue", qt.IsTrue)
-		if strings.HasPrefix(run.ID, "c1-") {
-			qt.Check(t, run.Team, qt.Equals, "red")
-		} else {
-			qt.Check(t, run.Team, qt.Equals, "blue")
-		}
+	runs := world.group.Runs()
+	qt.Assert(t, runs, qt.HasLen, len(teams))
+	for _, run := range runs {
+		qt.Check(t, run.Team, qt.Equals, teams[run.ID])
 	}
 }
 
@@ -363,10 +319,10 @@
 	deployment := world.deployment
 	deployment.Keys = map[string]spool.Team{"key-blue": "blue"}
 	world.apply(deployment)
-	c.Assert(idle.line(), qt.Matches, "ERR NOAUTH .*")
+	c.Assert(idle.Line(), qt.Matches, "ERR NOAUTH .*")
 	busy.expect("COMMIT", "ABORTED", "I")
 	busy.expect("READ item", "NOAUTH", "I")
-	c.Assert(world.call("primary", "key-red").line(), qt.Equals, "ERR NOAUTH unknown key")
+	c.Assert(world.call("primary", "key-red").opened, qt.Equals, "ERR NOAUTH unknown key")
 	c.Assert(world.group.Written("item"), qt.HasLen, 0)
 }
 
@@ -381,8 +337,7 @@
 	world.group.Server("a").Work = 150 * time.Millisecond
 	answered := make(chan string)
 	go func() {
-		_, verdict, _ := working.ask("READ item")
-		answered <- verdict
+		answered <- working.Ask("READ item").Code
 	}()
 	time.Sleep(50 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -392,10 +347,10 @@
 		world.engine.Drain(ctx)
 		close(drained)
 	}()
-	c.Assert(idle.line(), qt.Equals, "closed")
+	c.Assert(idle.Line(), qt.Equals, "closed")
 	c.Assert(<-answered, qt.Equals, "DONE")
 	busy.expect("COMMIT", "DONE", "I")
-	c.Assert(busy.line(), qt.Equals, "closed")
+	c.Assert(busy.Line(), qt.Equals, "closed")
 	<-drained
 	c.Assert(ctx.Err(), qt.IsNil)
 	c.Assert(world.group.Written("item"), qt.DeepEquals, []string{"one"})
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,13 +1,10 @@
 package fleet_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +14,7 @@
 
 	"corianderspool.example/spool/internal/clock"
 	"corianderspool.example/spool/internal/fake/kvsrv"
+	"corianderspool.example/spool/internal/fake/linecl"
 	"corianderspool.example/spool/internal/fake/linesrv"
 	"corianderspool.example/spool/internal/fake/ports"
 	"corianderspool.example/spool/internal/fleet"
@@ -150,67 +148,30 @@
 }
 
 // caller is a connected caller.
-type caller struct {
-	conn   net.Conn
-	reader *bufio.Reader
-}
+type caller struct{ *linecl.Client }
 
 // connect opens a session that is accepted.
-func (world *world) connect(index int, route, key string) *caller {
+func (world *world) connect(index int, route, key string) caller {
 	caller, answer := world.open(index, route, key)
 	qt.Assert(world, answer, qt.Equals, "READY I -")
 	return caller
 }
 
 // open connects and returns the answer to the opening.
-func (world *world) open(index int, route, key string) (*caller, string) {
-	conn, err := net.Dial("tcp", world.settings[index].Callers)
+func (world *world) open(index int, route, key string) (caller, string) {
+	client, err := linecl.Dial(world.settings[index].Callers)
 	qt.Assert(world, err, qt.IsNil)
-	world.Cleanup(func() { _ = conn.Close() })
-	caller := &caller{conn: conn, reader: bufio.NewReader(conn)}
-	_, _ = fmt.Fprintf(conn, "START %s %s\r\n", route, key)
-	return caller, caller.line()
-}
-
-func (caller *caller) line() string {
-	_ = caller.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-	line, err := caller.reader.ReadString('\n')
-	if err != nil {
-		return "closed"
-	}
-	return strings.TrimRight(line, "\r\n")
+	world.Cleanup(client.Close)
+	return caller{client}, client.Open(route, key)
 }
 
-var ids struct {
-	sync.Mutex
-	last int
-}
-
-func nextID() int {
-	ids.Lock()
-	defer ids.Unlock()
-	ids.last++
-	return ids.last
-}
-
-// ask returns the row or the error's code of a statement.
-func (caller *caller) ask(text string) string {
-	_, _ = fmt.Fprintf(caller.conn, "QUERY id%d %s\r\n", nextID(), text)
-	result := ""
-	for {
-		line := caller.line()
-		word, rest, _ := strings.Cut(line, " ")
-		switch word {
-		case "ROW":
-			result = rest
-		case "ERR":
-			result, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			return result
-		case "closed":
-			return "closed"
-		}
+// ask returns the row of a statement, nothing if it has none, or the code of its error.
+func (caller caller) ask(text string) string {
+	reply := caller.Ask(text)
+	if reply.Code != linecl.Done {
+		return reply.Code
 	}
+	return reply.Row
 }
 
 func TestFleetServes(t *testing.T) {
@@ -250,7 +211,7 @@
 	time.Sleep(1200 * time.Millisecond) // until heartbeats run both ways
 	world.store.SetFaults(kvsrv.Faults{Deaf: true})
 	world.configure(100, "key-blue")
-	c.Assert(idle.line(), qt.Matches, "ERR NOAUTH .*")
+	c.Assert(idle.Line(), qt.Matches, "ERR NOAUTH .*")
 	began := time.Now()
 	world.eventually(func() bool {
 		_, answer := world.open(0, "primary", "key-blue")
@@ -324,10 +285,10 @@
 		world.stops[0]()
 		close(stopped)
 	}()
-	c.Assert(idle.line(), qt.Equals, "closed")
+	c.Assert(idle.Line(), qt.Equals, "closed")
 	c.Assert(world.ready(0), qt.IsFalse)
 	c.Assert(busy.ask("COMMIT"), qt.Equals, "")
-	c.Assert(busy.line(), qt.Equals, "closed")
+	c.Assert(busy.Line(), qt.Equals, "closed")
 	<-stopped
 	c.Assert(world.group.Written("item"), qt.DeepEquals, []string{"one"})
 }
