--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEEDS ?= 20
 SECONDS ?= 60
 
-.PHONY: build test lint demo proof fuzz bench slopes report
+.PHONY: build test lint demo proof fuzz bench slopes report soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -42,3 +42,6 @@
 	$(GO) run ./cmd/bench Path --json > out/path.json
 	$(GO) run ./cmd/bench Policy --json > out/policy.json
 	$(GO) run ./cmd/bench Report --dir out
+
+soak:
+	SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 120m -v -run TestSoak ./internal/soak
--- a/internal/fake/linesrv/group.go
+++ b/internal/fake/linesrv/group.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -17,6 +18,7 @@
 	Values map[string]string
 	Shape  string // of the prepared statement
 	InTx   bool
+	At     time.Time
 }
 
 // Group is a primary and its replicas with one log.
@@ -113,6 +115,17 @@
 	return values
 }
 
+// All returns all values that were written, in order.
+func (group *Group) All() []string {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	var values []string
+	for _, write := range group.log {
+		values = append(values, write.data)
+	}
+	return values
+}
+
 // commit appends writes to the log and replicates them; the caller holds the mutex.
 func (group *Group) commit(writes []write) bool {
 	for i := range writes {
--- a/internal/fake/linesrv/server.go
+++ b/internal/fake/linesrv/server.go
@@ -155,3 +155,10 @@
 	}
 	return ""
 }
+
+// Down tells if the server was killed.
+func (server *Server) Down() bool {
+	server.group.mutex.Lock()
+	defer server.group.mutex.Unlock()
+	return server.down
+}
--- a/internal/fake/linesrv/session.go
+++ b/internal/fake/linesrv/session.go
@@ -125,10 +125,7 @@
 		word, _, _ = strings.Cut(shape, " ")
 		rest = arguments
 	}
-	leads := group.primary == server
-	plain := session.state == "T" && !session.readOnly
-	if word == "WRITE" && (!leads || session.readOnly && session.state == "T") ||
-		plain && !leads && (word != "COMMIT" || len(session.writes) > 0) {
+	if session.denied(word) {
 		return "", session.fail("READONLY")
 	}
 	server.busy++
@@ -136,13 +133,24 @@
 	time.Sleep(server.Work)
 	group.mutex.Lock()
 	server.busy--
+	if server.down || session.denied(word) { // killed or replaced meanwhile
+		return "", session.fail("READONLY")
+	}
 	group.runs = append(group.runs, Run{
 		Server: server.ID, ID: id, Text: word + " " + rest, Team: session.team, Values: maps.Clone(session.values),
-		Shape: shape, InTx: session.state == "T",
+		Shape: shape, InTx: session.state == "T", At: time.Now(),
 	})
 	return session.finish(id, word, rest)
 }
 
+// denied tells if a statement needs a primary and the server is none.
+func (session *session) denied(word string) bool {
+	leads := session.server.group.primary == session.server
+	plain := session.state == "T" && !session.readOnly
+	return word == "WRITE" && (!leads || session.readOnly && session.state == "T") ||
+		plain && !leads && (word != "COMMIT" || len(session.writes) > 0)
+}
+
 func (session *session) finish(id, word, rest string) (rows, verdict string) {
 	group := session.server.group
 	item, data, _ := strings.Cut(rest, " ")
