--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -25,6 +25,7 @@
 )
 
 const (
+	collectAt     = 40                      // percent of growth at which garbage is collected: processor time is cheaper than memory here
 	memoryPart    = 0.6                     // of the memory limit that the garbage collector aims to stay below
 	sameDomain    = 1 * time.Millisecond    // round trip within a failure domain
 	sameRegion    = 3 * time.Millisecond    // round trip between failure domains of a region
@@ -102,6 +103,7 @@
 // Run serves until the context ends, then drains.
 func (proxy *Proxy) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(memoryLimit(proxy.settings))
+	debug.SetGCPercent(collectAt)
 	callers, err := sock.Listen(ctx, proxy.settings.Callers, sock.DefaultSilence)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,7 +8,10 @@
 	"google.golang.org/protobuf/proto"
 )
 
-const readBuffer = 32 << 10
+const (
+	readBuffer    = 32 << 10 // bytes, for bulk data
+	controlBuffer = 4 << 10  // bytes; a control message has some hundred, and a proxy reads from each other one
+)
 
 // Message is a pointer to a generated protobuf message.
 type Message[T any] interface {
@@ -23,7 +26,11 @@
 
 // NewReader returns a reader of the messages on a stream.
 func NewReader[T any, M Message[T]](stream io.Reader) *Reader[T, M] {
-	return &Reader[T, M]{buffered: bufio.NewReaderSize(stream, readBuffer)}
+	return newReader[T, M](stream, readBuffer)
+}
+
+func newReader[T any, M Message[T]](stream io.Reader, size int) *Reader[T, M] {
+	return &Reader[T, M]{buffered: bufio.NewReaderSize(stream, size)}
 }
 
 // Read returns the next message.
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -75,8 +75,12 @@
 	}},
 	{"store broken", func(world *world, random *rand.Rand, _ time.Duration) func() {
 		world.store.SetFaults([]kvsrv.Faults{
-			{Status: http.StatusServiceUnavailable}, {Status: http.StatusTooManyRequests}, {Reset: true},
-			{Latency: 240 * time.Millisecond}, {LoseWrites: 3}, {Deaf: true},
+			{Status: http.StatusServiceUnavailable},
+			{Status: http.StatusTooManyRequests},
+			{Reset: true},
+			{Latency: 240 * time.Millisecond},
+			{LoseWrites: 3},
+			{Deaf: true},
 		}[random.IntN(6)])
 		return func() {
 			world.store.Compact()
