--- a/internal/core/place/allot.go
+++ b/internal/core/place/allot.go
@@ -9,14 +9,14 @@
 )
 
 // Allot divides a server's connections in proportion to the proxies' weights and returns the part of the proxy at
-// index self, at least one; every proxy that knows the same weights in the same order gets parts that add up.
+// index self, which may be none; every proxy that knows the same weights in the same order gets parts that add up.
 func Allot(connections int, weights []float64, self int) int {
 	total := 0.0
 	for _, weight := range weights {
 		total += weight
 	}
 	if total == 0 {
-		return 1
+		return 0
 	}
 	before := 0.0
 	for _, weight := range weights[:self] {
@@ -25,7 +25,7 @@
 	scale := float64(connections) / total
 	from := math.Floor(before*scale + rounding)
 	to := math.Floor((before+weights[self])*scale + rounding)
-	return max(1, int(to-from))
+	return int(to - from)
 }
 
 // rounding keeps sums of weights that should be whole from falling just below a whole number.
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -66,12 +66,12 @@
 func TestAllotmentsAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		weights := rapid.SliceOfN(rapid.SampledFrom([]float64{NearWeight, FarWeight}), 1, 20).Draw(t, "weights")
-		connections := rapid.IntRange(len(weights)*NearWeight, 300).Draw(t, "connections")
+		connections := rapid.IntRange(1, 300).Draw(t, "connections")
 		sum := 0
 		for self := range weights {
 			sum += Allot(connections, weights, self)
 		}
-		if sum > connections {
+		if sum != connections {
 			t.Fatalf("%d of %d connections were given away", sum, connections)
 		}
 	})
--- a/internal/fake/linesrv/server.go
+++ b/internal/fake/linesrv/server.go
@@ -23,7 +23,7 @@
 	Limit   int
 	Slots   int
 	Work    time.Duration // of a read, write or commit
-	Lagging bool          // receives, but does not apply
+	Lagging bool          // receives, but does not apply; changed by SetLagging once it is used
 
 	group *Group
 	mutex sync.Mutex
@@ -162,3 +162,13 @@
 	defer server.group.mutex.Unlock()
 	return server.down
 }
+
+// SetLagging makes the server receive without applying, or apply what it has received.
+func (server *Server) SetLagging(lagging bool) {
+	server.group.mutex.Lock()
+	defer server.group.mutex.Unlock()
+	server.Lagging = lagging
+	if !lagging {
+		server.applied = server.received
+	}
+}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -177,15 +177,6 @@
 	return live
 }
 
-// live returns the names of the proxies that were heard lately.
-func (members *members) live() []spool.VM {
-	var vms []spool.VM
-	for _, member := range members.liveMembers() {
-		vms = append(vms, member.VM)
-	}
-	return vms
-}
-
 // anywhere prefers no failure domain.
 func anywhere(spool.Domain) bool { return false }
 
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	introduceBeats   = 8                      // rounds between heartbeats that name the address, for proxies that missed it
 	sessionKeepAlive = 15 * time.Second       // heartbeats show sooner that a connection is silent
 	lastAnswers      = 100 * time.Millisecond // for proxies that are not live, after all live ones have answered
+	tokenPart        = 8                      // one in so many proxies of a large fleet is asked for tokens
 	tokenPeers       = 3                      // proxies asked for tokens at once
 	probePatience    = 600 * time.Millisecond // for the other proxies' word on a primary: a probe and a round trip
 	seedTimeout      = time.Second
@@ -196,13 +198,19 @@
 	peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_ConfigAnswer{ConfigAnswer: answer}})
 }
 
-// askTokens asks a few live proxies for tokens of a team.
+// askTokens asks a few live proxies for tokens of a team, near ones first; the larger the fleet, the less each has.
 func (peers *peers) askTokens(team spool.Team, tokens float64) {
-	live := peers.proxy.members.live()
+	live := peers.proxy.members.liveMembers()
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	for _, to := range live[:min(len(live), tokenPeers)] {
+	asked := max(tokenPeers, len(live)/tokenPart)
+	if len(live) > tokenPart*tokenPeers {
+		slices.SortStableFunc(live, func(left, right roster.Member) int {
+			return boolRank(peers.proxy.near(right.Domain)) - boolRank(peers.proxy.near(left.Domain))
+		})
+	}
+	for _, to := range live[:min(len(live), asked)] {
 		request := &wire.TokenRequest{Team: string(team), Tokens: tokens}
-		peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_TokenRequest{TokenRequest: request}})
+		peers.transport.Send(to.VM, &wire.Envelope{Body: &wire.Envelope_TokenRequest{TokenRequest: request}})
 	}
 }
 
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -218,7 +218,7 @@
 	now := pool.timers.Now()
 	server := conn.server
 	server.busy--
-	closing := conn.broken || server.gone || server.open > keepLimit(server.limit)
+	closing := conn.broken || server.gone || server.open > server.keep
 	if closing {
 		server.open--
 	} else {
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -19,6 +19,7 @@
 	open     int // connections in use, idle or being opened
 	busy     int
 	limit    int // of open
+	keep     int // of open that rest: half of the limit over all proxies, so that a fleet that lost power finds room
 	health   place.Health
 	denied   spool.Instant // when it last refused to act as primary
 	leaving  spool.Instant // when it was first seen leaving; zero if it is not
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -222,14 +222,12 @@
 				weights[i] = place.NearWeight
 			}
 		}
-		server.limit = place.Allot(group.limits.Connections-spareConns, weights, pool.self)
+		shared := group.limits.Connections - spareConns
+		server.limit = max(1, place.Allot(shared, weights, pool.self))
+		server.keep = place.Allot(shared/2, weights, pool.self)
 	}
 }
 
-// keepLimit returns how many connections stay open when they are idle: half of those allowed, so that a fleet that lost
-// power and returns finds room while the servers still hold its old connections.
-func keepLimit(limit int) int { return max(1, limit/2) }
-
 // takeIdle empties the server's idle connections; the caller closes them.
 func (server *server) takeIdle() []*Conn {
 	idle := server.idle
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -68,6 +68,12 @@
 			}
 		}
 	}},
+	{"server lags", func(world *world, random *rand.Rand, _ time.Duration) func() {
+		servers := world.group.Servers()
+		server := servers[random.IntN(len(servers))]
+		server.SetLagging(true)
+		return func() { server.SetLagging(false) }
+	}},
 	{"answers of servers lost", func(world *world, random *rand.Rand, _ time.Duration) func() {
 		servers := world.group.Servers()
 		servers[random.IntN(len(servers))].LoseAnswers(1 + random.IntN(4))
