Let paused replicas receive again after a promotion; limit handshakes; await late answers

Beside it: one proxy has at most three handshakes under way with a server, one after a failure, eight proxies at a time try a suspected primary, and a statement that ran out of time keeps its connection for the late answer.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -10,6 +10,7 @@
 	smoothing     = 0.2                    // weight of a new sample in the mean response time
 	forgetAfter   = 2 * time.Second        // a mean that got no sample for so long loses its weight, so slow servers are tried again
 	firstGuess    = 30 * time.Millisecond  // expected work before any sample
+	silentAfter   = 500 * time.Millisecond // a server that answered nobody for so long while an answer is late has failed
 	shortestBlock = 200 * time.Millisecond // a failed server is left alone for so long, doubled with each failure
 	longestBlock  = 2 * time.Second        // so that a server that came back is in use within two seconds
 )
@@ -40,6 +41,13 @@
 	health.blocked = now.Add(block)
 }
 
+// Late notes a request without an answer in time: a server that answers others is slow, one that does not has failed.
+func (health *Health) Late(now spool.Instant) {
+	if now.Sub(health.sampled) > silentAfter {
+		health.Failed(now)
+	}
+}
+
 // Blocked tells if the server should get no work now.
 func (health *Health) Blocked(now spool.Instant) bool { return now < health.blocked }
 
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -40,6 +40,18 @@
 	c.Assert(health.Blocked(now), qt.IsFalse)
 }
 
+// TestLateServerFailsOnlyIfItAnswersNobody tells an overloaded server from a silent one.
+func TestLateServerFailsOnlyIfItAnswersNobody(t *testing.T) {
+	c := qt.New(t)
+	var health Health
+	now := spool.Instant(time.Hour)
+	health.Succeeded(900*time.Millisecond, now)
+	health.Late(now.Add(silentAfter))
+	c.Assert(health.Failures(), qt.Equals, 0)
+	health.Late(now.Add(silentAfter + 1))
+	c.Assert(health.Failures(), qt.Equals, 1)
+}
+
 // TestSlowServerGetsLittle plays three servers, one of them ten times slower, and counts where 1,000 reads go.
 func TestSlowServerGetsLittle(t *testing.T) {
 	c := qt.New(t)
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -63,12 +63,12 @@
 	}
 	sent := engine.timers.Now()
 	answer, err := session.exchange(statement, conn, command)
-	if err != nil {
-		return session.lost(statement, err), !statement.writes && !errors.Is(err, os.ErrDeadlineExceeded)
-	}
 	if fenced {
 		_ = engine.pool.RollBack(conn) // a failure marks the connection as unusable
 	}
+	if err != nil {
+		return session.lost(statement, err), !statement.writes && !errors.Is(err, os.ErrDeadlineExceeded)
+	}
 	answer.State = spool.TxIdle
 	if answer.Refusal != nil {
 		return answer, session.repeatable(answer.Refusal, conn)
@@ -200,6 +200,10 @@
 	if err == nil {
 		answer, err = conn.Receive(statement.deadline)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		engine.pool.Abandon(conn, 1)
+		return answer, err
+	}
 	if err != nil {
 		engine.pool.Failed(conn, err)
 		return answer, err
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -74,6 +74,7 @@
 	SettingsRejected Number = 106
 	StoreUnread      Number = 712
 	ServerDetoured   Number = 311
+	AnswerLate       Number = 312
 	ConfigAccepted   Number = 501
 	ConfigRejected   Number = 502
 	KeyWithdrawn     Number = 503
@@ -136,6 +137,7 @@
 	SettingsRejected: {Level: zapcore.ErrorLevel, Text: "settings rejected"},
 	StoreUnread:      {Level: zapcore.WarnLevel, Text: "store not read", PerSecond: serverLimit},
 	ServerDetoured:   {Level: zapcore.WarnLevel, Text: "primary reached through another proxy", PerSecond: serverLimit},
+	AnswerLate:       {Level: zapcore.WarnLevel, Text: "answer of a backend server is late", PerSecond: serverLimit},
 	ConfigAccepted:   {Level: zapcore.InfoLevel, Text: "manifest accepted"},
 	ConfigRejected:   {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
 	KeyWithdrawn:     {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
--- a/internal/fake/linesrv/group.go
+++ b/internal/fake/linesrv/group.go
@@ -88,13 +88,26 @@
 	group.log = group.log[:chosen.received]
 	group.term++
 	group.primary = chosen
+	chosen.paused = 0
 	for _, server := range group.servers {
 		server.received = min(server.received, len(group.log))
 		server.applied = min(server.applied, len(group.log))
-		server.paused = 0
 	}
 }
 
+// Paused returns the servers that were told to receive nothing.
+func (group *Group) Paused() []spool.Server {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	var paused []spool.Server
+	for _, server := range group.servers {
+		if server.paused > 0 {
+			paused = append(paused, server.ID)
+		}
+	}
+	return paused
+}
+
 // Runs returns the statements of callers that servers ran so far.
 func (group *Group) Runs() []Run {
 	group.mutex.Lock()
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -23,6 +23,7 @@
 	introduction     = 3 * time.Second        // after the start: heartbeats to all, until all proxies of a fleet have started
 	introduceBeats   = 8                      // rounds between heartbeats that name the address, for proxies that missed it
 	sessionKeepAlive = 15 * time.Second       // heartbeats show sooner that a connection is silent
+	triers           = 8                      // proxies that try a primary at once: each may cost it a handshake
 	lastAnswers      = 100 * time.Millisecond // for proxies that are not live, after all live ones have answered
 	tokenPart        = 8                      // one in so many proxies of a large fleet is asked for tokens
 	tokenPeers       = 3                      // proxies asked for tokens at once
@@ -214,30 +215,47 @@
 	}
 }
 
-// Canvass asks all proxies if they reach a server as primary, or any if none is named.
+// Canvass asks a few live proxies to try if they reach a server as primary, or any if none is named. If none does, all
+// registered ones say what they know of it.
 func (peers *peers) Canvass(group spool.Group, server spool.Server) elect.Canvass {
-	registered := peers.proxy.members.all()
-	answers := make(chan *wire.ProbeAnswer, len(registered))
+	live := peers.proxy.members.liveMembers()
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	asked := live[:min(len(live), triers)]
+	request := &wire.ProbeRequest{Group: string(group), Server: string(server)}
+	canvass := peers.ask(request, asked, len(asked))
+	canvass.Alone = len(peers.proxy.members.all()) == 0
+	if !canvass.Dead() {
+		return canvass
+	}
+	all := peers.proxy.members.all()
+	told := peers.ask(&wire.ProbeRequest{Group: string(group), Server: string(server), KnownOnly: true}, all, len(live))
+	canvass.Reached += told.Reached
+	canvass.Acked = canvass.Acked.Max(told.Acked)
+	canvass.Complete = told.Complete
+	return canvass
+}
+
+// ask sends a request to some proxies and gathers the answers, of which so many are expected soon.
+func (peers *peers) ask(request *wire.ProbeRequest, members []roster.Member, expected int) elect.Canvass {
+	answers := make(chan *wire.ProbeAnswer, len(members))
 	peers.mutex.Lock()
 	peers.last++
-	sequence := peers.last
-	peers.probes[sequence] = answers
+	request.Sequence = peers.last
+	peers.probes[request.Sequence] = answers
 	peers.mutex.Unlock()
 	defer func() {
 		peers.mutex.Lock()
-		delete(peers.probes, sequence)
+		delete(peers.probes, request.Sequence)
 		peers.mutex.Unlock()
 	}()
-	request := &wire.ProbeRequest{Group: string(group), Server: string(server), Sequence: sequence}
-	for _, member := range registered {
+	for _, member := range members {
 		peers.transport.Send(member.VM, &wire.Envelope{Body: &wire.Envelope_ProbeRequest{ProbeRequest: request}})
 	}
-	live := len(peers.proxy.members.liveMembers())
-	canvass := elect.Canvass{Asked: live, Alone: len(registered) == 0}
+	canvass := elect.Canvass{Asked: len(members)}
 	timer := time.NewTimer(probePatience)
 	defer timer.Stop()
-	for count := range registered {
-		if count == live {
+	for count := range members {
+		if count == expected {
 			timer.Reset(lastAnswers)
 		}
 		select {
@@ -264,7 +282,7 @@
 		server = peers.proxy.pool.View(group).Primary
 	}
 	reached, sure := peers.proxy.pool.Recently(group, server)
-	if !sure {
+	if !sure && !request.KnownOnly {
 		testimony := elect.Testify(peers.proxy.pool.AskPrimary(group, server, peers.proxy.operator()))
 		reached = testimony == elect.Acts || testimony == elect.Full
 	}
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -156,9 +156,13 @@
 		server.busy++
 		return grant{server: server, conn: conn}, true
 	}
+	if !server.mayOpen() {
+		return grant{}, false
+	}
 	if server.open < server.limit {
 		server.open++
 		server.busy++
+		server.opening++
 		return grant{server: server}, true
 	}
 	if len(server.idle) == 0 {
@@ -167,6 +171,7 @@
 	closed := server.idle[0] // idle for the longest time
 	server.idle = slices.Delete(server.idle, 0, 1)
 	server.busy++
+	server.opening++
 	return grant{server: server, closed: closed}, true
 }
 
@@ -185,18 +190,20 @@
 		pool.openFailed(granted.server, err, began)
 		return nil, err
 	}
-	pool.opened(spec.Group, position)
+	pool.opened(granted.server, position)
 	return &Conn{
 		Link: link, server: granted.server, team: want.Team,
 		values: map[string]string{}, prepared: map[string]string{},
 	}, nil
 }
 
-func (pool *Pool) opened(name spool.Group, position spool.LogPosition) {
+func (pool *Pool) opened(server *server, position spool.LogPosition) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	group := pool.group(name)
+	server.opening--
+	group := pool.group(server.spec.Group)
 	group.term = max(group.term, position.Term)
+	pool.dispatch(group, pool.timers.Now())
 }
 
 func (pool *Pool) openFailed(server *server, cause error, began spool.Instant) {
@@ -205,6 +212,7 @@
 	now := pool.timers.Now()
 	server.open--
 	server.busy--
+	server.opening--
 	server.health.Failed(now)
 	event.Log(pool.logger, event.ServerUnreached, zap.String("Group", string(server.spec.Group)),
 		zap.String("Server", string(server.spec.Server)), zap.Duration("Took", now.Sub(began)),
@@ -214,6 +222,10 @@
 
 // Release gives a connection back.
 func (pool *Pool) Release(conn *Conn) {
+	if conn.late && !conn.broken {
+		go pool.settleLate(conn)
+		return
+	}
 	pool.mutex.Lock()
 	now := pool.timers.Now()
 	server := conn.server
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -5,6 +5,9 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -22,6 +25,7 @@
 	prepared map[string]string // name on this connection of each prepared shape
 	names    int
 	owed     int  // answers to discard before the next one
+	late     bool // the answers that are owed are late
 	broken   bool // may hold a transaction or unread answers
 	idleAt   spool.Instant
 }
@@ -89,13 +93,37 @@
 		if err != nil {
 			return err
 		}
-		if answer.Refusal != nil {
-			return answer.Refusal
-		}
 		conn.owed--
+		if answer.Refusal != nil && conn.owed == 0 && answer.State != spool.TxIdle {
+			return answer.Refusal // the rollback that ends every transaction did not take effect
+		}
 	}
 	return nil
 }
 
+// lateAnswer bounds the wait for an answer that nobody waits for any more; a longer one is that of a lost server.
+const lateAnswer = 5 * time.Second
+
+// Abandon gives up an answer that did not come in time. The connection is used again once the answer has come: a new one
+// would cost the slow server a handshake.
+func (pool *Pool) Abandon(conn *Conn, answers int) {
+	conn.Owe(answers)
+	conn.late = true
+	pool.mutex.Lock()
+	conn.server.health.Late(pool.timers.Now())
+	pool.mutex.Unlock()
+	event.Log(pool.logger, event.AnswerLate, zap.String("Group", string(conn.server.spec.Group)),
+		zap.String("Server", string(conn.Server())))
+}
+
+// settleLate reads late answers before a connection goes back.
+func (pool *Pool) settleLate(conn *Conn) {
+	conn.late = false
+	if err := conn.Settle(time.Now().Add(lateAnswer)); err != nil {
+		pool.Failed(conn, err)
+	}
+	pool.Release(conn)
+}
+
 // Break marks the connection as unusable, so that Release closes it.
 func (conn *Conn) Break() { conn.broken = true }
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -18,6 +18,7 @@
 	idle     []*Conn
 	open     int // connections in use, idle or being opened
 	busy     int
+	opening  int // of open, connections whose handshake goes on
 	limit    int // of open
 	keep     int // of open that rest: half of the limit over all proxies, so that a fleet that lost power finds room
 	health   place.Health
@@ -42,6 +43,21 @@
 	contact  spool.Instant // when the primary last answered as such
 }
 
+// Limits of handshakes that one proxy has under way with a server: each takes a slot there, and a server that is slow to
+// answer them must not get ever more.
+const (
+	maxOpening       = 3
+	maxOpeningFailed = 1 // after a failure
+)
+
+// mayOpen tells if a handshake with the server may begin.
+func (server *server) mayOpen() bool {
+	if server.health.Failures() > 0 {
+		return server.opening < maxOpeningFailed
+	}
+	return server.opening < maxOpening
+}
+
 // usable tells if a server takes new work.
 func (pool *Pool) usable(server *server, now spool.Instant) bool {
 	if server.gone || server.health.Blocked(now) && now >= server.detoured {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -134,6 +136,51 @@
 	qt.Assert(t, world.group.Server("a").Conns(), qt.Equals, 4)
 }
 
+// TestSlowServerIsNotFloodedWithHandshakes has many sessions that want a connection at once.
+func TestSlowServerIsNotFloodedWithHandshakes(t *testing.T) {
+	c := qt.New(t)
+	var opening, most atomic.Int32
+	slow := func(ctx context.Context, address string) (net.Conn, error) {
+		most.Store(max(most.Load(), opening.Add(1)))
+		time.Sleep(40 * time.Millisecond)
+		opening.Add(-1)
+		return dial(ctx, address)
+	}
+	world := newWorld(t, slow, 20)
+	var sessions sync.WaitGroup
+	for range 12 {
+		sessions.Go(func() {
+			conn, refusal := world.acquire(pool.Want{Team: "red", Primary: true})
+			if refusal == nil {
+				world.pool.Release(conn)
+			}
+		})
+	}
+	sessions.Wait()
+	c.Assert(most.Load() <= 3, qt.IsTrue, qt.Commentf("%d", most.Load()))
+}
+
+// TestLateAnswerKeepsTheConnection gives up a statement, whose answer comes later, and uses the connection again.
+func TestLateAnswerKeepsTheConnection(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t, dial, 9)
+	world.group.Server("a").Work = 100 * time.Millisecond
+	conn := world.mustAcquire(pool.Want{Team: "red", Primary: true})
+	c.Assert(conn.Send(spool.Command{ID: "1", Verb: spool.VerbRead, Text: "item"}), qt.IsNil)
+	_, err := conn.Receive(time.Now().Add(20 * time.Millisecond))
+	c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue)
+	world.pool.Abandon(conn, 1)
+	world.pool.Release(conn)
+	time.Sleep(200 * time.Millisecond)
+	again := world.mustAcquire(pool.Want{Team: "red", Primary: true})
+	c.Assert(again, qt.Equals, conn)
+	c.Assert(again.Send(spool.Command{ID: "2", Verb: spool.VerbRead, Text: "item"}), qt.IsNil)
+	answer, err := again.Receive(time.Now().Add(time.Second))
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Digest, qt.Equals, "digest-a-2")
+	world.pool.Release(again)
+}
+
 func TestLeavingAndGoneServersGetNoReads(t *testing.T) {
 	c := qt.New(t)
 	world := newWorld(t, dial, 9, pool.WithDrain(7*time.Second))
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -78,6 +78,7 @@
 	if !possible {
 		server.open++
 		server.busy++
+		server.opening++
 		granted = grant{server: server} // the spare connection of the server
 	}
 	pool.mutex.Unlock()
--- a/internal/warden/replace.go
+++ b/internal/warden/replace.go
@@ -265,7 +265,7 @@
 		time.Sleep(lookPeriod / 3)
 		if warden.pool.AskPrimary(view.Group, chosen, warden.fleet.Operator()) == nil {
 			state.failed = 0
-			clear(state.paused) // a promotion lets them receive again
+			warden.resume(view, state) // the new primary commits nothing until a replica receives
 			return
 		}
 	}
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -128,6 +128,7 @@
 	qt.Assert(t, time.Since(began) < 2500*time.Millisecond, qt.IsTrue)
 	time.Sleep(500 * time.Millisecond)
 	qt.Assert(t, world.ordered(), qt.HasLen, 1)
+	qt.Assert(t, world.group.Paused(), qt.HasLen, 0)
 }
 
 func TestPrimaryThatOthersReachStays(t *testing.T) {
@@ -174,6 +175,7 @@
 	world.register("a", true)
 	world.eventually(func() bool { return world.group.Primary() != "a" })
 	qt.Assert(t, world.ordered(), qt.HasLen, 1)
+	world.eventually(func() bool { return len(world.group.Paused()) == 0 })
 }
 
 // TestUnregisteredReplicaIsNotForgotten has a new replica that runs, confirms commits and is registered only when the
