--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -15,8 +15,9 @@
 	shortestPause = 50 * time.Millisecond  // between requests for tokens of a team: a round trip between regions
 	longestPause  = 800 * time.Millisecond // between requests that brought nothing
 	spentPause    = 4 * shortestPause      // two requests in a row brought nothing
-	Patience      = 120 * time.Millisecond // that an operation waits for a token: three round trips between regions
-	leastAsked    = 2                      // tokens
+	// Patience is how long an operation waits for a token.
+	Patience   = 120 * time.Millisecond // three round trips between regions
+	leastAsked = 2                      // tokens
 )
 
 // Bucket holds one team's tokens at one proxy.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -41,7 +41,7 @@
 }
 
 // another returns another proxy before the same servers.
-func (before *world) another() *world { return proxy(before.T, before.group) }
+func (world *world) another() *world { return proxy(world.T, world.group) }
 
 func proxy(t *testing.T, group *linesrv.Group) *world {
 	connections := pool.New(platform.Linker{}, sock.Dialer(time.Second), clock.Real{})
