--- a/internal/cmds/fleet.go
+++ b/internal/cmds/fleet.go
@@ -11,7 +11,9 @@
 	"corianderspool.example/spool/internal/event"
 )
 
-const fleetExamples = `  CORIANDERSPOOL_SETTINGS=/etc/corianderspool/settings.json corianderspool fleet`
+const fleetExamples = `  export CORIANDERSPOOL_SETTINGS=/etc/corianderspool/settings.json
+  corianderspool fleet
+  corianderspool fleet --level debug`
 
 func (program *Program) fleetCommand() *command {
 	command := newCommand("fleet", "run a proxy with the settings that the platform lays down", fleetExamples)
