Lend connections between proxies and ask for dated positions

Cause: a connection to a backend server serves one team, as the server is told the team when it opens. And four to five of ten reads of replicas went to the primary, since a proxy that had not talked to the primary within the route's age knew no dated position.

Change: a few proxies near a server gather the connections of a team to it; the others borrow one for a statement or a transaction and give it back with what it holds. The borrower falls back to the second such proxy, then to a connection of its own. A proxy that lacks a dated position asks one near the primary, once a group at a time and ahead of need.

--- a/internal/core/place/allot.go
+++ b/internal/core/place/allot.go
@@ -4,7 +4,7 @@
 
 // Weights of proxies in the division of a server's connections.
 const (
-	NearWeight = 3 // in the same failure domain: most reads stay there
+	NearWeight = 8 // in the server's region, where connections are gathered
 	FarWeight  = 1
 )
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -145,6 +145,39 @@
 	return true
 }
 
+// Homes returns the fit live proxies that come first by a hash of the subject and their names, best first and at most so
+// many; if this one is fit too, only those before it.
+func (roster *Roster) Homes(
+	subject string, most int, selfFit bool, fit func(member *Member) bool, now spool.Instant,
+) []spool.VM {
+	type home struct {
+		vm     spool.VM
+		weight uint64
+	}
+	own := uint64(0)
+	if selfFit {
+		own = weight(subject, roster.self, false)
+	}
+	first := make([]home, 0, most+1)
+	for vm, member := range roster.members {
+		if member.Leaving || !roster.live(vm, now) || !fit(member) {
+			continue
+		}
+		candidate := home{vm, weight(subject, vm, false)}
+		if candidate.weight < own || len(first) == most && candidate.weight < first[most-1].weight {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(first, candidate, func(left, right home) int { return cmp.Compare(right.weight, left.weight) })
+		first = slices.Insert(first, at, candidate)
+		first = first[:min(len(first), most)]
+	}
+	vms := make([]spool.VM, 0, len(first))
+	for _, home := range first {
+		vms = append(vms, home.vm)
+	}
+	return vms
+}
+
 // preferred is the part of a weight that puts preferred proxies before all others.
 const preferred = 1 << 63
 
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -110,3 +110,37 @@
 	c.Assert(domains, qt.DeepEquals, []spool.Domain{"own", "d-vm2"})
 	c.Assert(self, qt.Equals, 0)
 }
+
+// TestProxiesAgreeOnHomes checks that all proxies name the same first one for a subject, which names none before itself.
+func TestProxiesAgreeOnHomes(t *testing.T) {
+	c := qt.New(t)
+	rosters := fleet(start, "vm1", "vm2", "vm3", "vm4", "vm5")
+	all := func(*Member) bool { return true }
+	first := map[spool.VM]int{}
+	for subject := range 50 {
+		name := string(rune('a' + subject))
+		outside := rosters["vm1"].Homes(name, 2, false, all, start)
+		for self, roster := range rosters {
+			homes := roster.Homes(name, 2, true, all, start)
+			c.Assert(len(homes) <= 2, qt.IsTrue)
+			if len(homes) == 0 {
+				first[self]++
+				c.Assert(outside[0] == self || self == "vm1", qt.IsTrue)
+			}
+		}
+	}
+	c.Assert(len(first) >= 4, qt.IsTrue, qt.Commentf("%v", first))
+}
+
+func TestHomesAreLiveAndFit(t *testing.T) {
+	c := qt.New(t)
+	roster := fleet(start, "vm1", "vm2", "vm3", "vm4")["vm1"]
+	roster.Get("vm2").Leaving = true
+	roster.Get("vm3").Heard = start.Add(-LiveFor)
+	for subject := range 20 {
+		for _, vm := range roster.Homes(string(rune('a'+subject)), 3, false, func(*Member) bool { return true }, start) {
+			c.Assert(vm, qt.Equals, spool.VM("vm4"))
+		}
+	}
+	c.Assert(roster.Homes("a", 3, false, func(member *Member) bool { return member.VM != "vm4" }, start), qt.HasLen, 0)
+}
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -28,7 +28,7 @@
 	var avoid []spool.Server
 	last := spool.Refuse(spool.CodeNoSlot, "no server could run the statement").Later(busyPause)
 	for statement.attempts < maxAttempts && time.Now().Before(statement.deadline) {
-		primary := statement.writes || session.route.Kind == spool.RoutePrimary || session.needsPrimary(statement)
+		primary := statement.writes || session.route.Kind == spool.RoutePrimary || session.needsPrimary(ctx, statement)
 		conn, refusal := session.acquire(ctx, statement, primary, avoid)
 		if refusal != nil {
 			last = refusal
@@ -120,13 +120,14 @@
 	return session.engine.pool.Acquire(ctx, pool.Want{
 		Group: session.route.Group, Team: session.team, Values: session.values,
 		Primary: primary, Avoid: avoid, Priority: session.route.Priority, Deadline: deadline,
+		Patience: max(session.route.Timeout, session.engine.deployment.Load().TxIdle),
 	})
 }
 
 // needsPrimary sets the position that a replica must have, and tells if none is known so that only the primary will do.
-func (session *session) needsPrimary(statement *statement) bool {
+func (session *session) needsPrimary(ctx context.Context, statement *statement) bool {
 	since := statement.received.Add(ageMargin - session.route.MaxAge)
-	position, known := session.engine.pool.Covering(session.route.Group, since)
+	position, known := session.engine.pool.Cover(ctx, session.route.Group, since)
 	if !known {
 		statement.After = spool.LogPosition{}
 		return true
@@ -208,7 +209,7 @@
 		engine.pool.Failed(conn, err)
 		return answer, err
 	}
-	engine.pool.Succeeded(conn, engine.timers.Now().Sub(began))
+	engine.pool.Answered(conn, engine.timers.Now().Sub(began))
 	return answer, nil
 }
 
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -92,7 +92,7 @@
 			break
 		}
 		begin := spool.Command{Verb: spool.VerbBegin}
-		primary := !session.tx.readOnly || session.route.Kind == spool.RoutePrimary || session.needsPrimary(statement)
+		primary := !session.tx.readOnly || session.route.Kind == spool.RoutePrimary || session.needsPrimary(ctx, statement)
 		if !primary {
 			begin.Verb, begin.After = spool.VerbBeginRead, statement.After
 		}
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -70,6 +70,8 @@
 	MemberRemoved    Number = 709
 	SeedUnreached    Number = 710
 	RelayRefused     Number = 711
+	LoanRefused      Number = 713
+	LoanFailed       Number = 313
 	SettingsReloaded Number = 105
 	SettingsRejected Number = 106
 	StoreUnread      Number = 712
@@ -133,6 +135,8 @@
 	MemberRemoved:    {Level: zapcore.InfoLevel, Text: "registration of a gone proxy removed", PerSecond: serverLimit},
 	SeedUnreached:    {Level: zapcore.WarnLevel, Text: "seed not reached", PerSecond: serverLimit},
 	RelayRefused:     {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
+	LoanRefused:      {Level: zapcore.InfoLevel, Text: "connection not lent", PerSecond: serverLimit},
+	LoanFailed:       {Level: zapcore.InfoLevel, Text: "connection not borrowed", PerSecond: serverLimit},
 	SettingsReloaded: {Level: zapcore.InfoLevel, Text: "settings reloaded"},
 	SettingsRejected: {Level: zapcore.ErrorLevel, Text: "settings rejected"},
 	StoreUnread:      {Level: zapcore.WarnLevel, Text: "store not read", PerSecond: serverLimit},
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -292,3 +292,36 @@
 	<-stopped
 	c.Assert(world.group.Written("item"), qt.DeepEquals, []string{"one"})
 }
+
+// TestReadsGoToReplicasWithoutWrites reads at proxies that none of the writes went through: they learn positions from
+// others, so that the primary is spared.
+func TestReadsGoToReplicasWithoutWrites(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t, 3)
+	time.Sleep(2 * time.Second) // until the proxies hear each other
+	c.Assert(world.connect(0, "session", "key-red").ask("WRITE item one"), qt.Equals, "")
+	readers := []caller{world.connect(1, "session", "key-red"), world.connect(2, "session", "key-red")}
+	for range 20 {
+		for _, reader := range readers {
+			reader.ask("READ item")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	atPrimary, reads := 0, 0
+	for _, run := range world.group.Runs() {
+		if run.Text != "READ item" {
+			continue
+		}
+		reads++
+		if run.Server == world.group.Primary() {
+			atPrimary++
+		}
+	}
+	c.Assert(reads >= 40, qt.IsTrue, qt.Commentf("%d reads", reads))
+	c.Assert(atPrimary <= reads/10, qt.IsTrue, qt.Commentf("%d of %d reads at the primary", atPrimary, reads))
+	servers := 0
+	for _, server := range world.group.Servers() {
+		servers += server.Conns()
+	}
+	c.Assert(servers <= 9, qt.IsTrue, qt.Commentf("%d connections for one team and three proxies", servers))
+}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -201,6 +201,20 @@
 	}
 }
 
+// homes returns the live proxies of a failure domain's region that come first for a subject, down to this one.
+func (members *members) homes(
+	subject string, domain spool.Domain, skip func(vm spool.VM, now spool.Instant) bool,
+) []spool.VM {
+	settings := &members.proxy.settings
+	region := settings.Regions[domain]
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	now := members.proxy.timers.Now()
+	return members.roster.Homes(subject, homes, region == settings.Region, func(member *roster.Member) bool {
+		return settings.Regions[member.Domain] == region && !skip(member.VM, now)
+	}, now)
+}
+
 // all returns all other registered proxies.
 func (members *members) all() []roster.Member {
 	members.mutex.Lock()
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -13,6 +13,7 @@
 	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/lend"
 	"corianderspool.example/spool/internal/peer"
 	"corianderspool.example/spool/internal/sock"
 	"corianderspool.example/spool/internal/wire"
@@ -154,6 +155,10 @@
 		}
 	case *wire.Envelope_TokenTransfer:
 		peers.proxy.limiter.give(spool.Team(body.TokenTransfer.Team), body.TokenTransfer.Tokens)
+	case *wire.Envelope_MarkRequest:
+		go peers.proxy.marks.answer(from, body.MarkRequest)
+	case *wire.Envelope_MarkAnswer:
+		peers.proxy.marks.receive(body.MarkAnswer)
 	case *wire.Envelope_ProbeRequest:
 		go peers.answerProbe(from, body.ProbeRequest)
 	case *wire.Envelope_ProbeAnswer:
@@ -161,9 +166,23 @@
 	}
 }
 
-// Serve passes a stream on to a backend server that the sender cannot reach.
-func (peers *peers) Serve(_ spool.VM, stream net.Conn) {
-	peers.proxy.relayed(stream)
+// Serve handles a stream to a backend server: a connection to copy, or one to lend.
+func (peers *peers) Serve(from spool.VM, conn net.Conn) {
+	defer func() { _ = conn.Close() }() // either side has ended
+	stream := lend.NewStream(conn)
+	if err := stream.SetReadDeadline(time.Now().Add(relayTimeout)); err != nil {
+		return
+	}
+	frame, err := stream.Read()
+	if err != nil {
+		return
+	}
+	switch body := frame.Body.(type) {
+	case *wire.StreamFrame_RelayRequest:
+		peers.proxy.relayed(stream, body.RelayRequest.Address)
+	case *wire.StreamFrame_LoanRequest:
+		peers.proxy.lender.Serve(from, stream, body.LoanRequest)
+	}
 }
 
 func (peers *peers) receivePulse(from spool.VM, pulse *wire.Pulse) {
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -15,6 +15,7 @@
 
 	"corianderspool.example/spool/internal/engine"
 	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/lend"
 	"corianderspool.example/spool/internal/metric"
 	"corianderspool.example/spool/internal/mirror"
 	"corianderspool.example/spool/internal/oper"
@@ -49,6 +50,9 @@
 	limiter  *limiter
 	members  *members
 	peers    *peers
+	lender   *lend.Lender
+	loans    *loans
+	marks    *marks
 	warden   *warden.Warden
 	reader   *reader
 	servers  *mirror.Mirror
@@ -71,8 +75,13 @@
 	proxy.dial = sock.Dialer(sock.DefaultSilence)
 	proxy.storeReached, proxy.latest = true, settings
 	proxy.measure()
+	proxy.loans, proxy.marks = newLoans(proxy), newMarks(proxy)
 	proxy.pool = pool.New(proxy.adapter, proxy.dial, timers,
-		pool.WithLogger(proxy.logger), pool.WithDistance(proxy.distance), pool.WithDrain(settings.Bounds.Drain), pool.WithDetour(proxy.detour))
+		pool.WithLogger(proxy.logger), pool.WithDistance(proxy.distance), pool.WithDrain(settings.Bounds.Drain), pool.WithDetour(proxy.detour),
+		pool.WithLenders(proxy.loans), pool.WithMarker(proxy.marks), pool.WithNear(func(left, right spool.Domain) bool {
+			return settings.Regions[left] == settings.Regions[right]
+		}))
+	proxy.lender = lend.NewLender(proxy.pool, timers, logger)
 	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(proxy.logger),
 		engine.WithObserver(observer{proxy.metrics}))
 	proxy.members = newMembers(proxy)
@@ -202,6 +211,7 @@
 	proxy.mutex.Lock()
 	proxy.draining = true
 	proxy.mutex.Unlock()
+	proxy.lender.Close()
 	proxy.peers.announce()
 	event.Log(proxy.logger, event.ProxyDraining, zap.Int("Sessions", proxy.engine.Sessions()))
 	grace := time.Duration(float64(proxy.settings.Bounds.Grace) * drainPart)
@@ -215,6 +225,7 @@
 	}
 	_ = listener.Close() // nothing is accepted any more
 	proxy.engine.Drain(ctx)
+	proxy.lender.Drain(ctx)
 	proxy.engine.Cut()
 	proxy.pool.Close(ctx)
 }
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -1,13 +1,11 @@
 package fleet
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,13 +13,14 @@
 
 	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/lend"
+	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
 	relayTimeout = 800 * time.Millisecond // two round trips between regions and a connection's handshake
 	relayTries   = 2                      // proxies tried in turn
-	relayOK      = "OK"
 )
 
 // detour connects to a group's primary through another proxy that reaches it.
@@ -70,25 +69,19 @@
 	if err := stream.SetDeadline(time.Now().Add(relayTimeout)); err != nil {
 		return err
 	}
-	if _, err := io.WriteString(stream, address+"\n"); err != nil {
+	frames := lend.NewStream(stream)
+	request := &wire.RelayRequest{Address: address}
+	if err := frames.Write(&wire.StreamFrame{Body: &wire.StreamFrame_RelayRequest{RelayRequest: request}}); err != nil {
 		return err
 	}
-	answer := make([]byte, len(relayOK)+1)
-	if _, err := io.ReadFull(stream, answer); err != nil {
+	if _, err := frames.Read(); err != nil {
 		return err
 	}
 	return stream.SetDeadline(time.Time{})
 }
 
-// relayed connects a stream of another proxy to the backend server whose address it names, and copies both ways.
-func (proxy *Proxy) relayed(stream net.Conn) {
-	defer func() { _ = stream.Close() }() // either side has ended
-	reader := bufio.NewReader(stream)
-	line, err := reader.ReadString('\n')
-	if err != nil {
-		return
-	}
-	address := strings.TrimSpace(line)
+// relayed connects a stream of another proxy to the backend server at an address, and copies both ways.
+func (proxy *Proxy) relayed(stream *lend.Stream, address string) {
 	if !proxy.pool.Knows(address) {
 		event.Log(proxy.logger, event.RelayRefused, zap.String("Address", address))
 		return
@@ -101,16 +94,20 @@
 		return
 	}
 	defer func() { _ = conn.Close() }() // either side has ended
-	if _, err := io.WriteString(stream, relayOK+"\n"); err != nil {
+	if err := stream.SetReadDeadline(time.Time{}); err != nil {
+		return
+	}
+	answer := &wire.StreamFrame_RelayAnswer{RelayAnswer: &wire.RelayAnswer{}}
+	if err := stream.Write(&wire.StreamFrame{Body: answer}); err != nil {
 		return
 	}
 	done := make(chan struct{}, 2)
 	go func() {
-		_, _ = io.Copy(conn, reader) // the end of one side ends both
+		_, _ = io.Copy(conn, stream.Rest()) // the end of one side ends both
 		done <- struct{}{}
 	}()
 	go func() {
-		_, _ = io.Copy(stream, conn) // the end of one side ends both
+		_, _ = io.Copy(stream.Conn, conn) // the end of one side ends both
 		done <- struct{}{}
 	}()
 	<-done
--- /dev/null
+++ b/internal/lend/codec.go
@@ -0,0 +1,81 @@
+package lend
+
+import (
+	"net"
+	"time"
+
+	"corianderspool.example/spool/internal/peer"
+	"corianderspool.example/spool/internal/wire"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// Stream is a stream between two proxies with the frames on it.
+type Stream struct {
+	net.Conn
+	*peer.Reader[wire.StreamFrame, *wire.StreamFrame]
+	writer *peer.Writer[wire.StreamFrame, *wire.StreamFrame]
+}
+
+// NewStream returns the frames on a connection.
+func NewStream(conn net.Conn) *Stream {
+	return &Stream{
+		Conn: conn, Reader: peer.NewControlReader[wire.StreamFrame](conn), writer: peer.NewWriter[wire.StreamFrame](conn),
+	}
+}
+
+// Read returns the next frame.
+func (stream *Stream) Read() (*wire.StreamFrame, error) { return stream.Reader.Read() }
+
+// Write sends a frame.
+func (stream *Stream) Write(frame *wire.StreamFrame) error {
+	_, err := stream.writer.Write(frame)
+	return err
+}
+
+func encodeCommands(commands []spool.Command) *wire.StreamFrame {
+	encoded := make([]*wire.LinkCommand, 0, len(commands))
+	for _, command := range commands {
+		encoded = append(encoded, &wire.LinkCommand{
+			ID: command.ID, Verb: int32(command.Verb), Name: command.Name, Text: command.Text, Writes: command.Writes,
+			AfterTerm: uint64(command.After.Term), AfterNumber: uint64(command.After.Number),
+		})
+	}
+	return &wire.StreamFrame{Body: &wire.StreamFrame_LoanCommands{LoanCommands: &wire.LoanCommands{Commands: encoded}}}
+}
+
+func decodeCommands(body *wire.LoanCommands) []spool.Command {
+	commands := make([]spool.Command, 0, len(body.Commands))
+	for _, command := range body.Commands {
+		commands = append(commands, spool.Command{
+			ID: command.ID, Verb: spool.Verb(command.Verb), Name: command.Name, Text: command.Text, Writes: command.Writes,
+			After: spool.LogPosition{Term: spool.Term(command.AfterTerm), Number: spool.Position(command.AfterNumber)},
+		})
+	}
+	return commands
+}
+
+func encodeAnswer(answer spool.Answer) *wire.StreamFrame {
+	result := &wire.LoanResult{
+		Rows: answer.Rows, Digest: answer.Digest, State: uint32(answer.State),
+		Term: uint64(answer.Position.Term), Number: uint64(answer.Position.Number),
+	}
+	if refusal := answer.Refusal; refusal != nil {
+		result.Code, result.Message = refusal.Code, refusal.Message
+		result.Verdict, result.RetryNanos = int32(refusal.Verdict), int64(refusal.RetryAfter)
+	}
+	return &wire.StreamFrame{Body: &wire.StreamFrame_LoanResult{LoanResult: result}}
+}
+
+func decodeAnswer(result *wire.LoanResult) spool.Answer {
+	answer := spool.Answer{
+		Rows: result.Rows, Digest: result.Digest, State: spool.TxState(result.State),
+		Position: spool.LogPosition{Term: spool.Term(result.Term), Number: spool.Position(result.Number)},
+	}
+	if result.Code != "" {
+		answer.Refusal = &spool.Refusal{
+			Verdict: spool.Verdict(result.Verdict), Code: result.Code, Message: result.Message,
+			RetryAfter: time.Duration(result.RetryNanos),
+		}
+	}
+	return answer
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -24,15 +24,23 @@
 	buffered *bufio.Reader
 }
 
-// NewReader returns a reader of the messages on a stream.
+// NewReader returns a reader of the messages on a stream of bulk data.
 func NewReader[T any, M Message[T]](stream io.Reader) *Reader[T, M] {
 	return newReader[T, M](stream, readBuffer)
 }
 
+// NewControlReader returns a reader of small messages.
+func NewControlReader[T any, M Message[T]](stream io.Reader) *Reader[T, M] {
+	return newReader[T, M](stream, controlBuffer)
+}
+
 func newReader[T any, M Message[T]](stream io.Reader, size int) *Reader[T, M] {
 	return &Reader[T, M]{buffered: bufio.NewReaderSize(stream, size)}
 }
 
+// Rest returns a reader of the bytes behind the last message.
+func (reader *Reader[T, M]) Rest() io.Reader { return reader.buffered }
+
 // Read returns the next message.
 func (reader *Reader[T, M]) Read() (M, error) {
 	message := M(new(T))
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -183,7 +183,7 @@
 
 func (transport *Transport) receive(from spool.VM, stream net.Conn) {
 	defer func() { _ = stream.Close() }()
-	reader := newReader[wire.Envelope](stream, controlBuffer)
+	reader := NewControlReader[wire.Envelope](stream)
 	for {
 		envelope, err := reader.Read()
 		if err != nil {
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -20,8 +19,10 @@
 	Values   map[string]string
 	Primary  bool // only the primary will do
 	Avoid    []spool.Server
-	Priority int       // zero goes first
-	Deadline time.Time // of waiting for a connection
+	Priority int           // zero goes first
+	Deadline time.Time     // of waiting for a connection
+	Patience time.Duration // longest wait for an answer or the next statement
+	refused  []spool.VM    // proxies that lent none
 }
 
 // waiter is a session that waits for a connection.
@@ -33,8 +34,9 @@
 // grant is a right to use a server: an idle connection or the right to open one.
 type grant struct {
 	server *server
-	conn   *Conn // nil if one is to be opened
-	closed *Conn // idle connection of another team that makes room
+	conn   *Conn    // nil if one is to be borrowed or opened
+	closed *Conn    // idle connection of another team that makes room
+	lender spool.VM // to borrow from; empty if one is to be opened
 }
 
 // Acquire returns a connection; a *spool.Refusal says that nothing was sent.
@@ -44,6 +46,13 @@
 		if refusal != nil {
 			return nil, refusal
 		}
+		if granted.lender != "" {
+			if conn := pool.borrow(ctx, want, granted); conn != nil {
+				return conn, nil
+			}
+			want.refused = append(want.refused, granted.lender)
+			continue
+		}
 		if granted.conn != nil {
 			if granted.conn.owed > 0 || !granted.conn.Stale() {
 				return granted.conn, nil
@@ -122,25 +131,45 @@
 		if !pool.usable(server, now) || server.leaving != 0 || slices.Contains(want.Avoid, server.spec.Server) {
 			continue
 		}
-		if server.busy >= server.limit {
-			continue
-		}
 		servers = append(servers, server)
 		candidates = append(candidates, place.Candidate{
 			Expected: server.distance + server.health.Expected(now),
-			InFlight: server.busy,
+			InFlight: server.busy + server.borrowed,
 			Reserved: server.spec.Server == group.primary,
 		})
 	}
-	best := place.Best(candidates)
-	if best < 0 {
-		return grant{}, false
+	for len(servers) > 0 {
+		best := place.Best(candidates)
+		if granted, possible := pool.reserve(servers[best], want); possible {
+			return granted, true
+		}
+		servers, candidates = slices.Delete(servers, best, best+1), slices.Delete(candidates, best, best+1)
 	}
-	return pool.reserve(servers[best], want)
+	return grant{}, false
 }
 
-// reserve takes the idle connection that fits best, or room for a new one.
+// reserve takes an idle connection, the way to a lender, or room for a new connection.
 func (pool *Pool) reserve(server *server, want *Want) (grant, bool) {
+	if conn := server.takeFitting(want); conn != nil {
+		return grant{server: server, conn: conn}, true
+	}
+	if lender := pool.lender(server, want); lender != "" {
+		server.borrowed++
+		return grant{server: server, lender: lender}, true
+	}
+	return server.makeRoom()
+}
+
+// reserveOwn is like reserve without lenders.
+func (pool *Pool) reserveOwn(server *server, want *Want) (grant, bool) {
+	if conn := server.takeFitting(want); conn != nil {
+		return grant{server: server, conn: conn}, true
+	}
+	return server.makeRoom()
+}
+
+// takeFitting takes the idle connection of the team that fits best, or returns nil.
+func (server *server) takeFitting(want *Want) *Conn {
 	best, bestFit := -1, fitReset+1
 	for i, conn := range server.idle {
 		if conn.team != want.Team {
@@ -150,12 +179,17 @@
 			best, bestFit = i, fit
 		}
 	}
-	if best >= 0 {
-		conn := server.idle[best]
-		server.idle = slices.Delete(server.idle, best, best+1)
-		server.busy++
-		return grant{server: server, conn: conn}, true
+	if best < 0 {
+		return nil
 	}
+	conn := server.idle[best]
+	server.idle = slices.Delete(server.idle, best, best+1)
+	server.busy++
+	return conn
+}
+
+// makeRoom grants a new connection, in place of the idle one of another team that rested longest if need be.
+func (server *server) makeRoom() (grant, bool) {
 	if !server.mayOpen() {
 		return grant{}, false
 	}
@@ -222,6 +256,10 @@
 
 // Release gives a connection back.
 func (pool *Pool) Release(conn *Conn) {
+	if conn.loan != nil {
+		pool.giveBack(conn)
+		return
+	}
 	if conn.late && !conn.broken {
 		go pool.settleLate(conn)
 		return
@@ -244,8 +282,8 @@
 	}
 }
 
-// Succeeded notes how long a server took for a statement.
-func (pool *Pool) Succeeded(conn *Conn, took time.Duration) {
+// Answered notes how long a server took for a statement.
+func (pool *Pool) Answered(conn *Conn, took time.Duration) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	conn.server.health.Succeeded(max(0, took-conn.server.distance), pool.timers.Now())
@@ -259,7 +297,7 @@
 	server := conn.server
 	now := pool.timers.Now()
 	var closing []*Conn
-	if !errors.Is(cause, context.Canceled) {
+	if conn.serverFault(cause) {
 		server.health.Failed(now)
 		closing = server.takeIdle()
 	}
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -24,9 +24,10 @@
 	values   map[string]string // session values that the server holds
 	prepared map[string]string // name on this connection of each prepared shape
 	names    int
-	owed     int  // answers to discard before the next one
-	late     bool // the answers that are owed are late
-	broken   bool // may hold a transaction or unread answers
+	loan     *Loan // nil for a connection of this proxy's own
+	owed     int   // answers to discard before the next one
+	late     bool  // the answers that are owed are late
+	broken   bool  // may hold a transaction or unread answers
 	idleAt   spool.Instant
 }
 
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -18,6 +18,7 @@
 	idle     []*Conn
 	open     int // connections in use, idle or being opened
 	busy     int
+	borrowed int // connections of other proxies in use here
 	opening  int // of open, connections whose handshake goes on
 	limit    int // of open
 	keep     int // of open that rest: half of the limit over all proxies, so that a fleet that lost power finds room
@@ -30,17 +31,18 @@
 
 // group is a database group.
 type group struct {
-	name     spool.Group
-	limits   spool.GroupLimits
-	servers  map[spool.Server]*server
-	primary  spool.Server // empty if not known
-	term     spool.Term   // newest term seen
-	marks    fresh.Marks
-	acked    spool.LogPosition // newest position that this proxy acknowledged
-	waiters  []*waiter
-	probing  bool
-	retrying bool
-	contact  spool.Instant // when the primary last answered as such
+	name      spool.Group
+	limits    spool.GroupLimits
+	servers   map[spool.Server]*server
+	primary   spool.Server // empty if not known
+	term      spool.Term   // newest term seen
+	marks     fresh.Marks
+	acked     spool.LogPosition // newest position that this proxy acknowledged
+	waiters   []*waiter
+	probing   bool
+	refreshed chan struct{} // closed when the dated position that was asked for is known; nil if none was
+	retrying  bool
+	contact   spool.Instant // when the primary last answered as such
 }
 
 // Limits of handshakes that one proxy has under way with a server: each takes a slot there, and a server that is slow to
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -32,8 +32,11 @@
 	timers     spool.Timers
 	logger     *zap.Logger
 	distance   func(domain spool.Domain) time.Duration
+	near       func(left, right spool.Domain) bool
 	leavingUse time.Duration
 	detour     Detour
+	lenders    Lenders
+	marker     Marker
 
 	mutex  sync.Mutex
 	groups map[spool.Group]*group
@@ -52,6 +55,14 @@
 	return func(pool *Pool) { pool.distance = distance }
 }
 
+// WithMarker sets where dated positions come from.
+func WithMarker(marker Marker) Option { return func(pool *Pool) { pool.marker = marker } }
+
+// WithNear tells which failure domains lie in one region.
+func WithNear(near func(left, right spool.Domain) bool) Option {
+	return func(pool *Pool) { pool.near = near }
+}
+
 // WithDrain sets how long a leaving server may be sent work.
 func WithDrain(drain time.Duration) Option {
 	return func(pool *Pool) { pool.SetDrain(drain) }
@@ -60,11 +71,15 @@
 // WithDetour sets the way round a cut to a primary.
 func WithDetour(detour Detour) Option { return func(pool *Pool) { pool.detour = detour } }
 
+// WithLenders sets the proxies that lend connections.
+func WithLenders(lenders Lenders) Option { return func(pool *Pool) { pool.lenders = lenders } }
+
 // New returns a pool without servers.
 func New(linker spool.Linker, dial spool.DialFunc, timers spool.Timers, options ...Option) *Pool {
 	pool := &Pool{
 		linker: linker, dial: dial, timers: timers, logger: zap.NewNop(),
-		distance: func(spool.Domain) time.Duration { return 0 }, detour: noDetour,
+		distance: func(spool.Domain) time.Duration { return 0 },
+		near:     func(left, right spool.Domain) bool { return left == right }, detour: noDetour, lenders: nobody{}, marker: nobody{},
 		groups: map[spool.Group]*group{}, fleet: []spool.Domain{""},
 	}
 	for _, option := range options {
@@ -211,14 +226,14 @@
 	return known
 }
 
-// allot sets how many connections this proxy may have to each server of a group: more to those nearby, which its reads
-// go to, but an equal part to the primary, which all proxies need.
+// allot sets how many connections this proxy may have to each server of a group: most go to the proxies near the server,
+// which lend them; the others have some for when no lender is in reach.
 func (pool *Pool) allot(group *group) {
 	weights := make([]float64, len(pool.fleet))
-	for name, server := range group.servers {
+	for _, server := range group.servers {
 		for i, domain := range pool.fleet {
 			weights[i] = place.FarWeight
-			if domain == server.spec.Domain && name != group.primary {
+			if pool.near(domain, server.spec.Domain) {
 				weights[i] = place.NearWeight
 			}
 		}
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -61,7 +61,7 @@
 // ask begins and rolls back a transaction on a server, which only the primary allows, and notes its position.
 func (pool *Pool) ask(server *server, team spool.Team, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
-	conn, err := pool.borrow(server, team, timeout)
+	conn, err := pool.claim(server, team, timeout)
 	if err != nil {
 		return err
 	}
@@ -69,12 +69,12 @@
 	return pool.askPrimary(conn, deadline)
 }
 
-// borrow returns a connection to one server without waiting for a free one.
-func (pool *Pool) borrow(server *server, team spool.Team, timeout time.Duration) (*Conn, error) {
+// claim returns a connection to one server without waiting for a free one.
+func (pool *Pool) claim(server *server, team spool.Team, timeout time.Duration) (*Conn, error) {
 	pool.mutex.Lock()
 	group := pool.group(server.spec.Group)
 	want := Want{Group: group.name, Team: team}
-	granted, possible := pool.reserve(server, &want)
+	granted, possible := pool.reserveOwn(server, &want)
 	if !possible {
 		server.open++
 		server.busy++
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -108,7 +108,7 @@
 	if known == nil {
 		return nil, eris.Errorf("server %s of group %s is not registered", server, name)
 	}
-	conn, err := pool.borrow(known, team, timeout)
+	conn, err := pool.claim(known, team, timeout)
 	if err != nil {
 		return nil, err
 	}
