Limit the statements under way with each server by what it answers in time

Change: each proxy has a window of statements a server, halved when the server refuses one for load, answers late or slowly, and grown with answers in time. A transaction that waits for its caller does not count. A statement that would wait for longer than it may behind those before it is refused at once with that time.

Frames between proxies now have a write deadline, found by a test in which both sides waited to write.

--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -209,7 +209,7 @@
 		engine.pool.Failed(conn, err)
 		return answer, err
 	}
-	engine.pool.Answered(conn, engine.timers.Now().Sub(began))
+	engine.pool.Answered(conn, answer, engine.timers.Now().Sub(began))
 	return answer, nil
 }
 
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -19,6 +19,7 @@
 	if session.tx.conn == nil {
 		command, refusal = session.enter(ctx, statement)
 	} else {
+		session.engine.pool.Resume(session.tx.conn)
 		command, refusal = session.ready(statement, session.tx.conn, nil, true)
 	}
 	if refusal != nil {
@@ -37,6 +38,7 @@
 	}
 	session.tx.wrote = session.tx.wrote || statement.writes
 	if statement.Verb != spool.VerbCommit {
+		session.engine.pool.Rest(conn)
 		answer.State = spool.TxOpen
 		return answer
 	}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -94,13 +94,13 @@
 		return
 	}
 	defer func() { _ = conn.Close() }() // either side has ended
-	if err := stream.SetReadDeadline(time.Time{}); err != nil {
-		return
-	}
 	answer := &wire.StreamFrame_RelayAnswer{RelayAnswer: &wire.RelayAnswer{}}
 	if err := stream.Write(&wire.StreamFrame{Body: answer}); err != nil {
 		return
 	}
+	if err := stream.SetDeadline(time.Time{}); err != nil {
+		return
+	}
 	done := make(chan struct{}, 2)
 	go func() {
 		_, _ = io.Copy(conn, stream.Rest()) // the end of one side ends both
--- a/internal/lend/codec.go
+++ b/internal/lend/codec.go
@@ -26,8 +26,14 @@
 // Read returns the next frame.
 func (stream *Stream) Read() (*wire.StreamFrame, error) { return stream.Reader.Read() }
 
+// writeTimeout bounds the wait for room in the stream, which fills when the other side has given up and reads no more.
+const writeTimeout = time.Second
+
 // Write sends a frame.
 func (stream *Stream) Write(frame *wire.StreamFrame) error {
+	if err := stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	_, err := stream.writer.Write(frame)
 	return err
 }
--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/fresh"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/pool"
 	"corianderspool.example/spool/internal/wire"
@@ -31,6 +32,9 @@
 	return &Lender{pool: pool, timers: timers, logger: logger}
 }
 
+// Out returns how many connections are on loan.
+func (lender *Lender) Out() int { return int(lender.out.Load()) }
+
 // Close refuses new loans.
 func (lender *Lender) Close() { lender.closed.Store(true) }
 
@@ -38,7 +42,7 @@
 func (lender *Lender) Drain(ctx context.Context) {
 	ticker := time.NewTicker(drainPeriod)
 	defer ticker.Stop()
-	for lender.out.Load() > 0 {
+	for lender.Out() > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -72,7 +76,7 @@
 	if answerLoan(stream, answer) != nil {
 		return // nothing was sent to the server
 	}
-	loan := &loan{lender: lender, conn: conn, stream: stream, patience: request.Patience}
+	loan := &loan{lender: lender, conn: conn, group: request.Group, stream: stream, patience: request.Patience}
 	if !loan.run() {
 		conn.Break()
 	}
@@ -93,6 +97,7 @@
 type loan struct {
 	lender   *Lender
 	conn     *pool.Conn
+	group    spool.Group
 	stream   *Stream
 	patience time.Duration
 	state    spool.TxState // after the last answer; zero before the first one
@@ -125,24 +130,23 @@
 func (loan *loan) pass(commands []spool.Command) bool {
 	pool := loan.lender.pool
 	deadline := time.Now().Add(loan.patience)
+	pool.Resume(loan.conn)
 	err := loan.conn.Settle(deadline)
 	if err == nil {
 		loan.conn.Note(commands)
 		err = loan.conn.Send(commands...)
 	}
+	began := loan.lender.timers.Now()
 	for _, command := range commands {
 		if err != nil {
 			break
 		}
-		began := loan.lender.timers.Now()
 		var answer spool.Answer
 		if answer, err = loan.conn.Receive(deadline); err != nil {
 			break
 		}
 		loan.state = answer.State
-		if command.ID != "" {
-			pool.Answered(loan.conn, loan.lender.timers.Now().Sub(began))
-		}
+		loan.note(command, answer, began)
 		_ = loan.stream.Write(encodeAnswer(answer)) // the next read tells if the borrower gave up
 	}
 	if err != nil {
@@ -150,5 +154,22 @@
 		lost := &wire.StreamFrame{Body: &wire.StreamFrame_LoanLost{LoanLost: &wire.LoanLost{Cause: err.Error()}}}
 		_ = loan.stream.Write(lost) // the end of the stream says the same
 	}
+	if loan.state == spool.TxOpen {
+		pool.Rest(loan.conn)
+	}
 	return err == nil
 }
+
+// note learns from an answer what it tells of the server, as for statements of this proxy's own callers.
+func (loan *loan) note(command spool.Command, answer spool.Answer, sent spool.Instant) {
+	pool, group := loan.lender.pool, loan.group
+	switch {
+	case command.ID != "":
+		pool.Answered(loan.conn, answer, loan.lender.timers.Now().Sub(sent))
+	case command.Verb == spool.VerbBegin && answer.Refusal == nil:
+		pool.NotePrimary(group, loan.conn.Server(), fresh.Mark{Position: answer.Position, Sent: sent})
+	}
+	if answer.Refusal != nil && answer.Refusal.Code == spool.CodeReadOnly {
+		pool.NoteDenied(group, loan.conn.Server())
+	}
+}
--- a/internal/lend/link.go
+++ b/internal/lend/link.go
@@ -35,7 +35,7 @@
 }
 
 func (link *link) borrow(request pool.LoanRequest, deadline time.Time) (*pool.Loan, error) {
-	if err := link.stream.SetDeadline(deadline); err != nil {
+	if err := link.stream.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
 	err := link.stream.Write(&wire.StreamFrame{Body: &wire.StreamFrame_LoanRequest{LoanRequest: &wire.LoanRequest{
@@ -59,7 +59,7 @@
 	return &pool.Loan{
 		Lent: link, Term: spool.Term(answer.Term),
 		Held: pool.Held{Values: orEmpty(answer.Values), Prepared: orEmpty(answer.Prepared), Names: int(answer.Names)},
-	}, link.stream.SetDeadline(time.Time{})
+	}, link.stream.SetReadDeadline(time.Time{})
 }
 
 func orEmpty(values map[string]string) map[string]string {
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -81,6 +81,10 @@
 		pool.mutex.Unlock()
 		return granted, nil
 	}
+	if wait := pool.expect(group, &want); wait > time.Until(want.Deadline) {
+		pool.mutex.Unlock()
+		return grant{}, spool.Refuse(spool.CodeNoSlot, "too many statements wait for the server").Later(max(wait, retryPause))
+	}
 	waiting := &waiter{Want: want, granted: make(chan grant, 1)}
 	group.waiters = append(group.waiters, waiting)
 	slices.SortStableFunc(group.waiters, func(left, right *waiter) int { return left.Priority - right.Priority })
@@ -170,6 +174,9 @@
 
 // takeFitting takes the idle connection of the team that fits best, or returns nil.
 func (server *server) takeFitting(want *Want) *Conn {
+	if !server.hasTime() {
+		return nil
+	}
 	best, bestFit := -1, fitReset+1
 	for i, conn := range server.idle {
 		if conn.team != want.Team {
@@ -190,7 +197,7 @@
 
 // makeRoom grants a new connection, in place of the idle one of another team that rested longest if need be.
 func (server *server) makeRoom() (grant, bool) {
-	if !server.mayOpen() {
+	if !server.hasTime() || !server.mayOpen() {
 		return grant{}, false
 	}
 	if server.open < server.limit {
@@ -267,6 +274,7 @@
 	pool.mutex.Lock()
 	now := pool.timers.Now()
 	server := conn.server
+	server.resume(conn)
 	server.busy--
 	closing := conn.broken || server.gone || server.open > server.keep
 	if closing {
@@ -282,13 +290,6 @@
 	}
 }
 
-// Answered notes how long a server took for a statement.
-func (pool *Pool) Answered(conn *Conn, took time.Duration) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	conn.server.health.Succeeded(max(0, took-conn.server.distance), pool.timers.Now())
-}
-
 // Failed notes that a server gave no answer and marks the connection as unusable.
 func (pool *Pool) Failed(conn *Conn, cause error) {
 	pool.mutex.Lock()
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -27,6 +27,7 @@
 	loan     *Loan // nil for a connection of this proxy's own
 	owed     int   // answers to discard before the next one
 	late     bool  // the answers that are owed are late
+	resting  bool  // its transaction waits for the caller
 	broken   bool  // may hold a transaction or unread answers
 	idleAt   spool.Instant
 }
@@ -111,7 +112,9 @@
 	conn.Owe(answers)
 	conn.late = true
 	pool.mutex.Lock()
-	conn.server.health.Late(pool.timers.Now())
+	now := pool.timers.Now()
+	conn.server.health.Late(now)
+	pool.cut(conn, now)
 	pool.mutex.Unlock()
 	event.Log(pool.logger, event.AnswerLate, zap.String("Group", string(conn.server.spec.Group)),
 		zap.String("Server", string(conn.Server())))
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -18,6 +18,8 @@
 	idle     []*Conn
 	open     int // connections in use, idle or being opened
 	busy     int
+	resting  int // of busy, connections whose transaction waits for its caller
+	window   place.Window
 	borrowed int // connections of other proxies in use here
 	opening  int // of open, connections whose handshake goes on
 	limit    int // of open
