Read and watch the store by one proxy of each region

Change: one proxy of each region reads the configuration and the version each second and watches the servers' entries. Heartbeats name the configuration's revision and the version at which the copy of the entries last changed; the reader sends them at once when there is news, and the others fetch what they lack from it. A proxy that hears of no read for 1.8 s reads and watches itself. A call every 4 s, whose answer may be old, tells the others if they reach the store. After a gap in reads entries may have lapsed: deletions wait, and no promotion counts on the registry.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -8,17 +8,17 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// applyConfig puts a deployment in force unless it is older than the one in force.
-func (proxy *Proxy) applyConfig(object spool.Object) {
+// applyConfig puts a deployment in force and tells if it did: not if it is as old as the one in force or out of form.
+func (proxy *Proxy) applyConfig(object spool.Object) bool {
 	deployment, err := proxy.adapter.ParseDeployment(object)
 	if err != nil {
 		event.Log(proxy.logger, event.ConfigRejected, event.Cause(err))
-		return
+		return false
 	}
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	if deployment.Revision <= proxy.revision {
-		return
+		return false
 	}
 	proxy.revision = deployment.Revision
 	proxy.config = object
@@ -31,6 +31,7 @@
 	for team := range deployment.Teams {
 		proxy.operatorTeam = max(proxy.operatorTeam, team)
 	}
+	return true
 }
 
 // currentRevision returns the revision of the deployment in force, or zero.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -228,7 +228,7 @@
 	world := newWorld(t, 3)
 	const rate = 20
 	world.configure(rate, "key-red")
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(world.settings[0].Bounds.ConfigApply)
 	var asking sync.WaitGroup
 	var mutex sync.Mutex
 	served, refused := 0, 0
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -215,6 +215,14 @@
 	}, now)
 }
 
+// near tells if a proxy is in this one's region.
+func (members *members) near(vm spool.VM) bool {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	member := members.roster.Get(vm)
+	return member != nil && members.roster.Near(member)
+}
+
 // all returns all other registered proxies.
 func (members *members) all() []roster.Member {
 	members.mutex.Lock()
--- a/internal/fleet/observers.go
+++ b/internal/fleet/observers.go
@@ -44,25 +44,9 @@
 	observer.pool.RemoveServer(spool.Server(name))
 }
 
-// Listed does nothing: servers are told one by one.
-func (serverObserver) Listed(spool.Version) {}
-
-// configObserver puts deployments in force; it implements mirror.Observer.
-type configObserver struct {
-	reach
-}
-
-// Changed puts a newer deployment in force.
-func (observer configObserver) Changed(object spool.Object) {
-	if _, name := observer.adapter.ConfigObject(); object.Name == name {
-		observer.applyConfig(object)
+// Advanced tells the proxies of the region at once if this one reads for them.
+func (observer serverObserver) Advanced(spool.Version) {
+	if observer.reader.leads() {
+		observer.peers.tellRegion()
 	}
 }
-
-// Deleted keeps the deployment: the operators never withdraw it.
-func (observer configObserver) Deleted(name string) {
-	event.Log(observer.logger, event.EntryIgnored, zap.String("Entry", name))
-}
-
-// Listed does nothing: the configuration is one object.
-func (configObserver) Listed(spool.Version) {}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -40,8 +40,10 @@
 	mutex  sync.Mutex
 	views  map[spool.VM]peerView
 	probes map[uint64]chan *wire.ProbeAnswer
-	last   uint64 // number of the newest probe
-	beats  uint64 // rounds of heartbeats so far
+	last   uint64        // number of the newest probe
+	beats  uint64        // rounds of heartbeats so far
+	copied spool.Instant // when a copy of the servers' entries was last asked for
+	asked  spool.Instant // when the configuration was last asked for
 }
 
 // peerView is the newest heartbeat of another proxy.
@@ -103,6 +105,16 @@
 	}
 }
 
+// tellRegion sends heartbeats to the region at once, since they tell of a newer configuration or newer servers' entries.
+func (peers *peers) tellRegion() {
+	now := peers.proxy.timers.Now()
+	for _, member := range peers.proxy.members.all() {
+		if peers.proxy.near(member.Domain) {
+			peers.beat(member.VM, now, false)
+		}
+	}
+}
+
 // announce tells all other proxies at once that this one leaves.
 func (peers *peers) announce() {
 	now := peers.proxy.timers.Now()
@@ -114,11 +126,11 @@
 // beat sends one heartbeat; whole ones name this proxy's address and failure domain.
 func (peers *peers) beat(to spool.VM, now spool.Instant, whole bool) {
 	proxy := peers.proxy
-	version, confirmed := proxy.reader.state()
+	confirmed := proxy.reader.lastConfirmed()
 	proxy.mutex.Lock()
 	pulse := &wire.Pulse{
 		Leaving: proxy.draining, SentNanos: int64(now), Revision: proxy.revision, StoreReached: proxy.storeReached,
-		StoreVersion: uint64(version), ConfirmedAgeNanos: int64(now.Sub(confirmed)),
+		CopyVersion: uint64(proxy.servers.Changed()), ConfirmedAgeNanos: int64(now.Sub(confirmed)),
 	}
 	proxy.mutex.Unlock()
 	if whole {
@@ -143,10 +155,12 @@
 		peers.sendConfig(from)
 	case *wire.Envelope_ConfigAnswer:
 		for _, object := range body.ConfigAnswer.Objects {
-			peers.proxy.applyConfig(spool.Object{
-				Kind: object.Kind, Name: object.Name, Version: spool.Version(object.Version), Body: object.Body,
-			})
+			peers.proxy.applyConfig(decodeObject(object))
 		}
+	case *wire.Envelope_CopyRequest:
+		peers.sendCopy(from, body.CopyRequest)
+	case *wire.Envelope_CopyAnswer:
+		peers.applyCopy(body.CopyAnswer)
 	case *wire.Envelope_TokenRequest:
 		tokens := peers.proxy.limiter.spare(spool.Team(body.TokenRequest.Team), body.TokenRequest.Tokens)
 		if tokens > 0 {
@@ -200,9 +214,12 @@
 		peers.beat(from, now, true)
 	}
 	if sent != 0 {
-		proxy.reader.learn(spool.Version(pulse.StoreVersion), sent.Add(-time.Duration(pulse.ConfirmedAgeNanos)))
+		proxy.reader.confirm(sent.Add(-time.Duration(pulse.ConfirmedAgeNanos)))
 	}
-	if pulse.Revision > proxy.currentRevision() {
+	if version := proxy.servers.Version(); version > 0 && spool.Version(pulse.CopyVersion) > version && proxy.members.near(from) {
+		peers.requestCopy(from, version, now)
+	}
+	if pulse.Revision > proxy.currentRevision() && peers.mayAsk(&peers.asked, now) {
 		peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{ConfigRequest: &wire.ConfigRequest{}}})
 	}
 }
@@ -212,9 +229,7 @@
 	if !known {
 		return
 	}
-	answer := &wire.ConfigAnswer{Objects: []*wire.ObjectCopy{{
-		Kind: object.Kind, Name: object.Name, Version: uint64(object.Version), Body: object.Body,
-	}}}
+	answer := &wire.ConfigAnswer{Objects: []*wire.ObjectCopy{encodeObject(object)}}
 	peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_ConfigAnswer{ConfigAnswer: answer}})
 }
 
@@ -338,4 +353,6 @@
 func (peers *peers) Operator() spool.Team { return peers.proxy.operator() }
 
 // Settled tells if the registry shows all servers that run.
-func (peers *peers) Settled() bool { return peers.proxy.servers.Settled() }
+func (peers *peers) Settled() bool {
+	return peers.proxy.reader.steady() && peers.proxy.servers.Settled()
+}
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -87,6 +87,8 @@
 	proxy.members = newMembers(proxy)
 	proxy.peers = newPeers(proxy)
 	proxy.reader = newReader(proxy)
+	kind := adapter.ServerKind()
+	proxy.servers = mirror.New(proxy.adapter, timers, kind, serverObserver{reach{proxy, kind}}, mirror.WithLead(proxy.reader.leads))
 	proxy.limiter.request = proxy.peers.askTokens
 	tokens := warden.NewTokens(proxy.adapter, settings.VM, rand.Uint64)
 	proxy.warden = warden.New(settings.VM, proxy.pool, proxy.adapter, tokens, proxy.adapter, proxy.peers, timers, proxy.logger)
@@ -151,11 +153,6 @@
 
 // follow copies configuration, servers and members from the store.
 func (proxy *Proxy) follow(ctx context.Context) {
-	kind, _ := proxy.adapter.ConfigObject()
-	configs := mirror.New(proxy.adapter, proxy.timers, kind, configObserver{reach{proxy, kind}})
-	kind = proxy.adapter.ServerKind()
-	proxy.servers = mirror.New(proxy.adapter, proxy.timers, kind, serverObserver{reach{proxy, kind}})
-	go configs.Run(ctx)
 	go proxy.servers.Run(ctx)
 	go proxy.members.run(ctx)
 	go proxy.reader.run(ctx)
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -9,88 +10,157 @@
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/mirror"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
 	readPeriod  = time.Second             // between reads of the proxy that reads for its region
 	confirmLife = 1800 * time.Millisecond // a confirmation that is older makes a proxy read itself: two reads and a heartbeat
-	readJitter  = 400 * time.Millisecond  // so that proxies without a confirmation do not read in step
+	lookPeriod  = 300 * time.Millisecond  // between looks if a read is due; jittered, so that proxies do not read in step
+	pingPeriod  = 4 * time.Second         // between cheap calls that show if a proxy reaches the store; a third of its price a minute
+	retryPing   = 500 * time.Millisecond  // after a failed one
+	lostPings   = 2                       // failed ones in a row after which the store counts as out of reach
 	readerDuty  = "reader"                // of one proxy in each region
 )
 
-// reader keeps the newest version of the store known, since a watch may hear nothing for seconds. One proxy reads for each
-// region; heartbeats carry what it saw, and a proxy that hears of no read for a while reads itself.
+// reader keeps the configuration and the newest version of the store known. One proxy reads and watches for each region;
+// heartbeats tell the others of what is newer, and a proxy that hears of no read for a while reads itself.
 type reader struct {
 	proxy     *Proxy
+	reach     reach
 	mutex     sync.Mutex
 	read      spool.Version // newest version that this proxy read itself
-	version   spool.Version // newest version that may have changed a backend server's entry
 	confirmed spool.Instant // when the store was last read, here or elsewhere
+	resumed   spool.Instant // when reads were last known again after a gap
+	failures  int           // of calls in a row
 }
 
-func newReader(proxy *Proxy) *reader { return &reader{proxy: proxy} }
+func newReader(proxy *Proxy) *reader {
+	kind, _ := proxy.adapter.ConfigObject()
+	return &reader{proxy: proxy, reach: reach{proxy, kind}}
+}
 
-// run reads until the context ends.
+// run reads until the context ends, first of all the configuration.
 func (reader *reader) run(ctx context.Context) {
-	for sleep(ctx, readPeriod-readJitter/2+rand.N(readJitter)) {
-		_, confirmed := reader.state()
-		lapsed := reader.proxy.timers.Now().Sub(confirmed) > confirmLife
-		if !lapsed && !reader.proxy.members.supervises(readerDuty, reader.proxy.near) {
-			continue
+	go reader.ping(ctx)
+	for reader.proxy.currentRevision() == 0 && reader.fetch(ctx) != nil {
+		if !sleep(ctx, lookPeriod/2+rand.N(lookPeriod)) {
+			return
 		}
-		if err := reader.fetch(ctx); err != nil {
-			event.Log(reader.proxy.logger, event.StoreUnread, zap.Duration("SinceConfirmed",
-				reader.proxy.timers.Now().Sub(confirmed)), event.Cause(err))
+	}
+	var next spool.Instant
+	for sleep(ctx, lookPeriod/2+rand.N(lookPeriod)) {
+		if now := reader.proxy.timers.Now(); now >= next && reader.leads() {
+			next = now.Add(readPeriod)
+			_ = reader.fetch(ctx) // logged there; the next read is due soon
 		}
 	}
 }
 
+// leads tells if this proxy reads and watches the store itself: for its region, or because it hears of no other read.
+func (reader *reader) leads() bool {
+	if reader.proxy.timers.Now().Sub(reader.lastConfirmed()) > confirmLife {
+		return true
+	}
+	return reader.proxy.members.supervises(readerDuty, reader.proxy.near)
+}
+
 func (reader *reader) fetch(ctx context.Context) error {
 	began := reader.proxy.timers.Now()
 	kind, name := reader.proxy.adapter.ConfigObject()
 	objects, version, err := reader.proxy.adapter.List(ctx, kind)
+	reader.called(err)
 	if err != nil {
+		event.Log(reader.proxy.logger, event.StoreUnread,
+			zap.Duration("SinceConfirmed", began.Sub(reader.lastConfirmed())), event.Cause(err))
 		return err
 	}
-	byConfig := false
+	byConfig, news := false, false
 	for _, object := range objects {
-		if object.Name == name {
-			reader.proxy.applyConfig(object)
-			byConfig = object.Version == version
+		if object.Name != name {
+			continue
 		}
+		byConfig = object.Version == version
+		news = reader.proxy.applyConfig(object)
+	}
+	if reader.concerns(version, byConfig) {
+		reader.proxy.servers.Hint(version)
+	}
+	if reader.confirm(began) || news {
+		reader.proxy.peers.tellRegion()
 	}
-	reader.learn(reader.concerning(version, byConfig), began)
 	return nil
 }
 
-// concerning returns the newest version that may concern backend servers: a single change that the configuration made
-// does not, and spares all proxies a list.
-func (reader *reader) concerning(version spool.Version, byConfig bool) spool.Version {
+// concerns tells if a version may concern backend servers: a single change that the configuration made does not.
+func (reader *reader) concerns(version spool.Version, byConfig bool) bool {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
 	single := byConfig && version == reader.read+1
 	reader.read = version
-	if single {
-		return reader.version
-	}
-	return version
+	return !single
 }
 
-// state returns the newest version that may concern backend servers, and when the store was last read.
-func (reader *reader) state() (spool.Version, spool.Instant) {
+// lastConfirmed returns when the store was last read, here or elsewhere.
+func (reader *reader) lastConfirmed() spool.Instant {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
-	return reader.version, reader.confirmed
+	return reader.confirmed
 }
 
-// learn takes over a read of this or another proxy and tells the copy of the servers' entries. The configuration needs no
-// hint: the read itself and the heartbeats bring it.
-func (reader *reader) learn(version spool.Version, confirmed spool.Instant) {
+// confirm notes a read of this or another proxy and tells if it ends a gap, in which the store may have been away and
+// entries may have lapsed.
+func (reader *reader) confirm(confirmed spool.Instant) (gap bool) {
 	reader.mutex.Lock()
-	reader.version = max(reader.version, version)
+	gap = confirmed.Sub(reader.confirmed) > confirmLife
+	if gap {
+		reader.resumed = reader.proxy.timers.Now()
+	}
 	reader.confirmed = max(reader.confirmed, confirmed)
-	version = reader.version
 	reader.mutex.Unlock()
-	reader.proxy.servers.Hint(version)
+	if gap {
+		reader.proxy.servers.Doubt()
+	}
+	return gap
+}
+
+// steady tells if reads of the store have been known for long enough for lapsed entries to be back.
+func (reader *reader) steady() bool {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	now := reader.proxy.timers.Now()
+	return now.Sub(reader.confirmed) < confirmLife && now.Sub(reader.resumed) > mirror.LapsePause
+}
+
+// ping calls the store from time to time, so that a proxy that others read for knows if it reaches the store itself.
+func (reader *reader) ping(ctx context.Context) {
+	pause := pingPeriod/2 + rand.N(pingPeriod)
+	for sleep(ctx, pause) {
+		err := reader.proxy.adapter.Ping(ctx, kindMember, string(reader.proxy.settings.VM))
+		reader.called(err)
+		pause = pingPeriod/2 + rand.N(pingPeriod)
+		if err != nil && !errors.Is(err, spool.ErrNotFound) {
+			pause = retryPing/2 + rand.N(retryPing)
+		}
+	}
+}
+
+// called notes the outcome of a call and tells when the store is lost or back.
+func (reader *reader) called(err error) {
+	lost := err != nil && !errors.Is(err, spool.ErrNotFound)
+	reader.mutex.Lock()
+	before := reader.failures
+	reader.failures++
+	if !lost {
+		reader.failures = 0
+	}
+	after := reader.failures
+	reader.mutex.Unlock()
+	if after == lostPings {
+		reader.reach.Reached(false, err)
+	}
+	if after == 0 && before >= lostPings {
+		reader.reach.Reached(true, nil)
+	}
 }
--- a/internal/metric/platform.go
+++ b/internal/metric/platform.go
@@ -10,6 +10,7 @@
 // Names of the object API's calls and results as values of labels.
 const (
 	callGet   = "get"
+	callPing  = "ping"
 	callList  = "list"
 	callPut   = "put"
 	callWatch = "watch"
--- a/internal/metric/store.go
+++ b/internal/metric/store.go
@@ -25,6 +25,13 @@
 	return object, err
 }
 
+// Ping reads an object, which may be old.
+func (store *store) Ping(ctx context.Context, kind, name string) error {
+	err := store.Store.Ping(ctx, kind, name)
+	store.metrics.countCall(ctx, callPing, kind, err)
+	return err
+}
+
 // List returns the objects of a kind and the version that the list shows.
 func (store *store) List(ctx context.Context, kind string) ([]spool.Object, spool.Version, error) {
 	objects, version, err := store.Store.List(ctx, kind)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -15,20 +15,23 @@
 	longestPause  = 900 * time.Millisecond  // so that the end of an outage is seen within a second
 	gatherPause   = 150 * time.Millisecond  // after changes, for more that come with them: one call tells many
 	gatherLongest = 1200 * time.Millisecond // while changes come one after the other, as when all servers register
-	lapsePause    = 2200 * time.Millisecond // entries that lapsed in an outage are back two seconds after it
 	watchWait     = 25 * time.Second        // longest wait of a watch; the store allows 30 s
 	hintPatience  = 600 * time.Millisecond  // for a watch to tell of a version that others know; a slow answer takes 240 ms
 	lostAfter     = 2                       // failed calls in a row after which the store counts as lost
 )
 
+// LapsePause is how long entries that lapsed in an outage of the store may be missing after it: they are back within two
+// seconds.
+const LapsePause = 2200 * time.Millisecond
+
 // Observer is told what a mirror learns.
 type Observer interface {
 	// Changed gets an object that is new or has another version.
 	Changed(object spool.Object)
 	// Deleted gets the name of an object that is gone.
 	Deleted(name string)
-	// Listed says that the copy is complete as of a version.
-	Listed(version spool.Version)
+	// Advanced says that the contents of the copy changed, as of a version of the store.
+	Advanced(version spool.Version)
 	// Reached tells if calls to the store succeed; it is called when that changes.
 	Reached(reached bool, cause error)
 }
@@ -39,14 +42,16 @@
 	timers   spool.Timers
 	kind     string
 	observer Observer
+	lead     func() bool
 
 	gathered  spool.Instant // when changes last came
 	gathering time.Duration // the pause after them
 
 	mutex    sync.Mutex
-	versions map[string]spool.Version
+	objects  map[string]spool.Object
 	missing  map[string]func() // stops the timer that will report the object as deleted
 	version  spool.Version     // that the copy shows
+	changed  spool.Version     // at which its contents last changed
 	cancel   func()            // ends the watch that waits; nil while none does
 	hinted   bool              // a look at a hint is due
 	cut      bool              // the watch was ended because of a hint
@@ -55,20 +60,27 @@
 	lost     bool
 }
 
-// New returns a mirror of a kind.
-func New(store spool.Store, timers spool.Timers, kind string, observer Observer) *Mirror {
-	return &Mirror{
-		store: store, timers: timers, kind: kind, observer: observer,
-		versions: map[string]spool.Version{}, missing: map[string]func(){},
+// New returns a mirror of a kind that watches the store.
+func New(store spool.Store, timers spool.Timers, kind string, observer Observer, options ...Option) *Mirror {
+	mirror := &Mirror{
+		store: store, timers: timers, kind: kind, observer: observer, lead: func() bool { return true },
+		objects: map[string]spool.Object{}, missing: map[string]func(){},
+	}
+	for _, option := range options {
+		option(mirror)
 	}
+	return mirror
 }
 
 // Run copies until the context ends.
 func (mirror *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		version, err := mirror.list(ctx)
+		err := mirror.list(ctx)
 		for err == nil {
-			version, err = mirror.watch(ctx, version)
+			var version spool.Version
+			if version, err = mirror.follow(ctx); err == nil {
+				err = mirror.watch(ctx, version)
+			}
 			if err == nil {
 				mirror.gather(ctx)
 			}
@@ -84,23 +96,14 @@
 	}
 }
 
-func (mirror *Mirror) list(ctx context.Context) (spool.Version, error) {
+func (mirror *Mirror) list(ctx context.Context) error {
 	objects, version, err := mirror.store.List(ctx, mirror.kind)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	mirror.succeed()
-	present := map[string]bool{}
-	for _, object := range objects {
-		present[object.Name] = true
-		mirror.put(object)
-	}
-	for _, name := range mirror.absent(present) {
-		mirror.remove(name)
-	}
-	mirror.reached(version)
-	mirror.observer.Listed(version)
-	return version, nil
+	mirror.replace(objects, version)
+	return nil
 }
 
 // Hint tells the newest version of the store that is known. A copy that stays behind it is listed anew: a watch may hear
@@ -126,11 +129,31 @@
 	}
 }
 
-// reached notes the version that the copy shows.
-func (mirror *Mirror) reached(version spool.Version) {
+// replace makes the copy that of all objects as of a version.
+func (mirror *Mirror) replace(objects []spool.Object, version spool.Version) {
+	var present []string
+	changed := false
+	for _, object := range objects {
+		present = append(present, object.Name)
+		changed = mirror.put(object) || changed
+	}
+	for _, name := range mirror.absent(present, version) {
+		changed = mirror.remove(name) || changed
+	}
+	mirror.reached(version, changed)
+}
+
+// reached notes the version that the copy shows, and if its contents changed on the way.
+func (mirror *Mirror) reached(version spool.Version, changed bool) {
 	mirror.mutex.Lock()
-	defer mirror.mutex.Unlock()
 	mirror.version = max(mirror.version, version)
+	if changed {
+		mirror.changed = max(mirror.changed, version)
+	}
+	mirror.mutex.Unlock()
+	if changed {
+		mirror.observer.Advanced(version)
+	}
 }
 
 // begin makes a watch that waits known to Hint.
@@ -149,81 +172,74 @@
 }
 
 // watch waits for changes once. A watch that ends early without any was cut off and may have missed some.
-func (mirror *Mirror) watch(ctx context.Context, after spool.Version) (spool.Version, error) {
+func (mirror *Mirror) watch(ctx context.Context, after spool.Version) error {
 	began := mirror.timers.Now()
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	mirror.begin(cancel)
 	changes, version, err := mirror.store.Watch(watching, mirror.kind, after, watchWait)
 	if mirror.end() {
-		return 0, spool.ErrCompacted
+		return spool.ErrCompacted
 	}
 	if err != nil {
-		return 0, err
+		return err
 	}
 	mirror.succeed()
 	if len(changes) == 0 && mirror.timers.Now().Sub(began) < watchWait {
-		return 0, spool.ErrCompacted
+		return spool.ErrCompacted
 	}
+	changed := false
 	for _, change := range changes {
 		if change.Deleted {
-			mirror.remove(change.Name)
+			changed = mirror.remove(change.Name) || changed
 			continue
 		}
-		mirror.put(change.Object)
-	}
-	mirror.reached(version)
-	return max(after, version), nil
-}
-
-func (mirror *Mirror) absent(present map[string]bool) []string {
-	mirror.mutex.Lock()
-	defer mirror.mutex.Unlock()
-	var names []string
-	for name := range mirror.versions {
-		if !present[name] {
-			names = append(names, name)
-		}
+		changed = mirror.put(change.Object) || changed
 	}
-	return names
+	mirror.reached(version, changed)
+	return nil
 }
 
-func (mirror *Mirror) put(object spool.Object) {
+// put takes over an object and tells if it is new or newer.
+func (mirror *Mirror) put(object spool.Object) bool {
 	mirror.mutex.Lock()
 	if stop := mirror.missing[object.Name]; stop != nil {
 		stop()
 		delete(mirror.missing, object.Name)
 	}
-	known := mirror.versions[object.Name]
-	if object.Version <= known {
+	if object.Version <= mirror.objects[object.Name].Version {
 		mirror.mutex.Unlock()
-		return
+		return false
 	}
-	mirror.versions[object.Name] = object.Version
+	mirror.objects[object.Name] = object
 	mirror.mutex.Unlock()
 	mirror.observer.Changed(object)
+	return true
 }
 
-// remove reports a deletion at once, or after a while if an outage of the store may have let the object lapse.
-func (mirror *Mirror) remove(name string) {
-	if mirror.forget(name) {
+// remove reports a deletion at once, or after a while if an outage of the store may have let the object lapse; it tells if
+// the deletion is news.
+func (mirror *Mirror) remove(name string) bool {
+	news, now := mirror.forget(name)
+	if now {
 		mirror.observer.Deleted(name)
 	}
+	return news
 }
 
-// forget drops an object and tells if its deletion is to be reported now.
-func (mirror *Mirror) forget(name string) bool {
+// forget drops an object and tells if that is news and if it is to be reported now.
+func (mirror *Mirror) forget(name string) (news, now bool) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	if _, known := mirror.versions[name]; !known || mirror.missing[name] != nil {
-		return false
+	if _, known := mirror.objects[name]; !known || mirror.missing[name] != nil {
+		return false, false
 	}
-	if mirror.failed == 0 || mirror.timers.Now().Sub(mirror.failed) > lapsePause {
-		delete(mirror.versions, name)
-		return true
+	if mirror.failed == 0 || mirror.timers.Now().Sub(mirror.failed) > LapsePause {
+		delete(mirror.objects, name)
+		return true, true
 	}
-	mirror.missing[name] = mirror.timers.After(lapsePause, spool.TimerFunc(func(spool.Instant) { mirror.expire(name) }))
-	return false
+	mirror.missing[name] = mirror.timers.After(LapsePause, spool.TimerFunc(func(spool.Instant) { mirror.expire(name) }))
+	return true, false
 }
 
 func (mirror *Mirror) expire(name string) {
@@ -233,7 +249,7 @@
 		return
 	}
 	delete(mirror.missing, name)
-	delete(mirror.versions, name)
+	delete(mirror.objects, name)
 	mirror.mutex.Unlock()
 	mirror.observer.Deleted(name)
 }
@@ -242,7 +258,7 @@
 func (mirror *Mirror) Settled() bool {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	return mirror.failures == 0 && (mirror.failed == 0 || mirror.timers.Now().Sub(mirror.failed) > lapsePause)
+	return mirror.failures == 0 && (mirror.failed == 0 || mirror.timers.Now().Sub(mirror.failed) > LapsePause)
 }
 
 func (mirror *Mirror) fail(err error) {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -40,7 +40,7 @@
 	recorder.deleted = append(recorder.deleted, name)
 }
 
-func (recorder *recorder) Listed(spool.Version) {}
+func (recorder *recorder) Advanced(spool.Version) {}
 
 func (recorder *recorder) Reached(reached bool, _ error) {
 	recorder.mutex.Lock()
--- a/pkg/spool/store.go
+++ b/pkg/spool/store.go
@@ -21,6 +21,8 @@
 type Store interface {
 	// Get returns the object or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
+	// Ping reads an object, which may be old, and costs little; its error tells if the store answers.
+	Ping(ctx context.Context, kind, name string) error
 	// List returns the objects of a kind and the version that the list shows.
 	List(ctx context.Context, kind string) ([]Object, Version, error)
 	// Create writes an object that does not exist yet, else ErrConflict.
