Leave a replica alone for positions that it just lacked

Older positions are still asked for. The log line of a request names the proxy that lent the connection.

--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -71,7 +71,7 @@
 	}
 	answer.State = spool.TxIdle
 	if answer.Refusal != nil {
-		return answer, session.repeatable(answer.Refusal, conn)
+		return answer, session.repeatable(answer.Refusal, conn, statement.After)
 	}
 	if statement.writes {
 		session.committed(conn, answer.Position, sent)
@@ -80,7 +80,7 @@
 }
 
 // repeatable tells if a server's refusal means that the statement did not run and another attempt may help.
-func (session *session) repeatable(refusal *spool.Refusal, conn *pool.Conn) bool {
+func (session *session) repeatable(refusal *spool.Refusal, conn *pool.Conn, after spool.LogPosition) bool {
 	switch refusal.Code {
 	case spool.CodeReadOnly:
 		session.engine.pool.NoteDenied(session.route.Group, conn.Server())
@@ -88,7 +88,10 @@
 	case spool.CodeNoStatement:
 		conn.Break() // the server lost what was prepared
 		return true
-	case spool.CodeLagging, spool.CodeNoSlot:
+	case spool.CodeLagging:
+		session.engine.pool.NoteLagging(conn, after)
+		return true
+	case spool.CodeNoSlot:
 		return true
 	}
 	return false
@@ -119,7 +122,7 @@
 	}
 	return session.engine.pool.Acquire(ctx, pool.Want{
 		Group: session.route.Group, Team: session.team, Values: session.values,
-		Primary: primary, Avoid: avoid, Priority: session.route.Priority, Deadline: deadline,
+		Primary: primary, Avoid: avoid, After: statement.After, Priority: session.route.Priority, Deadline: deadline,
 		Patience: max(session.route.Timeout, session.engine.deployment.Load().TxIdle),
 	})
 }
@@ -178,7 +181,7 @@
 		if i < len(prepare)-len(begin) {
 			return command, session.unprepared(conn, answer.Refusal)
 		}
-		session.repeatable(answer.Refusal, conn) // notes what the refusal tells; BEGIN never ran
+		session.repeatable(answer.Refusal, conn, statement.After) // notes what the refusal tells; BEGIN never ran
 		return command, answer.Refusal
 	}
 	return command, nil
@@ -194,7 +197,7 @@
 func (session *session) exchange(statement *statement, conn *pool.Conn, command spool.Command) (spool.Answer, error) {
 	engine := session.engine
 	statement.attempts++
-	statement.server = conn.Server()
+	statement.server, statement.lender = conn.Server(), conn.Lender()
 	began := engine.timers.Now()
 	err := conn.Send(command)
 	var answer spool.Answer
--- a/internal/engine/handle.go
+++ b/internal/engine/handle.go
@@ -154,6 +154,7 @@
 	deadline time.Time
 	attempts int
 	server   spool.Server // that answered last
+	lender   spool.VM     // whose connection was used; none for one of this proxy's own
 }
 
 // resolve finds the prepared statement that a command executes.
@@ -185,7 +186,7 @@
 	}
 	fields := []zap.Field{
 		zap.String("Request", statement.ID), zap.String("Route", session.name), zap.String("Team", string(session.team)),
-		zap.String("Server", string(statement.server)), zap.Int("Attempts", statement.attempts),
+		zap.String("Server", string(statement.server)), zap.String("Lender", string(statement.lender)), zap.Int("Attempts", statement.attempts),
 		zap.Duration("Took", took), zap.Stringer("After", statement.After), zap.Stringer("Position", answer.Position),
 	}
 	if answer.Refusal != nil {
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -33,7 +33,7 @@
 		return session.end(statement, session.broken(statement, err))
 	}
 	if answer.Refusal != nil {
-		session.repeatable(answer.Refusal, conn) // notes what the refusal tells
+		session.repeatable(answer.Refusal, conn, spool.LogPosition{}) // notes what the refusal tells
 		return session.end(statement, answer)
 	}
 	session.tx.wrote = session.tx.wrote || statement.writes
--- a/internal/lend/lend_test.go
+++ b/internal/lend/lend_test.go
@@ -59,7 +59,9 @@
 func (world *world) borrower() *pool.Pool { return world.newPool(pool.WithLenders(world)) }
 
 // Homes names the lender.
-func (world *world) Homes(spool.Server, spool.Domain, spool.Team) []spool.VM { return []spool.VM{"home"} }
+func (world *world) Homes(spool.Server, spool.Domain, spool.Team) []spool.VM {
+	return []spool.VM{"home"}
+}
 
 // Borrow opens a stream to the lender.
 func (world *world) Borrow(_ context.Context, _ spool.VM, request pool.LoanRequest) (*pool.Loan, error) {
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -19,10 +19,11 @@
 	Values   map[string]string
 	Primary  bool // only the primary will do
 	Avoid    []spool.Server
-	Priority int           // zero goes first
-	Deadline time.Time     // of waiting for a connection
-	Patience time.Duration // longest wait for an answer or the next statement
-	refused  []spool.VM    // proxies that lent none
+	After    spool.LogPosition // that a replica must have
+	Priority int               // zero goes first
+	Deadline time.Time         // of waiting for a connection
+	Patience time.Duration     // longest wait for an answer or the next statement
+	refused  []spool.VM        // proxies that lent none
 }
 
 // waiter is a session that waits for a connection.
@@ -135,6 +136,9 @@
 		if !pool.usable(server, now) || server.leaving != 0 || slices.Contains(want.Avoid, server.spec.Server) {
 			continue
 		}
+		if server.spec.Server != group.primary && server.lag.Avoid(want.After, now) {
+			continue
+		}
 		servers = append(servers, server)
 		candidates = append(candidates, place.Candidate{
 			Expected: server.distance + server.health.Expected(now),
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -25,13 +25,17 @@
 	prepared map[string]string // name on this connection of each prepared shape
 	names    int
 	loan     *Loan // nil for a connection of this proxy's own
-	owed     int   // answers to discard before the next one
-	late     bool  // the answers that are owed are late
-	resting  bool  // its transaction waits for the caller
-	broken   bool  // may hold a transaction or unread answers
+	lender   spool.VM
+	owed     int  // answers to discard before the next one
+	late     bool // the answers that are owed are late
+	resting  bool // its transaction waits for the caller
+	broken   bool // may hold a transaction or unread answers
 	idleAt   spool.Instant
 }
 
+// Lender returns the proxy that lends the connection; none if it is this one's own.
+func (conn *Conn) Lender() spool.VM { return conn.lender }
+
 // Server returns the name of the connection's server.
 func (conn *Conn) Server() spool.Server { return conn.server.spec.Server }
 
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -20,6 +20,7 @@
 	busy     int
 	resting  int // of busy, connections whose transaction waits for its caller
 	window   place.Window
+	lag      place.Lag
 	borrowed int // connections of other proxies in use here
 	opening  int // of open, connections whose handshake goes on
 	limit    int // of open
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -60,6 +60,16 @@
 	}
 }
 
+// NoteLagging notes that a replica lacked a position.
+func (pool *Pool) NoteLagging(conn *Conn, position spool.LogPosition) {
+	if position.IsZero() {
+		return
+	}
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	conn.server.lag.Lacked(position, pool.timers.Now())
+}
+
 // cut shrinks the window of an overloaded server; for a lent connection the lender does it.
 func (pool *Pool) cut(conn *Conn, now spool.Instant) {
 	if conn.loan == nil {
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -95,7 +95,7 @@
 	group := pool.group(want.Group)
 	group.term = max(group.term, loan.Term)
 	return &Conn{
-		Link: loan, server: granted.server, team: want.Team, loan: loan,
+		Link: loan, server: granted.server, team: want.Team, loan: loan, lender: granted.lender,
 		values: loan.Values, prepared: loan.Prepared, names: loan.Names,
 	}
 }
