Read the store in time for the heartbeats to reach all

Cause: a read was looked for each 0.15 to 0.45 s, so reads were up to 1.45 s apart; with a heartbeat's 0.5 s a confirmation could be 1.95 s old where 1.8 s makes a proxy read and watch the store itself. Found by reading the code.

Change: a look each 0.08 to 0.23 s, so that a confirmation is at most 1.73 s old. A constant is renamed.

--- a/internal/fleet/loans.go
+++ b/internal/fleet/loans.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	homes       = 2                      // proxies that gather a team's connections to a server; a hot team overflows to the second
+	teamHomes   = 2                      // proxies that gather a team's connections to a server; a hot team overflows to the second
 	loanTimeout = 300 * time.Millisecond // a round trip between regions, and the handshake of a busy server
 	suspectFor  = time.Second            // a proxy that did not answer is not asked; two heartbeats show if it is live
 )
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -210,7 +210,7 @@
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
 	now := members.proxy.timers.Now()
-	return members.roster.Homes(subject, homes, region == settings.Region, func(member *roster.Member) bool {
+	return members.roster.Homes(subject, teamHomes, region == settings.Region, func(member *roster.Member) bool {
 		return settings.Regions[member.Domain] == region && !skip(member.VM, now)
 	}, now)
 }
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -17,7 +17,7 @@
 const (
 	readPeriod  = time.Second             // between reads of the proxy that reads for its region
 	confirmLife = 1800 * time.Millisecond // a confirmation that is older makes a proxy read itself: two reads and a heartbeat
-	lookPeriod  = 300 * time.Millisecond  // between looks if a read is due; jittered, so that proxies do not read in step
+	lookPeriod  = 150 * time.Millisecond  // between looks if a read is due, so that reads and heartbeats fit into confirmLife; jittered
 	pingPeriod  = 4 * time.Second         // between cheap calls that show if a proxy reaches the store; a third of its price a minute
 	retryPing   = 500 * time.Millisecond  // after a failed one
 	lostPings   = 2                       // failed ones in a row after which the store counts as out of reach
