Let a lender know the commits that pass through it

Cause, found by reading the diff: before a promotion without a replica that is out of reach each proxy tells the newest commit that it acknowledged. A commit's answer that lies in a lender that was suspended could reach the borrower, and so its caller, after the borrower had told. The lender now counts the commit as its own before it passes the answer on.

Test: a commit through a loan shows in what the lender tells, a rolled back write does not; it fails without the change.

--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -150,6 +150,7 @@
 	engine := session.engine
 	prepare := conn.Prepare(session.values, inTransaction)
 	command := statement.Command
+	command.Writes = statement.writes
 	if statement.shape != "" {
 		name, shape := conn.Statement(statement.shape)
 		prepare = append(prepare, shape...)
--- a/internal/lend/lend_test.go
+++ b/internal/lend/lend_test.go
@@ -151,6 +151,21 @@
 	c.Assert(world.group.Written("item"), qt.HasLen, 0)
 }
 
+// TestLenderKnowsCommitsOnLoan commits a transaction through a loan and rolls another one back.
+func TestLenderKnowsCommitsOnLoan(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	borrower := world.borrower()
+	conn := acquire(t, borrower, nil)
+	write := spool.Command{ID: "2", Verb: spool.VerbWrite, Text: "item one", Writes: true}
+	ask(t, conn, spool.Command{Verb: spool.VerbBegin}, write, spool.Command{Verb: spool.VerbRollback})
+	c.Assert(world.home.View("g1").Acked.IsZero(), qt.IsTrue)
+	position := ask(t, conn, spool.Command{Verb: spool.VerbBegin}, write, spool.Command{ID: "3", Verb: spool.VerbCommit}).Position
+	c.Assert(position.IsZero(), qt.IsFalse)
+	c.Assert(world.home.View("g1").Acked, qt.Equals, position)
+	borrower.Release(conn)
+}
+
 // TestOpenTransactionIsNotLentOn gives a connection back with its transaction open: the lender closes it.
 func TestOpenTransactionIsNotLentOn(t *testing.T) {
 	world := newWorld(t)
--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -101,6 +101,7 @@
 	stream   *Stream
 	patience time.Duration
 	state    spool.TxState // after the last answer; zero before the first one
+	wrote    bool          // in the open transaction
 }
 
 // run passes commands and answers on and tells if the connection came back fit for use.
@@ -169,7 +170,15 @@
 	case command.Verb == spool.VerbBegin && answer.Refusal == nil:
 		pool.NotePrimary(group, loan.conn.Server(), fresh.Mark{Position: answer.Position, Sent: sent})
 	}
-	if answer.Refusal != nil && answer.Refusal.Code == spool.CodeReadOnly {
-		pool.NoteDenied(group, loan.conn.Server())
+	if answer.Refusal != nil {
+		if answer.Refusal.Code == spool.CodeReadOnly {
+			pool.NoteDenied(group, loan.conn.Server())
+		}
+		return
+	}
+	loan.wrote = loan.wrote || command.Writes
+	if loan.wrote && answer.State == spool.TxIdle && command.Verb != spool.VerbRollback {
+		pool.NoteCommit(group, answer.Position) // the answer may reach the borrower after it was asked for its newest one
 	}
+	loan.wrote = loan.wrote && answer.State == spool.TxOpen
 }
