Read in turn while nobody reads for a region

Change: a proxy watches only if it leads for its region; where no read is heard of, the region's proxies take turns, so that one of them calls each 0.15 s or each second in a small region; a proxy that lost the lead no longer lists the entries again and again; the call that shows if a proxy reaches the store is repeated once after a failure.

Ruled out: taking turns for reads alone (83 calls: each proxy that led for a moment went on listing).

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -325,3 +325,27 @@
 	}
 	c.Assert(servers <= 9, qt.IsTrue, qt.Commentf("%d connections for one team and three proxies", servers))
 }
+
+// TestStoreThatIsDownIsNotFlooded counts the calls of six proxies while the store answers none, and has a configuration
+// in force in time once it is back.
+func TestStoreThatIsDownIsNotFlooded(t *testing.T) {
+	c := qt.New(t)
+	const (
+		proxies  = 6
+		outage   = 5 * time.Second
+		perProxy = 2 // calls a second: one to see if it reaches the store, and its turn to read
+	)
+	world := newWorld(t, proxies)
+	time.Sleep(2 * time.Second) // until one of them reads for all
+	world.store.SetFaults(kvsrv.Faults{Status: http.StatusServiceUnavailable})
+	before := world.store.Calls(http.MethodGet)
+	time.Sleep(outage)
+	calls := world.store.Calls(http.MethodGet) - before
+	c.Assert(calls <= proxies*perProxy*int(outage/time.Second), qt.IsTrue, qt.Commentf("%d calls", calls))
+	world.store.SetFaults(kvsrv.Faults{})
+	world.configure(100, "key-red", "key-new")
+	time.Sleep(world.settings[0].Bounds.ConfigApply)
+	for index := range proxies {
+		c.Assert(world.connect(index, "primary", "key-new").ask("READ item"), qt.Equals, "none")
+	}
+}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -223,6 +223,19 @@
 	return member != nil && members.roster.Near(member)
 }
 
+// nearby counts the live proxies of the region, this one among them.
+func (members *members) nearby() int {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	count := 1
+	for _, member := range members.roster.Live(members.proxy.timers.Now()) {
+		if members.roster.Near(member) {
+			count++
+		}
+	}
+	return count
+}
+
 // all returns all other registered proxies.
 func (members *members) all() []roster.Member {
 	members.mutex.Lock()
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -18,14 +18,15 @@
 	readPeriod  = time.Second             // between reads of the proxy that reads for its region
 	confirmLife = 1800 * time.Millisecond // a confirmation that is older makes a proxy read itself: two reads and a heartbeat
 	lookPeriod  = 150 * time.Millisecond  // between looks if a read is due, so that reads and heartbeats fit into confirmLife; jittered
+	turnSpacing = 150 * time.Millisecond  // between reads of a region while nobody reads for it: a tenth of confirmLife
 	pingPeriod  = 4 * time.Second         // between cheap calls that show if a proxy reaches the store; a third of its price a minute
-	retryPing   = 500 * time.Millisecond  // after a failed one
+	retryPing   = time.Second             // after a first failed one
 	lostPings   = 2                       // failed ones in a row after which the store counts as out of reach
 	readerDuty  = "reader"                // of one proxy in each region
 )
 
 // reader keeps the configuration and the newest version of the store known. One proxy reads and watches for each region;
-// heartbeats tell the others of what is newer, and a proxy that hears of no read for a while reads itself.
+// heartbeats tell the others of what is newer. Where no read is heard of for a while, the region's proxies read in turn.
 type reader struct {
 	proxy     *Proxy
 	reach     reach
@@ -49,23 +50,37 @@
 			return
 		}
 	}
-	var next spool.Instant
+	var last, turn spool.Instant // of the last read, and when this proxy's turn comes; zero while others read
 	for sleep(ctx, lookPeriod/2+rand.N(lookPeriod)) {
-		if now := reader.proxy.timers.Now(); now >= next && reader.leads() {
-			next = now.Add(readPeriod)
-			_ = reader.fetch(ctx) // logged there; the next read is due soon
+		now := reader.proxy.timers.Now()
+		switch {
+		case reader.leads():
+			turn = last.Add(readPeriod)
+		case now.Sub(reader.lastConfirmed()) <= confirmLife:
+			turn = 0
+			continue
+		case turn == 0:
+			turn = now.Add(rand.N(reader.round()))
+		}
+		if now < turn {
+			continue
 		}
+		last, turn = now, now.Add(reader.round())
+		_ = reader.fetch(ctx) // logged there; the next read is due soon
 	}
 }
 
-// leads tells if this proxy reads and watches the store itself: for its region, or because it hears of no other read.
+// leads tells if this proxy reads and watches the store for its region.
 func (reader *reader) leads() bool {
-	if reader.proxy.timers.Now().Sub(reader.lastConfirmed()) > confirmLife {
-		return true
-	}
 	return reader.proxy.members.supervises(readerDuty, reader.proxy.near)
 }
 
+// round returns the time in which each proxy of the region reads once while none reads for it: together they see soon that
+// the store is back, and do not flood a store that is down.
+func (reader *reader) round() time.Duration {
+	return max(readPeriod, time.Duration(reader.proxy.members.nearby())*turnSpacing)
+}
+
 func (reader *reader) fetch(ctx context.Context) error {
 	began := reader.proxy.timers.Now()
 	kind, name := reader.proxy.adapter.ConfigObject()
@@ -137,17 +152,16 @@
 func (reader *reader) ping(ctx context.Context) {
 	pause := pingPeriod/2 + rand.N(pingPeriod)
 	for sleep(ctx, pause) {
-		err := reader.proxy.adapter.Ping(ctx, kindMember, string(reader.proxy.settings.VM))
-		reader.called(err)
+		failures := reader.called(reader.proxy.adapter.Ping(ctx, kindMember, string(reader.proxy.settings.VM)))
 		pause = pingPeriod/2 + rand.N(pingPeriod)
-		if err != nil && !errors.Is(err, spool.ErrNotFound) {
+		if failures > 0 && failures < lostPings {
 			pause = retryPing/2 + rand.N(retryPing)
 		}
 	}
 }
 
-// called notes the outcome of a call and tells when the store is lost or back.
-func (reader *reader) called(err error) {
+// called notes the outcome of a call, tells when the store is lost or back, and returns how many failed in a row.
+func (reader *reader) called(err error) int {
 	lost := err != nil && !errors.Is(err, spool.ErrNotFound)
 	reader.mutex.Lock()
 	before := reader.failures
@@ -163,4 +177,5 @@
 	if after == 0 && before >= lostPings {
 		reader.reach.Reached(true, nil)
 	}
+	return after
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -93,6 +93,9 @@
 		}
 		mirror.fail(err)
 		mirror.pause(ctx)
+		if mirror.Version() > 0 {
+			_, _ = mirror.follow(ctx) // a proxy that no longer leads gets changes from the one that does
+		}
 	}
 }
 
