Notice a reader whose calls to the store are silent sooner

Cause, found by reading the diff: proxies learn of a leaving server from their region's reader. A reader that is cut off in silence noticed after two calls of 1.5 s; the others then learned up to 4.5 s late, and a primary that leaves without a successor would have got work beyond its bound.

Change: a read has 0.6 s; a proxy tells its region at once when it loses or regains the store; the margin before the bound of a leaving server is 3 s in place of 1.5 s. Such a primary is usually replaced within two seconds.

--- a/internal/fleet/observers.go
+++ b/internal/fleet/observers.go
@@ -20,6 +20,7 @@
 		number = event.PlatformBack
 	}
 	reach.setStoreReached(reached)
+	reach.peers.tellRegion()
 	event.Log(reach.logger, number, zap.String("Kind", reach.kind), event.Cause(cause))
 }
 
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -17,6 +17,7 @@
 const (
 	readPeriod  = time.Second             // between reads of the proxy that reads for its region
 	confirmLife = 1800 * time.Millisecond // a confirmation that is older makes a proxy read itself: two reads and a heartbeat
+	readTimeout = 600 * time.Millisecond  // a store 50 times slower than usual answers in 200 ms; a silent one is noticed by two reads
 	lookPeriod  = 150 * time.Millisecond  // between looks if a read is due, so that reads and heartbeats fit into confirmLife; jittered
 	turnSpacing = 150 * time.Millisecond  // between reads of a region while nobody reads for it: a tenth of confirmLife
 	pingPeriod  = 4 * time.Second         // between cheap calls that show if a proxy reaches the store; a third of its price a minute
@@ -84,7 +85,9 @@
 func (reader *reader) fetch(ctx context.Context) error {
 	began := reader.proxy.timers.Now()
 	kind, name := reader.proxy.adapter.ConfigObject()
-	objects, version, err := reader.proxy.adapter.List(ctx, kind)
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	objects, version, err := reader.proxy.adapter.List(bounded, kind)
 	reader.called(err)
 	if err != nil {
 		event.Log(reader.proxy.logger, event.StoreUnread,
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -17,12 +17,12 @@
 	// ProbeTimeout bounds the question whether a server acts as primary: a round trip and the handshake behind a short
 	// queue. A lost packet makes one proxy's probe fail, which the other proxies' word makes up for.
 	ProbeTimeout  = 400 * time.Millisecond
-	openTimeout   = time.Second             // a round trip, its retransmission, and the handshake behind a full queue
-	leavingMargin = 1500 * time.Millisecond // between the last new work for a leaving server and its bound
-	spareConns    = 1                       // connections of each server that no proxy counts on, for orders to it
-	retryPause    = 200 * time.Millisecond  // time to come back that a caller is told when no server is known
-	retryPeriod   = 50 * time.Millisecond   // between attempts to serve sessions that wait
-	probePeriod   = 100 * time.Millisecond  // between rounds of asking servers for the primary
+	openTimeout   = time.Second            // a round trip, its retransmission, and the handshake behind a full queue
+	leavingMargin = 3 * time.Second        // between the last new work for a leaving server and its bound: until another proxy reads for a region whose reader is cut off
+	spareConns    = 1                      // connections of each server that no proxy counts on, for orders to it
+	retryPause    = 200 * time.Millisecond // time to come back that a caller is told when no server is known
+	retryPeriod   = 50 * time.Millisecond  // between attempts to serve sessions that wait
+	probePeriod   = 100 * time.Millisecond // between rounds of asking servers for the primary
 )
 
 // Pool holds the connections to all backend servers.
