--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -33,7 +33,7 @@
 echo "Known red tests, listed in $red, which do not fail this run:"
 cat "$red"
 while read -r package name _; do
-  if "$go" test -race -count=1 -run "^$name\$" "./$package" >/dev/null 2>&1; then
+  if "$go" test -race -count=1 -timeout 2m -run "^$name\$" "./$package" >/dev/null 2>&1; then
     echo "known red: $package $name passed this time"
   else
     echo "known red: $package $name failed"
