Give the waiters of a priority test a deadline that load cannot reach

Cause: the waiter of priority 2 starts 30 ms before that of priority 1, and both wait for 300 ms. If the connection is given back between the two deadlines, the first is refused at its deadline, rightly, and the second is served; the test then waited for ever for the first.

Ruled out: an order or a lost grant in the pool; the refusal is the deadline's.

Now both wait for up to a minute, and a refusal fails the test instead of hanging it; the limit and the order are checked as before.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -49,7 +49,9 @@
 
 func (world *world) acquire(want pool.Want) (*pool.Conn, *spool.Refusal) {
 	want.Group = "g1"
-	want.Deadline = time.Now().Add(300 * time.Millisecond)
+	if want.Deadline.IsZero() {
+		want.Deadline = time.Now().Add(300 * time.Millisecond)
+	}
 	return world.pool.Acquire(context.Background(), want)
 }
 
@@ -105,13 +107,16 @@
 	c.Assert(refusal.Code, qt.Equals, spool.CodeNoSlot)
 	c.Assert(refusal.Verdict, qt.Equals, spool.NotRun)
 	served := make(chan int, 2)
+	late := time.Now().Add(time.Minute) // no waiter is refused, however slowly the test runs
 	for _, priority := range []int{2, 1} {
 		go func() {
-			conn, refusal := world.acquire(pool.Want{Team: "red", Primary: true, Priority: priority})
-			if refusal == nil {
-				served <- priority
-				world.pool.Release(conn)
+			conn, refusal := world.acquire(pool.Want{Team: "red", Primary: true, Priority: priority, Deadline: late})
+			if refusal != nil {
+				served <- 0
+				return
 			}
+			served <- priority
+			world.pool.Release(conn)
 		}()
 		time.Sleep(30 * time.Millisecond)
 	}
