--- a/internal/bench/slope/leases.go
+++ b/internal/bench/slope/leases.go
@@ -13,7 +13,7 @@
 
 func leaseMeasures() []measure {
 	return []measure{
-		line("VoteCPU", "roles voted to", "CPU µs a request", []int{100, 1000, 10000}, voteMicros),
+		line("VoteCPU", "roles voted on", "CPU µs a request", []int{100, 1000, 10000}, voteMicros),
 		line("VoteGroupBytes", "terms in a group's record", "bytes of request and answer", []int{1, 2, 4, 8}, groupBytes),
 		line("VoteGroupCode", "terms in a group's record", "CPU µs to encode and decode", []int{1, 2, 4, 8}, groupCode),
 		line("VoteTeamBytes", "letters of a team's name", "bytes of request and answer", []int{10, 20, 40}, teamBytes),
@@ -78,7 +78,7 @@
 	return codeMicros(request) + codeMicros(answer), nil
 }
 
-// voteMicros measures one request to a witness that has voted to that many roles.
+// voteMicros measures one request to a witness that has voted on that many roles.
 func voteMicros(roles int) (float64, error) {
 	witness := lease.NewWitness(self().VM, 0)
 	quorum := lease.Quorum{Version: bootVersion, Members: []spool.VM{self().VM}}
--- a/internal/bench/slope/memory.go
+++ b/internal/bench/slope/memory.go
@@ -22,7 +22,7 @@
 		line("MemoryKeys", "keys", "bytes of the manifests in force", counts, keyMemory),
 		line("MemoryRoutes", "routes", "bytes of the manifests in force", counts, routeMemory),
 		line("MemoryGroups", "groups of three servers", "bytes of the manifests in force", counts, groupMemory),
-		line("MemoryVotes", "groups voted to", "bytes of the witness", counts, voteMemory),
+		line("MemoryVotes", "groups voted on", "bytes of the witness", counts, voteMemory),
 		line("MemoryOwner", "VMs that ask", "bytes of the owner", counts, ownerMemory),
 		line("MemoryClients", "teams asked for", "bytes of clients and goroutines", counts, clientMemory),
 		line("MemoryKept", "groups kept, no connections", "bytes of the leader", counts, keptMemory),
--- a/internal/core/lease/witness.go
+++ b/internal/core/lease/witness.go
@@ -5,7 +5,7 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// Witness votes roles to holders on behalf of one proxy since its start.
+// Witness votes for the holders of roles on behalf of one proxy since its start.
 type Witness struct {
 	self    spool.VM
 	started spool.Instant
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -12,6 +12,7 @@
 	firstGuess    = 30 * time.Millisecond  // expected work before any sample
 	silentAfter   = 500 * time.Millisecond // a server that answered nobody for so long while an answer is late has failed
 	shortestBlock = 200 * time.Millisecond // a failed server is left alone for so long, doubled with each failure
+	slowAnswer    = 250 * time.Millisecond // mean response time that shows a queue: half of the shortest objective of a request
 	longestBlock  = 2 * time.Second        // so that a server that came back is in use within two seconds
 )
 
@@ -62,6 +63,9 @@
 	return health.mean
 }
 
+// Slow tells if the response time shows a queue at the server.
+func (health *Health) Slow() bool { return health.mean > slowAnswer }
+
 // Candidate is a server that may run a read.
 type Candidate struct {
 	Expected time.Duration // response time including the network
--- a/internal/core/place/window.go
+++ b/internal/core/place/window.go
@@ -8,7 +8,6 @@
 
 const (
 	smallestWindow = 1                      // statement under way, so that the proxy notices when the server has time again
-	slowAnswer     = 250 * time.Millisecond // mean response time that shows a queue: half of the shortest objective of a request
 	cutPause       = 250 * time.Millisecond // between cuts: answers to statements sent before one say nothing of it
 )
 
@@ -57,6 +56,3 @@
 	}
 	return time.Duration(float64(mean) * float64(ahead+1) / max(smallestWindow, size))
 }
-
-// Slow tells if the response time shows a queue at the server.
-func (health *Health) Slow() bool { return health.mean > slowAnswer }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -28,9 +28,7 @@
 	spool.Member
 	Heard        spool.Instant // when its newest heartbeat came; zero if none did
 	Added        spool.Instant
-	Sent         spool.Instant // no later than when that heartbeat was sent, by this VM's clock; zero if not known
 	StoreReached bool
-	Revision     uint64
 }
 
 // Roster holds the registered proxies, this one left out.
@@ -48,6 +46,17 @@
 // Near tells if a proxy is in this one's region.
 func (roster *Roster) Near(member *Member) bool { return roster.near(member.Domain) }
 
+// Nearby counts the live proxies of the region, this one among them.
+func (roster *Roster) Nearby(now spool.Instant) int {
+	count := 1
+	for vm, member := range roster.members {
+		if roster.Near(member) && roster.live(vm, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // Add registers a proxy and tells if it is new or moved.
 func (roster *Roster) Add(member spool.Member, now spool.Instant) bool {
 	if member.VM == roster.self || member.VM == "" {
@@ -134,11 +143,11 @@
 		return false
 	}
 	least := weight(subject, roster.self, prefer(own))
-	for _, member := range roster.Live(now) {
-		if member.Leaving || !member.StoreReached {
+	for vm, member := range roster.members {
+		if member.Leaving || !member.StoreReached || !roster.live(vm, now) {
 			continue
 		}
-		if weight(subject, member.VM, prefer(member.Domain)) > least {
+		if weight(subject, vm, prefer(member.Domain)) > least {
 			return false
 		}
 	}
@@ -158,21 +167,17 @@
 	if selfFit {
 		own = weight(subject, roster.self, false)
 	}
-	first := make([]home, 0, most+1)
+	var homes []home
 	for vm, member := range roster.members {
-		if member.Leaving || !roster.live(vm, now) || !fit(member) {
-			continue
-		}
 		candidate := home{vm, weight(subject, vm, false)}
-		if candidate.weight < own || len(first) == most && candidate.weight < first[most-1].weight {
-			continue
+		if candidate.weight >= own && !member.Leaving && roster.live(vm, now) && fit(member) {
+			homes = append(homes, candidate)
 		}
-		at, _ := slices.BinarySearchFunc(first, candidate, func(left, right home) int { return cmp.Compare(right.weight, left.weight) })
-		first = slices.Insert(first, at, candidate)
-		first = first[:min(len(first), most)]
 	}
-	vms := make([]spool.VM, 0, len(first))
-	for _, home := range first {
+	slices.SortFunc(homes, func(left, right home) int { return cmp.Compare(right.weight, left.weight) })
+	homes = homes[:min(len(homes), most)]
+	vms := make([]spool.VM, 0, len(homes))
+	for _, home := range homes {
 		vms = append(vms, home.vm)
 	}
 	return vms
--- a/internal/core/slots/queue.go
+++ b/internal/core/slots/queue.go
@@ -125,7 +125,7 @@
 // Cancel drops a queued item and reports whether it was still queued.
 func (queue *Queue) Cancel(id uint64) bool {
 	for _, team := range queue.order {
-		dropped := team.drop(func(_ *executor, entry entry) bool { return entry.id == id })
+		dropped := team.drop(func(_ *line, entry entry) bool { return entry.id == id })
 		if dropped > 0 {
 			queue.waiting -= dropped
 			return true
--- a/internal/core/slots/team.go
+++ b/internal/core/slots/team.go
@@ -10,16 +10,16 @@
 
 // team holds what one team uses and waits for.
 type team struct {
-	name      spool.Team
-	used      float64 // slot time used lately in seconds, with exponential decay
-	charged   spool.Instant
-	running   int
-	waiting   int
-	executors []executor
+	name    spool.Team
+	used    float64 // slot time used lately in seconds, with exponential decay
+	charged spool.Instant
+	running int
+	waiting int
+	lines   []line
 }
 
-// executor holds the waiting items that are eligible for the same servers.
-type executor struct {
+// line holds the waiting items that are eligible for the same servers.
+type line struct {
 	servers Servers
 	entries fifo.Queue[entry]
 }
@@ -54,39 +54,39 @@
 
 func (team *team) push(entry entry, servers Servers) {
 	team.waiting++
-	for i := range team.executors {
-		if team.executors[i].servers == servers {
-			team.executors[i].entries.Push(entry)
+	for i := range team.lines {
+		if team.lines[i].servers == servers {
+			team.lines[i].entries.Push(entry)
 			return
 		}
 	}
-	added := executor{servers: servers}
+	added := line{servers: servers}
 	added.entries.Push(entry)
-	team.executors = append(team.executors, added)
+	team.lines = append(team.lines, added)
 }
 
-// oldest returns the executor with the oldest item that is eligible for one of the servers, or nil.
-func (team *team) oldest(servers Servers) *executor {
-	var chosen *executor
-	for i := range team.executors {
-		executor := &team.executors[i]
-		if executor.servers&servers == 0 || executor.entries.Len() == 0 {
+// oldest returns the line with the oldest item that is eligible for one of the servers, or nil.
+func (team *team) oldest(servers Servers) *line {
+	var chosen *line
+	for i := range team.lines {
+		line := &team.lines[i]
+		if line.servers&servers == 0 || line.entries.Len() == 0 {
 			continue
 		}
-		if chosen == nil || executor.entries.First().arrival < chosen.entries.First().arrival {
-			chosen = executor
+		if chosen == nil || line.entries.First().arrival < chosen.entries.First().arrival {
+			chosen = line
 		}
 	}
 	return chosen
 }
 
 // drop drops the items for which doomed returns true.
-func (team *team) drop(doomed func(executor *executor, entry entry) bool) (dropped int) {
-	for i := range team.executors {
-		executor := &team.executors[i]
-		before := executor.entries.Len()
-		executor.entries.Filter(func(entry entry) bool { return !doomed(executor, entry) })
-		dropped += before - executor.entries.Len()
+func (team *team) drop(doomed func(line *line, entry entry) bool) (dropped int) {
+	for i := range team.lines {
+		line := &team.lines[i]
+		before := line.entries.Len()
+		line.entries.Filter(func(entry entry) bool { return !doomed(line, entry) })
+		dropped += before - line.entries.Len()
 	}
 	team.waiting -= dropped
 	return dropped
--- a/internal/core/slots/wait.go
+++ b/internal/core/slots/wait.go
@@ -52,11 +52,11 @@
 // ahead returns how many of a team's waiting items the servers will have to run.
 func (queue *Queue) ahead(team *team, servers Servers) float64 {
 	sum := 0.0
-	for i := range team.executors {
-		executor := &team.executors[i]
-		shared := queue.capacity(executor.servers & servers)
-		if executor.entries.Len() > 0 && shared > 0 {
-			sum += float64(executor.entries.Len()) * float64(shared) / float64(queue.capacity(executor.servers))
+	for i := range team.lines {
+		line := &team.lines[i]
+		shared := queue.capacity(line.servers & servers)
+		if line.entries.Len() > 0 && shared > 0 {
+			sum += float64(line.entries.Len()) * float64(shared) / float64(queue.capacity(line.servers))
 		}
 	}
 	return sum
@@ -121,12 +121,12 @@
 
 // expire refuses a team's items whose deadline has passed or whose expected wait passes it.
 func (queue *Queue) expire(team *team, now spool.Instant) {
-	var last *executor
+	var last *line
 	var wait, each time.Duration
-	queue.waiting -= team.drop(func(executor *executor, entry entry) bool {
-		if executor != last {
-			last = executor
-			each = queue.wait(team, executor.servers, 0, now)
+	queue.waiting -= team.drop(func(line *line, entry entry) bool {
+		if line != last {
+			last = line
+			each = queue.wait(team, line.servers, 0, now)
 			wait = each
 		}
 		if now < entry.deadline && now.Add(wait/doubt) < entry.deadline {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -129,7 +129,7 @@
 	engine.sessions[session] = struct{}{}
 	engine.mutex.Unlock()
 	defer func() {
-		session.abandon()
+		session.free()
 		engine.mutex.Lock()
 		delete(engine.sessions, session)
 		engine.mutex.Unlock()
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -20,15 +20,12 @@
 	longestWait   = 500 * time.Millisecond // of a statement without an objective
 )
 
-// errNotBegun says that the server did not get a statement because one that prepared the way failed.
-var errNotBegun = errors.New("the connection could not be prepared")
-
 // single runs a statement outside of a transaction.
 func (session *session) single(ctx context.Context, statement *statement) spool.Answer {
 	var avoid []spool.Server
 	last := spool.Refuse(spool.CodeNoSlot, "no server could run the statement").Later(busyPause)
 	for statement.attempts < maxAttempts && time.Now().Before(statement.deadline) {
-		primary := statement.writes || session.route.Kind == spool.RoutePrimary || session.needsPrimary(ctx, statement)
+		primary := statement.Writes || session.route.Kind == spool.RoutePrimary || session.needsPrimary(ctx, statement)
 		conn, refusal := session.acquire(ctx, statement, primary, avoid)
 		if refusal != nil {
 			last = refusal
@@ -52,7 +49,7 @@
 func (session *session) attempt(statement *statement, conn *pool.Conn, primary bool) (answer spool.Answer, again bool) {
 	engine := session.engine
 	defer engine.pool.Release(conn)
-	fenced := primary && !statement.writes
+	fenced := primary && !statement.Writes
 	var begin []spool.Command
 	if fenced {
 		begin = []spool.Command{{Verb: spool.VerbBegin}}
@@ -67,13 +64,13 @@
 		_ = engine.pool.RollBack(conn) // a failure marks the connection as unusable
 	}
 	if err != nil {
-		return session.lost(statement, err), !statement.writes && !errors.Is(err, os.ErrDeadlineExceeded)
+		return session.lost(statement, err), !statement.Writes && !errors.Is(err, os.ErrDeadlineExceeded)
 	}
 	answer.State = spool.TxIdle
 	if answer.Refusal != nil {
 		return answer, session.repeatable(answer.Refusal, conn, statement.After)
 	}
-	if statement.writes {
+	if statement.Writes {
 		session.committed(conn, answer.Position, sent)
 	}
 	return answer, false
@@ -102,7 +99,7 @@
 	refusal := &spool.Refusal{Verdict: spool.Unknown, Code: spool.CodeOutcomeUnknown, Message: "the server gave no answer", Cause: err}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		refusal.Code, refusal.Message = spool.CodeDeadlineExpired, "the statement took too long"
-	} else if !statement.writes {
+	} else if !statement.Writes {
 		refusal = spool.Refuse(spool.CodeRolledBack, "the server's connection broke").Later(busyPause).Because(err)
 	}
 	return spool.Answer{Refusal: refusal, State: spool.TxIdle}
@@ -150,7 +147,6 @@
 	engine := session.engine
 	prepare := conn.Prepare(session.values, inTransaction)
 	command := statement.Command
-	command.Writes = statement.writes
 	if statement.shape != "" {
 		name, shape := conn.Statement(statement.shape)
 		prepare = append(prepare, shape...)
@@ -191,7 +187,7 @@
 // unprepared gives up a connection on which nothing of the caller was sent.
 func (session *session) unprepared(conn *pool.Conn, cause error) *spool.Refusal {
 	session.engine.pool.Failed(conn, cause)
-	return spool.Refuse(spool.CodeNoSlot, errNotBegun.Error()).Later(beginPatience).Because(cause)
+	return spool.Refuse(spool.CodeNoSlot, "the connection could not be prepared").Later(beginPatience).Because(cause)
 }
 
 // exchange sends the statement and waits for the whole answer; an error means that its outcome is not known.
--- a/internal/engine/handle.go
+++ b/internal/engine/handle.go
@@ -149,7 +149,6 @@
 type statement struct {
 	spool.Command
 	shape    string // of a prepared statement
-	writes   bool
 	received spool.Instant
 	deadline time.Time
 	attempts int
@@ -159,7 +158,8 @@
 
 // resolve finds the prepared statement that a command executes.
 func (session *session) resolve(command spool.Command) (*statement, *spool.Refusal) {
-	statement := &statement{Command: command, writes: command.Verb == spool.VerbWrite}
+	statement := &statement{Command: command}
+	statement.Writes = command.Verb == spool.VerbWrite
 	if command.Verb != spool.VerbExecute {
 		return statement, nil
 	}
@@ -167,7 +167,7 @@
 	if !known {
 		return nil, spool.Refuse(spool.CodeNoStatement, command.Name)
 	}
-	statement.shape, statement.writes = prepared.Text, prepared.Writes
+	statement.shape, statement.Writes = prepared.Text, prepared.Writes
 	return statement, nil
 }
 
@@ -180,17 +180,14 @@
 
 func (session *session) logAnswer(statement *statement, answer spool.Answer, took time.Duration) {
 	number := event.RequestAnswered
-	code := ""
-	if answer.Refusal != nil {
-		number, code = event.RequestRefused, answer.Refusal.Code
-	}
 	fields := []zap.Field{
 		zap.String("Request", statement.ID), zap.String("Route", session.name), zap.String("Team", string(session.team)),
 		zap.String("Server", string(statement.server)), zap.String("Lender", string(statement.lender)), zap.Int("Attempts", statement.attempts),
 		zap.Duration("Took", took), zap.Stringer("After", statement.After), zap.Stringer("Position", answer.Position),
 	}
 	if answer.Refusal != nil {
-		fields = append(fields, zap.String("Code", code), zap.String("Reason", answer.Refusal.Message), event.Cause(answer.Refusal.Cause))
+		number = event.RequestRefused
+		fields = append(fields, zap.String("Code", answer.Refusal.Code), zap.String("Reason", answer.Refusal.Message), event.Cause(answer.Refusal.Cause))
 	}
 	event.Log(session.engine.logger, number, fields...)
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -186,8 +186,3 @@
 	_ = session.engine.pool.RollBack(conn) // a failure marks the connection as unusable, and closing it rolls back
 	session.engine.pool.Release(conn)
 }
-
-// abandon frees what the session holds when it ends.
-func (session *session) abandon() {
-	session.free()
-}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -36,7 +36,7 @@
 		session.repeatable(answer.Refusal, conn, spool.LogPosition{}) // notes what the refusal tells
 		return session.end(statement, answer)
 	}
-	session.tx.wrote = session.tx.wrote || statement.writes
+	session.tx.wrote = session.tx.wrote || statement.Writes
 	if statement.Verb != spool.VerbCommit {
 		session.engine.pool.Rest(conn)
 		answer.State = spool.TxOpen
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -22,20 +22,20 @@
 // Numbers of the events: 1xx life of a proxy, 2xx callers, 3xx backend servers, 4xx leases and terms, 5xx
 // configuration and keys, 6xx rates and slots, 7xx the platform and other proxies.
 const (
-	ProxyStarted  Number = 101
-	ProxyDraining Number = 102
-	ProxyStopped  Number = 103
-
+	ProxyStarted     Number = 101
+	ProxyDraining    Number = 102
+	ProxyStopped     Number = 103
 	ListenerFailed   Number = 104
-	MembersListed    Number = 706
-	MembersUnlisted  Number = 707
-	EntryIgnored     Number = 708
-	CallerRefused    Number = 201
-	CallerFault      Number = 202
-	TransactionIdle  Number = 204
-	RequestAnswered  Number = 205
-	RequestRefused   Number = 206
-	SessionEnded     Number = 203
+	SettingsReloaded Number = 105
+	SettingsRejected Number = 106
+
+	CallerRefused   Number = 201
+	CallerFault     Number = 202
+	SessionEnded    Number = 203
+	TransactionIdle Number = 204
+	RequestAnswered Number = 205
+	RequestRefused  Number = 206
+
 	ServerLost       Number = 301
 	ServerBack       Number = 302
 	ServerDemoted    Number = 303
@@ -46,6 +46,10 @@
 	PrimaryUnknown   Number = 308
 	ServerUnreached  Number = 309
 	ServerFailed     Number = 310
+	ServerDetoured   Number = 311
+	AnswerLate       Number = 312
+	LoanFailed       Number = 313
+
 	LeaderTaken      Number = 401
 	LeaderLost       Number = 402
 	TermSuspected    Number = 403
@@ -67,24 +71,24 @@
 	PrimarySuspected Number = 419
 	PrimaryCanvassed Number = 420
 	ServerUnasked    Number = 421
-	MemberRemoved    Number = 709
-	SeedUnreached    Number = 710
-	RelayRefused     Number = 711
-	LoanRefused      Number = 713
-	LoanFailed       Number = 313
-	SettingsReloaded Number = 105
-	SettingsRejected Number = 106
-	StoreUnread      Number = 712
-	ServerDetoured   Number = 311
-	AnswerLate       Number = 312
-	ConfigAccepted   Number = 501
-	ConfigRejected   Number = 502
-	KeyWithdrawn     Number = 503
-	PlatformLost     Number = 701
-	PlatformBack     Number = 702
-	PeerLost         Number = 703
-	PeerBack         Number = 704
-	AuditFailed      Number = 705
+
+	ConfigAccepted Number = 501
+	ConfigRejected Number = 502
+	KeyWithdrawn   Number = 503
+
+	PlatformLost    Number = 701
+	PlatformBack    Number = 702
+	PeerLost        Number = 703
+	PeerBack        Number = 704
+	AuditFailed     Number = 705
+	MembersListed   Number = 706
+	MembersUnlisted Number = 707
+	EntryIgnored    Number = 708
+	MemberRemoved   Number = 709
+	SeedUnreached   Number = 710
+	RelayRefused    Number = 711
+	StoreUnread     Number = 712
+	LoanRefused     Number = 713
 )
 
 var kinds = map[Number]Kind{
@@ -92,15 +96,14 @@
 	ProxyDraining:    {Level: zapcore.InfoLevel, Text: "proxy draining"},
 	ProxyStopped:     {Level: zapcore.InfoLevel, Text: "proxy stopped"},
 	ListenerFailed:   {Level: zapcore.ErrorLevel, Text: "listener failed"},
-	MembersListed:    {Level: zapcore.InfoLevel, Text: "members of the fleet listed"},
-	MembersUnlisted:  {Level: zapcore.WarnLevel, Text: "members of the fleet not listed", PerSecond: peerLimit},
-	EntryIgnored:     {Level: zapcore.WarnLevel, Text: "entry of the store ignored", PerSecond: peerLimit},
+	SettingsReloaded: {Level: zapcore.InfoLevel, Text: "settings reloaded"},
+	SettingsRejected: {Level: zapcore.ErrorLevel, Text: "settings rejected"},
 	CallerRefused:    {Level: zapcore.InfoLevel, Text: "caller refused", PerSecond: callerLimit},
 	CallerFault:      {Level: zapcore.WarnLevel, Text: "caller broke the protocol", PerSecond: callerLimit},
+	SessionEnded:     {Level: zapcore.InfoLevel, Text: "session ended by the proxy", PerSecond: keyLimit},
 	TransactionIdle:  {Level: zapcore.InfoLevel, Text: "idle transaction rolled back", PerSecond: callerLimit},
 	RequestAnswered:  {Level: zapcore.InfoLevel, Text: "request answered", PerSecond: requestLimit},
 	RequestRefused:   {Level: zapcore.InfoLevel, Text: "request refused", PerSecond: requestLimit},
-	SessionEnded:     {Level: zapcore.InfoLevel, Text: "session ended by the proxy", PerSecond: keyLimit},
 	ServerLost:       {Level: zapcore.WarnLevel, Text: "backend server out of reach"},
 	ServerBack:       {Level: zapcore.InfoLevel, Text: "backend server in reach again"},
 	ServerDemoted:    {Level: zapcore.InfoLevel, Text: "backend server follows the new primary"},
@@ -111,6 +114,9 @@
 	PrimaryUnknown:   {Level: zapcore.WarnLevel, Text: "primary not known"},
 	ServerUnreached:  {Level: zapcore.WarnLevel, Text: "no connection to a backend server", PerSecond: serverLimit},
 	ServerFailed:     {Level: zapcore.WarnLevel, Text: "backend server gave no answer", PerSecond: serverLimit},
+	ServerDetoured:   {Level: zapcore.WarnLevel, Text: "primary reached through another proxy", PerSecond: serverLimit},
+	AnswerLate:       {Level: zapcore.WarnLevel, Text: "answer of a backend server is late", PerSecond: serverLimit},
+	LoanFailed:       {Level: zapcore.InfoLevel, Text: "connection not borrowed", PerSecond: serverLimit},
 	LeaderTaken:      {Level: zapcore.InfoLevel, Text: "group lease taken"},
 	LeaderLost:       {Level: zapcore.WarnLevel, Text: "group lease lost"},
 	TermSuspected:    {Level: zapcore.WarnLevel, Text: "primary suspected"},
@@ -132,16 +138,6 @@
 	PrimarySuspected: {Level: zapcore.WarnLevel, Text: "primary does not answer", PerSecond: serverLimit},
 	PrimaryCanvassed: {Level: zapcore.WarnLevel, Text: "other proxies asked about a primary", PerSecond: serverLimit},
 	ServerUnasked:    {Level: zapcore.WarnLevel, Text: "backend server gave no status", PerSecond: serverLimit},
-	MemberRemoved:    {Level: zapcore.InfoLevel, Text: "registration of a gone proxy removed", PerSecond: serverLimit},
-	SeedUnreached:    {Level: zapcore.WarnLevel, Text: "seed not reached", PerSecond: serverLimit},
-	RelayRefused:     {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
-	LoanRefused:      {Level: zapcore.InfoLevel, Text: "connection not lent", PerSecond: serverLimit},
-	LoanFailed:       {Level: zapcore.InfoLevel, Text: "connection not borrowed", PerSecond: serverLimit},
-	SettingsReloaded: {Level: zapcore.InfoLevel, Text: "settings reloaded"},
-	SettingsRejected: {Level: zapcore.ErrorLevel, Text: "settings rejected"},
-	StoreUnread:      {Level: zapcore.WarnLevel, Text: "store not read", PerSecond: serverLimit},
-	ServerDetoured:   {Level: zapcore.WarnLevel, Text: "primary reached through another proxy", PerSecond: serverLimit},
-	AnswerLate:       {Level: zapcore.WarnLevel, Text: "answer of a backend server is late", PerSecond: serverLimit},
 	ConfigAccepted:   {Level: zapcore.InfoLevel, Text: "manifest accepted"},
 	ConfigRejected:   {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
 	KeyWithdrawn:     {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
@@ -150,4 +146,12 @@
 	PeerLost:         {Level: zapcore.WarnLevel, Text: "proxy out of reach", PerSecond: peerLimit},
 	PeerBack:         {Level: zapcore.InfoLevel, Text: "proxy in reach again", PerSecond: peerLimit},
 	AuditFailed:      {Level: zapcore.ErrorLevel, Text: "audit entry not written", PerSecond: auditLimit},
+	MembersListed:    {Level: zapcore.InfoLevel, Text: "members of the fleet listed"},
+	MembersUnlisted:  {Level: zapcore.WarnLevel, Text: "members of the fleet not listed", PerSecond: peerLimit},
+	EntryIgnored:     {Level: zapcore.WarnLevel, Text: "entry of the store ignored", PerSecond: peerLimit},
+	MemberRemoved:    {Level: zapcore.InfoLevel, Text: "registration of a gone proxy removed", PerSecond: serverLimit},
+	SeedUnreached:    {Level: zapcore.WarnLevel, Text: "seed not reached", PerSecond: serverLimit},
+	RelayRefused:     {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
+	StoreUnread:      {Level: zapcore.WarnLevel, Text: "store not read", PerSecond: serverLimit},
+	LoanRefused:      {Level: zapcore.InfoLevel, Text: "connection not lent", PerSecond: serverLimit},
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -10,6 +10,9 @@
 
 // applyConfig puts a deployment in force and tells if it did: not if it is as old as the one in force or out of form.
 func (proxy *Proxy) applyConfig(object spool.Object) bool {
+	if current, known := proxy.configCopy(); known && object.Version <= current.Version {
+		return false
+	}
 	deployment, err := proxy.adapter.ParseDeployment(object)
 	if err != nil {
 		event.Log(proxy.logger, event.ConfigRejected, event.Cause(err))
--- a/internal/fleet/copies.go
+++ b/internal/fleet/copies.go
@@ -28,7 +28,7 @@
 	if !peers.mayAsk(&peers.copied, now) {
 		return
 	}
-	request := &wire.CopyRequest{Kind: peers.proxy.adapter.ServerKind(), After: uint64(version)}
+	request := &wire.CopyRequest{After: uint64(version)}
 	peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_CopyRequest{CopyRequest: request}})
 }
 
@@ -36,7 +36,7 @@
 func (peers *peers) sendCopy(to spool.VM, request *wire.CopyRequest) {
 	delta := peers.proxy.servers.Since(spool.Version(request.After))
 	answer := &wire.CopyAnswer{
-		Kind: request.Kind, After: request.After, Version: uint64(delta.Version), Names: delta.Names,
+		After: request.After, Version: uint64(delta.Version), Names: delta.Names,
 		FailedAgeNanos: int64(delta.Failed),
 	}
 	for _, object := range delta.Objects {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -189,18 +189,6 @@
 	return members.roster.Supervises(subject, own, prefer, fit, members.proxy.timers.Now())
 }
 
-// sleep waits and tells if the context still runs.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // homes returns the live proxies of a failure domain's region that come first for a subject, down to this one.
 func (members *members) homes(
 	subject string, domain spool.Domain, skip func(vm spool.VM, now spool.Instant) bool,
@@ -227,13 +215,7 @@
 func (members *members) nearby() int {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	count := 1
-	for _, member := range members.roster.Live(members.proxy.timers.Now()) {
-		if members.roster.Near(member) {
-			count++
-		}
-	}
-	return count
+	return members.roster.Nearby(members.proxy.timers.Now())
 }
 
 // all returns all other registered proxies.
@@ -248,7 +230,7 @@
 }
 
 // heard notes a heartbeat, and tells if it is the first of its sender, who joins the fleet if it is new.
-func (members *members) heard(from spool.VM, pulse *wire.Pulse, sent, now spool.Instant) (first bool) {
+func (members *members) heard(from spool.VM, pulse *wire.Pulse, now spool.Instant) (first bool) {
 	if pulse.Address != "" {
 		members.add(spool.Member{VM: from, Domain: spool.Domain(pulse.Domain), Address: pulse.Address})
 	}
@@ -259,7 +241,18 @@
 		return false
 	}
 	first = member.Heard == 0
-	member.Heard, member.Sent = now, sent
-	member.Leaving, member.StoreReached, member.Revision = pulse.Leaving, pulse.StoreReached, pulse.Revision
+	member.Heard, member.Leaving, member.StoreReached = now, pulse.Leaving, pulse.StoreReached
 	return first
 }
+
+// sleep waits and tells if the context still runs.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -81,7 +81,7 @@
 		pool.WithLenders(proxy.loans), pool.WithMarker(proxy.marks), pool.WithNear(func(left, right spool.Domain) bool {
 			return settings.Regions[left] == settings.Regions[right]
 		}))
-	proxy.lender = lend.NewLender(proxy.pool, timers, logger)
+	proxy.lender = lend.NewLender(proxy.pool, timers, proxy.logger)
 	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(proxy.logger),
 		engine.WithObserver(observer{proxy.metrics}))
 	proxy.members = newMembers(proxy)
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -16,11 +16,11 @@
 
 const (
 	readPeriod  = time.Second             // between reads of the proxy that reads for its region
-	confirmLife = 1800 * time.Millisecond // a confirmation that is older makes a proxy read itself: two reads and a heartbeat
+	confirmLife = 1800 * time.Millisecond // a confirmation that is older makes a proxy read itself: a read, its jitter and a heartbeat
 	readTimeout = 600 * time.Millisecond  // a store 50 times slower than usual answers in 200 ms; a silent one is noticed by two reads
 	lookPeriod  = 150 * time.Millisecond  // between looks if a read is due, so that reads and heartbeats fit into confirmLife; jittered
-	turnSpacing = 150 * time.Millisecond  // between reads of a region while nobody reads for it: a tenth of confirmLife
-	pingPeriod  = 4 * time.Second         // between cheap calls that show if a proxy reaches the store; a third of its price a minute
+	turnSpacing = 150 * time.Millisecond  // between reads of a region while nobody reads for it: about a tenth of confirmLife
+	pingPeriod  = 4 * time.Second         // between cheap calls that show if a proxy reaches the store: lost ones show within ten seconds
 	retryPing   = time.Second             // after a first failed one
 	lostPings   = 2                       // failed ones in a row after which the store counts as out of reach
 	readerDuty  = "reader"                // of one proxy in each region
@@ -46,10 +46,12 @@
 // run reads until the context ends, first of all the configuration.
 func (reader *reader) run(ctx context.Context) {
 	go reader.ping(ctx)
+	pause := lookPeriod
 	for reader.proxy.currentRevision() == 0 && reader.fetch(ctx) != nil {
-		if !sleep(ctx, lookPeriod/2+rand.N(lookPeriod)) {
+		if !sleep(ctx, pause/2+rand.N(pause)) {
 			return
 		}
+		pause = min(2*pause, readPeriod)
 	}
 	var last, turn spool.Instant // of the last read, and when this proxy's turn comes; zero while others read
 	for sleep(ctx, lookPeriod/2+rand.N(lookPeriod)) {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -30,7 +30,8 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	last := eris.Errorf("no other proxy is live to reach server %s", server)
-	for _, vm := range proxy.relays(proxy.pool.PrimaryDomain(group)) {
+	_, domain := proxy.pool.Primary(group)
+	for _, vm := range proxy.relays(domain) {
 		stream, err := proxy.peers.transport.Open(ctx, vm)
 		if err == nil {
 			if err = askRelay(stream, address); err == nil {
--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -92,16 +92,16 @@
 func (trail *trail) forget(confirmed bool, now spool.Instant) {
 	trail.mutex.Lock()
 	defer trail.mutex.Unlock()
-	hosted := trail.held[:0]
+	kept := trail.held[:0]
 	for _, held := range trail.held {
 		if !confirmed {
 			held.since = now
 		}
 		if now.Sub(held.since) < trailHold {
-			hosted = append(hosted, held)
+			kept = append(kept, held)
 		}
 	}
-	trail.held = hosted
+	trail.held = kept
 }
 
 func (trail *trail) hold(name string, entry audit.Entry) {
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -284,7 +284,6 @@
 	if closing {
 		server.open--
 	} else {
-		conn.idleAt = now
 		server.idle = append(server.idle, conn)
 	}
 	pool.dispatch(pool.group(server.spec.Group), now)
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -30,7 +30,6 @@
 	late     bool // the answers that are owed are late
 	resting  bool // its transaction waits for the caller
 	broken   bool // may hold a transaction or unread answers
-	idleAt   spool.Instant
 }
 
 // Lender returns the proxy that lends the connection; none if it is this one's own.
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -63,15 +63,11 @@
 	return names
 }
 
-// PrimaryDomain returns the failure domain of a group's primary, or none if it is not known.
-func (pool *Pool) PrimaryDomain(name spool.Group) spool.Domain {
+// Acked returns the newest position of a group that a commit was confirmed at here.
+func (pool *Pool) Acked(name spool.Group) spool.LogPosition {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	primary := pool.group(name).primaryServer()
-	if primary == nil {
-		return ""
-	}
-	return primary.spec.Domain
+	return pool.group(name).acked
 }
 
 // AskPrimary tells if a server acts as the primary of a group now.
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -124,7 +124,7 @@
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	world.version++
-	var routes, tenants []any
+	var routes, teams []any
 	for database, kind := range map[string]string{
 		"primary": "primary", "session": "read_your_writes", "bounded": "bounded_staleness",
 	} {
@@ -134,12 +134,12 @@
 		})
 	}
 	for team, keys := range world.keys {
-		tenants = append(tenants, map[string]any{
+		teams = append(teams, map[string]any{
 			"name": team, "api-keys": keys, "rate-per-s": teamRate, "burst": teamRate,
 		})
 	}
 	world.store.Write("config", "main", map[string]any{
-		"version": world.version, "routes": routes, "tenants": tenants, "limits": map[string]any{"tx-idle-ms": 2000},
+		"version": world.version, "routes": routes, "tenants": teams, "limits": map[string]any{"tx-idle-ms": 2000},
 		"services": []any{map[string]any{"name": groupName, "max-conns": 20, "sync-replicas": 1}},
 	})
 }
--- a/internal/warden/replace.go
+++ b/internal/warden/replace.go
@@ -43,11 +43,9 @@
 // choose asks the replicas for their positions and weighs them; an equal one that was chosen before stays chosen.
 func (warden *Warden) choose(view pool.View, state *state, before spool.Server) spool.Server {
 	replicas := warden.statuses(view)
-	acked := state.canvass.Acked.Max(view.Acked)
 	situation := elect.Situation{
 		Replicas: replicas, Before: before, Unsettled: !warden.fleet.Settled(), SyncReplicas: view.SyncReplicas,
-		Acked:         acked.Max(view.Acked),
-		AckedComplete: state.canvass.Complete,
+		Acked: state.canvass.Acked.Max(view.Acked), AckedComplete: state.canvass.Complete,
 	}
 	chosen, verdict := elect.Choose(situation)
 	warden.logChoice(view, chosen, verdict, replicas, situation.Acked)
@@ -195,14 +193,11 @@
 		_, err := warden.ask(view.Group, server.Server, spool.Command{Verb: spool.VerbPause, Term: term})
 		event.Log(warden.logger, event.ReplicaPaused, zap.String("Group", string(view.Group)),
 			zap.String("Server", string(server.Server)), zap.Uint64("Term", uint64(term)), event.Cause(err))
-		complete = complete && (err == nil || !warden.reachable(err))
+		complete = complete && (err == nil || elect.Testify(err) == elect.Silent)
 	}
 	return complete
 }
 
-// reachable tells if an error is a server's own answer.
-func (*Warden) reachable(err error) bool { return elect.Testify(err) != elect.Silent }
-
 // resume lets paused replicas receive again.
 func (warden *Warden) resume(view pool.View, state *state) {
 	for server := range state.paused {
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -80,7 +80,8 @@
 
 func (warden *Warden) look(ctx context.Context, now spool.Instant) {
 	for _, group := range warden.pool.Groups() {
-		if !warden.fleet.Supervises(group, warden.pool.PrimaryDomain(group)) {
+		_, domain := warden.pool.Primary(group)
+		if !warden.fleet.Supervises(group, domain) {
 			continue
 		}
 		state := warden.claim(group, now)
