Give back the tokens of operations that reached no server

Cause: a token was spent when an operation was admitted.

An admitted operation now holds its token. The first statement that is sent to a server spends it; if none is sent it comes back. A held token counts as part of the bucket's level, so one that comes back never adds to what was minted meanwhile.

No new test of the window's bound over the fleet was weakened; it now also plays operations that wait and come back.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -25,6 +25,7 @@
 	rate   float64 // tokens a second
 	burst  float64
 	level  float64
+	held   float64 // tokens of admitted operations of which nothing has reached a server
 	filled spool.Instant
 	demand float64 // operations a second
 	asked  spool.Instant
@@ -39,7 +40,7 @@
 	bucket.fill(now)
 	bucket.rate = rate
 	bucket.burst = max(1, burst)
-	bucket.level = min(bucket.level, bucket.burst)
+	bucket.level = min(bucket.level, max(0, bucket.burst-bucket.held))
 }
 
 // Want counts an operation that asks for a token.
@@ -48,13 +49,14 @@
 	bucket.demand += 1 / demandMemory.Seconds()
 }
 
-// Take spends a token if there is one.
+// Take holds a token for an operation if there is one; Settle ends the hold.
 func (bucket *Bucket) Take(now spool.Instant) bool {
 	bucket.fill(now)
 	if bucket.level < 1 {
 		return false
 	}
 	bucket.level--
+	bucket.held++
 	return true
 }
 
@@ -77,6 +79,18 @@
 	bucket.pause = shortestPause
 }
 
+// Settle ends the hold of a token: it is spent if the operation reached a server, else it comes back.
+func (bucket *Bucket) Settle(reached bool, now spool.Instant) {
+	bucket.fill(now)
+	if bucket.held < 1 {
+		return // the bucket was made after the operation was admitted
+	}
+	bucket.held--
+	if !reached {
+		bucket.level++
+	}
+}
+
 // Spare takes out up to want tokens, but keeps what this proxy needs soon, and returns how many.
 func (bucket *Bucket) Spare(want float64, now spool.Instant) float64 {
 	bucket.fill(now)
@@ -112,7 +126,8 @@
 	}
 	bucket.filled = now
 	bucket.demand *= math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
-	if bucket.level < bucket.burst {
-		bucket.level = min(bucket.burst, bucket.level+bucket.rate*elapsed.Seconds())
+	// Held tokens count as part of the level: those that come back do not add to a full bucket.
+	if full := bucket.burst - bucket.held; bucket.level < full {
+		bucket.level = min(full, bucket.level+bucket.rate*elapsed.Seconds())
 	}
 }
--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -55,7 +55,7 @@
 	Ask      float64       // tokens to ask other proxies for now; zero for none
 }
 
-// Admit spends a token of the team if there is one; again tells that the operation asked before, and waiting how many
+// Admit holds a token of the team if there is one, until Settle; again tells that the operation asked before, and waiting how many
 // operations wait for a token.
 func (ledger *Ledger) Admit(team spool.Team, again bool, waiting int, now spool.Instant) Decision {
 	bucket := ledger.buckets[team]
@@ -80,6 +80,13 @@
 	}
 }
 
+// Settle ends the hold of an admitted operation's token, which comes back if the operation reached no server.
+func (ledger *Ledger) Settle(team spool.Team, reached bool, now spool.Instant) {
+	if bucket := ledger.buckets[team]; bucket != nil {
+		bucket.Settle(reached, now)
+	}
+}
+
 // Spare takes out up to want tokens for another proxy and returns how many.
 func (ledger *Ledger) Spare(team spool.Team, want float64, now spool.Instant) float64 {
 	bucket := ledger.buckets[team]
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -57,8 +57,8 @@
 	c.Assert(admitted, qt.Equals, 2)
 }
 
-// TestBoundHoldsOverTheFleet plays proxies that admit, restart and give tokens away, some of which get lost, and checks
-// every window of five seconds against the pages' bound.
+// TestBoundHoldsOverTheFleet plays proxies that admit, restart, give tokens away, some of which get lost, and take back
+// those of operations that reached no server, and checks every window of five seconds against the pages' bound.
 func TestBoundHoldsOverTheFleet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(2, 7).Draw(t, "size")
@@ -70,17 +70,34 @@
 		}
 		now := start
 		var admitted []spool.Instant
+		held := make([]int, size) // operations that wait for a connection: they run at the proxy's next step, or never
 		for step := range rapid.IntRange(50, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 120).Draw(t, "pause")) * time.Millisecond)
 			asker := rapid.IntRange(0, size-1).Draw(t, "asker")
 			if rapid.IntRange(0, 60).Draw(t, "restart") == 0 {
 				ledgers[asker] = ledger(now, size, rate, burst)
 			}
+			if rapid.IntRange(0, 4).Draw(t, "returns") == 0 {
+				for range held[asker] {
+					ledgers[asker].Settle(team, false, now)
+				}
+			} else {
+				for range held[asker] {
+					ledgers[asker].Settle(team, true, now)
+					admitted = append(admitted, now)
+				}
+			}
+			held[asker] = 0
 			ask := 0.0
+			late := rapid.Bool().Draw(t, "late")
 			for range rapid.IntRange(1, 40).Draw(t, "demand") {
 				decision := ledgers[asker].Admit(team, false, 0, now)
 				ask = max(ask, decision.Ask)
-				if decision.Admitted {
+				switch {
+				case decision.Admitted && late:
+					held[asker]++
+				case decision.Admitted:
+					ledgers[asker].Settle(team, true, now)
 					admitted = append(admitted, now)
 				}
 			}
@@ -126,7 +143,9 @@
 			}
 			if !decision.Admitted && !ledgers[0].Admit(team, true, 0, now).Admitted {
 				refused++
+				continue
 			}
+			ledgers[0].Settle(team, true, now)
 		}
 		return float64(refused) / float64(asked)
 	}
@@ -134,3 +153,40 @@
 	qt.Assert(t, with < 0.03, qt.IsTrue, qt.Commentf("%s", fmt.Sprint(with)))
 	qt.Assert(t, without > 0.5, qt.IsTrue, qt.Commentf("%s", fmt.Sprint(without)))
 }
+
+// TestHeldTokensDoNotAddToABurst plays one proxy whose operations wait for a server for a long time: those that reached
+// none and come back must not add their tokens to those that were minted meanwhile.
+func TestHeldTokensDoNotAddToABurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := float64(rapid.IntRange(1, 50).Draw(t, "rate"))
+		burst := float64(rapid.IntRange(1, 50).Draw(t, "burst"))
+		proxy := ledger(start, 1, rate, burst)
+		now := start
+		held := 0
+		var sent []spool.Instant
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
+			for range rapid.IntRange(0, 60).Draw(t, "demand") {
+				if proxy.Admit(team, false, 0, now).Admitted {
+					held++
+				}
+			}
+			for range rapid.IntRange(0, held).Draw(t, "settled") {
+				held--
+				reached := rapid.Bool().Draw(t, "reached")
+				proxy.Settle(team, reached, now)
+				if reached {
+					sent = append(sent, now)
+				}
+			}
+		}
+		for first := range sent {
+			for last := first; last < len(sent); last++ {
+				most := rate*sent[last].Sub(sent[first]).Seconds() + burst
+				if count := last - first + 1; float64(count) > most+1e-6 {
+					t.Fatalf("%d operations in %v, allowed are %v", count, sent[last].Sub(sent[first]), most)
+				}
+			}
+		}
+	})
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,8 +14,10 @@
 
 // Limiter admits operations of teams.
 type Limiter interface {
-	// Admit spends a token of the team or refuses.
+	// Admit holds a token of the team for an operation or refuses.
 	Admit(ctx context.Context, team spool.Team) *spool.Refusal
+	// Settle ends the hold: the token is spent if the operation reached a server, else it comes back.
+	Settle(team spool.Team, reached bool)
 }
 
 // Observer is told what became of statements.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,10 +20,21 @@
 	"corianderspool.example/spool/platform"
 )
 
-// open admits every operation.
-type open struct{}
+// open admits every operation and counts the tokens that are spent.
+type open struct {
+	spent *atomic.Int64
+}
+
+func (open open) Admit(context.Context, spool.Team) *spool.Refusal {
+	open.spent.Add(1)
+	return nil
+}
 
-func (open) Admit(context.Context, spool.Team) *spool.Refusal { return nil }
+func (open open) Settle(_ spool.Team, reached bool) {
+	if !reached {
+		open.spent.Add(-1)
+	}
+}
 
 // world is an engine before a group of servers.
 type world struct {
@@ -31,6 +43,7 @@
 	pool       *pool.Pool
 	engine     *engine.Engine
 	deployment spool.Deployment
+	limiter    open
 }
 
 func newWorld(t *testing.T) *world {
@@ -45,8 +58,8 @@
 
 func proxy(t *testing.T, group *linesrv.Group) *world {
 	connections := pool.New(platform.Linker{}, sock.Dialer(time.Second), clock.Real{})
-	world := &world{T: t, group: group, pool: connections}
-	world.engine = engine.New(connections, clock.Real{}, open{})
+	world := &world{T: t, group: group, pool: connections, limiter: open{new(atomic.Int64)}}
+	world.engine = engine.New(connections, clock.Real{}, world.limiter)
 	route := func(name string, kind spool.RouteKind) spool.Route {
 		return spool.Route{
 			Name: name, Group: "g1", Kind: kind, MaxAge: 2 * time.Second, Timeout: 700 * time.Millisecond,
@@ -374,3 +387,27 @@
 	c.Assert(time.Since(began) < time.Second, qt.IsTrue)
 	c.Assert(world.group.Written("item"), qt.HasLen, 0)
 }
+
+// TestOperationsThatNoServerRanCostNoToken counts the tokens of operations that were refused because no server could be
+// reached, so that callers who come back are not refused for a rate that they did not use.
+func TestOperationsThatNoServerRanCostNoToken(t *testing.T) {
+	c := qt.New(t)
+	world := newWorld(t)
+	caller := world.connect("primary", "key-red")
+	caller.expect("WRITE item one", "DONE", "I")
+	caller.expect("BEGIN", "DONE", "T")
+	caller.expect("READ item", "DONE", "T")
+	caller.expect("COMMIT", "DONE", "I")
+	c.Assert(world.limiter.spent.Load(), qt.Equals, int64(2))
+	for _, server := range world.group.Servers() {
+		world.pool.RemoveServer(server.ID)
+	}
+	caller.expect("READ item", "BUSY", "I")
+	caller.expect("WRITE item two", "BUSY", "I")
+	caller.expect("BEGIN", "DONE", "T")
+	caller.expect("READ item", "BUSY", "E")
+	caller.expect("ROLLBACK", "DONE", "I")
+	caller.expect("BEGIN", "DONE", "T")
+	caller.expect("ROLLBACK", "DONE", "I")
+	c.Assert(world.limiter.spent.Load(), qt.Equals, int64(2))
+}
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -196,6 +196,7 @@
 	statement.attempts++
 	statement.server, statement.lender = conn.Server(), conn.Lender()
 	began := engine.timers.Now()
+	session.settle(true)
 	err := conn.Send(command)
 	var answer spool.Answer
 	if err == nil {
--- a/internal/engine/handle.go
+++ b/internal/engine/handle.go
@@ -90,7 +90,18 @@
 	if team == "" {
 		return nil // an open route without a key has no rate
 	}
-	return session.engine.limiter.Admit(ctx, team)
+	refusal = session.engine.limiter.Admit(ctx, team)
+	session.token = refusal == nil
+	return refusal
+}
+
+// settle ends the hold of the operation's token. Callers repeat an operation that reached no server, and a second token for
+// it would refuse them below their team's rate.
+func (session *session) settle(reached bool) {
+	if session.token {
+		session.token = false
+		session.engine.limiter.Settle(session.team, reached)
+	}
 }
 
 // begin opens a transaction; the server learns of it with the first statement.
@@ -138,6 +149,7 @@
 		}
 		statement.deadline = time.Now().Add(session.route.Timeout)
 		answer = session.single(ctx, statement)
+		session.settle(false)
 	}
 	took := session.engine.timers.Now().Sub(received)
 	session.engine.observer.Finished(session.team, answer.Refusal, took)
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -28,6 +28,7 @@
 	name     string // of the route
 	key      string
 	team     spool.Team
+	token    bool        // held for an operation of which nothing has reached a server
 	route    spool.Route // as of the beginning of the operation
 	values   map[string]string
 	prepared map[string]spool.Command
@@ -178,6 +179,7 @@
 
 // free rolls back and gives the transaction's connection back.
 func (session *session) free() {
+	session.settle(false)
 	conn := session.tx.conn
 	session.tx = transaction{readOnly: session.tx.readOnly}
 	if conn == nil {
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// Admit spends a token of the team, waits shortly for one to be minted here or given by another proxy, or refuses.
+// Admit holds a token of the team, waits shortly for one to be minted here or given by another proxy, or refuses.
 func (limiter *limiter) Admit(ctx context.Context, team spool.Team) *spool.Refusal {
 	decision, arrived := limiter.decide(team, false)
 	if decision.Admitted {
@@ -82,6 +82,21 @@
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	limiter.ledger.Give(team, tokens, limiter.timers.Now())
+	limiter.wake(team)
+}
+
+// Settle ends the hold of an admitted operation's token; one that comes back wakes the operations that wait for it.
+func (limiter *limiter) Settle(team spool.Team, reached bool) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	limiter.ledger.Settle(team, reached, limiter.timers.Now())
+	if !reached {
+		limiter.wake(team)
+	}
+}
+
+// wake lets the operations that wait for a token of a team try again.
+func (limiter *limiter) wake(team spool.Team) {
 	if arrived := limiter.arrived[team]; arrived != nil {
 		close(arrived)
 		delete(limiter.arrived, team)
