End fleet with exit code 2 if its settings are missing or invalid

Cause: every error of the command counted as a failure (1), though the help and docs/OPERATORS.md promise 2 for invalid input.

--- a/cmd/corianderspool/fleet.go
+++ b/cmd/corianderspool/fleet.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/clock"
+	"corianderspool.example/spool/internal/cmds"
 	"corianderspool.example/spool/internal/fleet"
 	"corianderspool.example/spool/internal/sock"
 	"corianderspool.example/spool/pkg/spool"
@@ -18,11 +19,11 @@
 func runFleet(ctx context.Context, logger *zap.Logger) error {
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
-		return eris.Errorf("%s is not set", platform.SettingsVariable)
+		return cmds.InvalidError{Cause: eris.Errorf("%s is not set", platform.SettingsVariable)}
 	}
 	settings, faults := platform.LoadSettings(path)
 	if len(faults) > 0 {
-		return eris.Wrapf(faults, "settings %s", path)
+		return cmds.InvalidError{Cause: eris.Wrapf(faults, "settings %s", path)}
 	}
 	adapter := platform.New(settings, sock.Dialer(sock.DefaultSilence))
 	proxy := fleet.New(settings, adapter, clock.Real{}, logger)
--- a/internal/cmds/fleet.go
+++ b/internal/cmds/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 
 	"github.com/rotisserie/eris"
@@ -34,8 +35,22 @@
 	output := event.NewOutput(os.Stdout)
 	defer output.Close()
 	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoderConfig()), output, level))
-	if err := program.fleet(ctx, logger); err != nil {
+	err = program.fleet(ctx, logger)
+	var invalid InvalidError
+	switch {
+	case errors.As(err, &invalid):
+		return program.fail(Invalid, invalid.Cause)
+	case err != nil:
 		return program.fail(Failure, err)
 	}
 	return Success
 }
+
+// InvalidError says that settings are missing or wrong, so that nothing was run.
+type InvalidError struct{ Cause error }
+
+// Error returns what is wrong.
+func (invalidError InvalidError) Error() string { return invalidError.Cause.Error() }
+
+// Unwrap returns the cause.
+func (invalidError InvalidError) Unwrap() error { return invalidError.Cause }
