Mint rates at few proxies and ask by relays in a large fleet

Cause: with 195 proxies each minted 1/195 of a team's rate, 0.05 a second of 10, and asked 24 others for each operation that ran short; a suspected primary made its supervisor speak with all 194 others. Both cost fleet times load, and callers were refused within their team's rate.

Above roster.MeshLimit two homes of each region mint a team's rate, chosen by the registry. A proxy asks one home of its region, then all; what it is given and does not use within a second is dropped. The word of all proxies on a primary is gathered by the relays of each failure domain. A proxy that does not know the fleet yet mints nothing: a restarted one used to mint the whole rate until it had listed the others.

Ruled out: homes by liveness (two mint at once while views differ), one home (its loss stops a team for 20 s).

--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -140,6 +140,16 @@
 	Complete  bool              // every registered proxy answered
 }
 
+// Note counts the answer of a proxy.
+func (canvass *Canvass) Note(reached bool, acked spool.LogPosition) {
+	if reached {
+		canvass.Reached++
+	} else {
+		canvass.Unreached++
+	}
+	canvass.Acked = canvass.Acked.Max(acked)
+}
+
 // Dead tells if the primary is to be replaced: nobody reaches it, as most of the live proxies say. A proxy that hears no
 // other one may itself be cut off, and leaves it to the registry to tell.
 func (canvass Canvass) Dead() bool {
--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -18,6 +18,11 @@
 	// Patience is how long an operation waits for a token.
 	Patience   = 120 * time.Millisecond // three round trips between regions
 	leastAsked = 2                      // tokens
+
+	// homePause takes the place of shortestPause where few proxies mint: an operation waits for them each time, first for one
+	// in the region and then for all, within Patience.
+	homePause = 20 * time.Millisecond
+	giftLife  = time.Second // after which a proxy that mints none drops what it was given and did not use
 )
 
 // Bucket holds one team's tokens at one proxy.
@@ -30,19 +35,42 @@
 	demand float64 // operations a second
 	asked  spool.Instant
 	pause  time.Duration
+	given  spool.Instant // when another proxy last gave tokens
+	homes  bool          // only few proxies mint
+	team   float64       // tokens a second that the whole fleet mints
 }
 
 // NewBucket returns an empty bucket, so that a restarted proxy does not spend a burst twice.
 func NewBucket(now spool.Instant) *Bucket { return &Bucket{filled: now, pause: shortestPause} }
 
-// Resize puts the proxy's part of a rate and burst in force; the level never rises by it.
-func (bucket *Bucket) Resize(rate, burst float64, now spool.Instant) {
+// Resize puts the proxy's part of a team's rate and burst in force; the level never rises by it.
+func (bucket *Bucket) Resize(rate, burst, part float64, now spool.Instant) {
 	bucket.fill(now)
-	bucket.rate = rate
-	bucket.burst = max(1, burst)
+	bucket.team = rate
+	bucket.rate = rate * part
+	bucket.burst = 0
+	if part > 0 {
+		bucket.burst = max(1, burst*part)
+	}
 	bucket.level = min(bucket.level, max(0, bucket.burst-bucket.held))
 }
 
+// gather tells if only few proxies mint the team's rate.
+func (bucket *Bucket) gather(homes bool) {
+	if bucket.homes != homes {
+		bucket.homes = homes
+		bucket.pause = bucket.shortest()
+	}
+}
+
+// shortest returns the time between requests for tokens that are met.
+func (bucket *Bucket) shortest() time.Duration {
+	if bucket.homes {
+		return homePause
+	}
+	return shortestPause
+}
+
 // Want counts an operation that asks for a token.
 func (bucket *Bucket) Want(now spool.Instant) {
 	bucket.fill(now)
@@ -60,23 +88,29 @@
 	return true
 }
 
-// Ask returns how many tokens to ask other proxies for now, or zero.
-func (bucket *Bucket) Ask(now spool.Instant) float64 {
+// Ask returns how many tokens to ask other proxies for now, or zero, for so many operations that wait; again tells that the
+// last request brought nothing.
+func (bucket *Bucket) Ask(waiting int, now spool.Instant) (tokens float64, again bool) {
 	bucket.fill(now)
-	low := max(1, bucket.demand*shortestPause.Seconds()*2)
+	low := max(1, bucket.demand*bucket.shortest().Seconds()*2)
 	if bucket.level >= low || bucket.asked != 0 && now.Sub(bucket.asked) < bucket.pause {
-		return 0
+		return 0, false
 	}
 	bucket.asked = now
+	again = bucket.pause > bucket.shortest()
 	bucket.pause = min(2*bucket.pause, longestPause)
-	return max(leastAsked, bucket.demand*askTime.Seconds())
+	if bucket.homes {
+		return math.Ceil(max(float64(waiting), bucket.demand*askTime.Seconds())), again
+	}
+	return max(leastAsked, bucket.demand*askTime.Seconds()), again
 }
 
 // Give adds tokens that another proxy minted and gave away.
 func (bucket *Bucket) Give(tokens float64, now spool.Instant) {
 	bucket.fill(now)
 	bucket.level += tokens
-	bucket.pause = shortestPause
+	bucket.given = now
+	bucket.pause = bucket.shortest()
 }
 
 // Settle ends the hold of a token: it is spent if the operation reached a server, else it comes back.
@@ -95,6 +129,9 @@
 func (bucket *Bucket) Spare(want float64, now spool.Instant) float64 {
 	bucket.fill(now)
 	given := min(want, bucket.level-bucket.demand*reserveTime.Seconds())
+	if bucket.homes {
+		given = math.Floor(given) // the receiver mints nothing that would make a part of a token whole
+	}
 	if given <= 0 {
 		return 0
 	}
@@ -113,9 +150,12 @@
 	if bucket.level >= 1 {
 		return 0
 	}
-	if bucket.rate <= 0 {
+	if bucket.team <= 0 {
 		return maxWait
 	}
+	if bucket.rate <= 0 {
+		return min(maxWait, max(bucket.pause, time.Duration(float64(time.Second)/bucket.team)))
+	}
 	return min(maxWait, time.Duration((1-bucket.level)/bucket.rate*float64(time.Second)))
 }
 
@@ -126,6 +166,9 @@
 	}
 	bucket.filled = now
 	bucket.demand *= math.Exp(-elapsed.Seconds() / demandMemory.Seconds())
+	if bucket.burst == 0 && now.Sub(bucket.given) > giftLife {
+		bucket.level = 0
+	}
 	// Held tokens count as part of the level: those that come back do not add to a full bucket.
 	if full := bucket.burst - bucket.held; bucket.level < full {
 		bucket.level = min(full, bucket.level+bucket.rate*elapsed.Seconds())
--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -10,12 +10,14 @@
 type Ledger struct {
 	teams   map[spool.Team]spool.TeamSpec
 	buckets map[spool.Team]*Bucket
-	fleet   int // registered proxies that mint a part of each rate
+	part    func(team spool.Team) float64 // of a team's rate that this proxy mints
+	alone   bool                          // no other proxy has tokens
+	homes   bool                          // only few proxies mint each team's rate
 }
 
-// NewLedger returns a ledger without teams.
+// NewLedger returns a ledger without teams, which mints nothing before it knows the fleet.
 func NewLedger() *Ledger {
-	return &Ledger{buckets: map[spool.Team]*Bucket{}, fleet: 1}
+	return &Ledger{buckets: map[spool.Team]*Bucket{}, part: func(spool.Team) float64 { return 0 }}
 }
 
 // SetTeams puts the rates of a deployment in force.
@@ -31,7 +33,16 @@
 
 // SetFleet sets how many registered proxies mint a part of each rate.
 func (ledger *Ledger) SetFleet(proxies int, now spool.Instant) {
-	ledger.fleet = max(1, proxies)
+	part := 1 / float64(max(1, proxies))
+	ledger.part = func(spool.Team) float64 { return part }
+	ledger.alone, ledger.homes = proxies <= 1, false
+	ledger.resize(now)
+}
+
+// SetHomes sets which part of a team's rate this proxy mints where only few proxies do.
+func (ledger *Ledger) SetHomes(part func(team spool.Team) float64, now spool.Instant) {
+	ledger.part = part
+	ledger.alone, ledger.homes = false, true
 	ledger.resize(now)
 }
 
@@ -42,8 +53,8 @@
 			bucket = NewBucket(now)
 			ledger.buckets[name] = bucket
 		}
-		part := float64(ledger.fleet)
-		bucket.Resize(spec.RatePerSecond/part, spec.Burst/part, now)
+		bucket.gather(ledger.homes)
+		bucket.Resize(spec.RatePerSecond, spec.Burst, ledger.part(name), now)
 	}
 }
 
@@ -53,6 +64,7 @@
 	Wait     time.Duration // until this proxy mints the next token, if not admitted
 	Spent    bool          // other proxies were asked lately and gave none: waiting does not help
 	Ask      float64       // tokens to ask other proxies for now; zero for none
+	Again    bool          // the last request for tokens brought none
 }
 
 // Admit holds a token of the team if there is one, until Settle; again tells that the operation asked before, and waiting how many
@@ -66,9 +78,9 @@
 		bucket.Want(now)
 	}
 	decision := Decision{Admitted: bucket.Take(now), Wait: bucket.Wait(now)}
-	decision.Spent = (ledger.fleet == 1 || bucket.pause >= spentPause) && !bucket.mints(waiting+1, Patience)
-	if ledger.fleet > 1 {
-		decision.Ask = bucket.Ask(now)
+	decision.Spent = (ledger.alone || bucket.pause >= spentPause) && !bucket.mints(waiting+1, Patience)
+	if !ledger.alone {
+		decision.Ask, decision.Again = bucket.Ask(waiting+1, now)
 	}
 	return decision
 }
--- a/internal/core/roster/links.go
+++ b/internal/core/roster/links.go
@@ -230,6 +230,20 @@
 	})
 }
 
+// DomainRelays returns the relays of all failure domains, this proxy's own among them but not itself.
+func (roster *Roster) DomainRelays(now spool.Instant) []spool.VM {
+	var relays []spool.VM
+	for _, domain := range append(roster.domains(), roster.self.Domain) {
+		of := func(member *Member) bool { return member.Domain == domain }
+		for _, relay := range roster.best(relaysPerDomain, now, of) {
+			if relay != &roster.self {
+				relays = append(relays, relay.VM)
+			}
+		}
+	}
+	return relays
+}
+
 // Assists tells if proxies ask this one for digests though it is not among the first relays of its failure domain.
 func (roster *Roster) Assists(now spool.Instant) bool {
 	if !roster.Relayed() || !roster.listened(now) {
--- a/internal/fleet/canvass.go
+++ b/internal/fleet/canvass.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	triers        = 8                      // proxies that try a primary at once: each may cost it a handshake
-	lastAnswers   = 100 * time.Millisecond // for proxies that are not live, after all live ones have answered
-	probePatience = 600 * time.Millisecond // for the other proxies' word on a primary: a probe and a round trip
+	triers         = 8                      // proxies that try a primary at once: each may cost it a handshake
+	lastAnswers    = 100 * time.Millisecond // for proxies that are not live, after all live ones have answered
+	domainPatience = 250 * time.Millisecond // the same for those of the own failure domain, which are asked only for what they know
+	probePatience  = 600 * time.Millisecond // for the other proxies' word on a primary: a probe and a round trip
 )
 
 // Canvass asks a few live proxies to try if they reach a server as primary, or any if none is named. If none does, all
@@ -21,24 +22,67 @@
 func (peers *peers) Canvass(group spool.Group, server spool.Server) elect.Canvass {
 	live := peers.proxy.members.liveMembers()
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	asked := live[:min(len(live), triers)]
+	asked := vms(live[:min(len(live), triers)])
 	request := &wire.ProbeRequest{Group: string(group), Server: string(server)}
-	canvass := peers.ask(request, asked, len(asked))
-	canvass.Alone = len(peers.proxy.members.all()) == 0
+	canvass := elect.Canvass{Asked: len(asked), Alone: peers.proxy.members.size() == 1}
+	for _, answer := range peers.ask(request, asked, len(asked), probePatience) {
+		canvass.Note(answer.Reached, ackedOf(answer))
+	}
 	if !canvass.Dead() {
 		return canvass
 	}
-	all := peers.proxy.members.all()
-	told := peers.ask(&wire.ProbeRequest{Group: string(group), Server: string(server), KnownOnly: true}, all, len(live))
+	told := peers.poll(group, server, len(live))
 	canvass.Reached += told.Reached
 	canvass.Acked = canvass.Acked.Max(told.Acked)
 	canvass.Complete = told.Complete
 	return canvass
 }
 
-// ask sends a request to some proxies and gathers the answers, of which so many are expected soon.
-func (peers *peers) ask(request *wire.ProbeRequest, members []roster.Member, expected int) elect.Canvass {
-	answers := make(chan *wire.ProbeAnswer, len(members))
+// poll asks all registered proxies what they know of a server; in a large fleet relays ask those of their failure domains.
+func (peers *peers) poll(group spool.Group, server spool.Server, live int) elect.Canvass {
+	request := &wire.ProbeRequest{Group: string(group), Server: string(server), KnownOnly: true}
+	var canvass elect.Canvass
+	if !peers.proxy.members.relayed() {
+		all := vms(peers.proxy.members.all())
+		answers := peers.ask(request, all, live, probePatience)
+		for _, answer := range answers {
+			canvass.Note(answer.Reached, ackedOf(answer))
+		}
+		canvass.Complete = len(answers) == len(all)
+		return canvass
+	}
+	request.ForDomain = true
+	relays, domains := peers.proxy.members.domainRelays()
+	own := peers.proxy.settings.Domain
+	complete := map[string]bool{string(own): domains[own] == 1}
+	for _, answer := range peers.ask(request, relays, len(relays), probePatience) {
+		canvass.Note(answer.Reached, ackedOf(answer))
+		if registered := domains[spool.Domain(answer.Domain)]; answer.Answered >= max(answer.Registered, uint32(registered)) {
+			complete[answer.Domain] = true
+		}
+	}
+	canvass.Complete = len(complete) == len(domains) && complete[string(own)]
+	return canvass
+}
+
+func vms(members []roster.Member) []spool.VM {
+	names := make([]spool.VM, 0, len(members))
+	for _, member := range members {
+		names = append(names, member.VM)
+	}
+	return names
+}
+
+func ackedOf(answer *wire.ProbeAnswer) spool.LogPosition {
+	return spool.LogPosition{Term: spool.Term(answer.AckedTerm), Number: spool.Position(answer.AckedNumber)}
+}
+
+// ask sends a request to some proxies and gathers the answers, of which so many are expected soon, until one reached the
+// server.
+func (peers *peers) ask(
+	request *wire.ProbeRequest, asked []spool.VM, expected int, patience time.Duration,
+) (gathered []*wire.ProbeAnswer) {
+	answers := make(chan *wire.ProbeAnswer, len(asked))
 	peers.mutex.Lock()
 	peers.last++
 	request.Sequence = peers.last
@@ -49,32 +93,26 @@
 		delete(peers.probes, request.Sequence)
 		peers.mutex.Unlock()
 	}()
-	for _, member := range members {
-		peers.transport.Send(member.VM, &wire.Envelope{Body: &wire.Envelope_ProbeRequest{ProbeRequest: request}})
+	for _, vm := range asked {
+		peers.transport.Send(vm, &wire.Envelope{Body: &wire.Envelope_ProbeRequest{ProbeRequest: request}})
 	}
-	canvass := elect.Canvass{Asked: len(members)}
-	timer := time.NewTimer(probePatience)
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	for count := range members {
+	for count := range asked {
 		if count == expected {
 			timer.Reset(lastAnswers)
 		}
 		select {
 		case answer := <-answers:
-			canvass.Acked = canvass.Acked.Max(spool.LogPosition{
-				Term: spool.Term(answer.AckedTerm), Number: spool.Position(answer.AckedNumber),
-			})
+			gathered = append(gathered, answer)
 			if answer.Reached {
-				canvass.Reached++
-				return canvass
+				return gathered
 			}
-			canvass.Unreached++
 		case <-timer.C:
-			return canvass
+			return gathered
 		}
 	}
-	canvass.Complete = true
-	return canvass
+	return gathered
 }
 
 func (peers *peers) answerProbe(from spool.VM, request *wire.ProbeRequest) {
@@ -92,9 +130,27 @@
 		Group: request.Group, Server: request.Server, Sequence: request.Sequence, Reached: reached,
 		AckedTerm: uint64(acked.Term), AckedNumber: uint64(acked.Number),
 	}
+	if request.ForDomain {
+		peers.answerForDomain(answer)
+	}
 	peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ProbeAnswer{ProbeAnswer: answer}})
 }
 
+// answerForDomain adds to an answer what the other proxies of the failure domain know.
+func (peers *peers) answerForDomain(answer *wire.ProbeAnswer) {
+	others, live := peers.proxy.members.inDomain()
+	request := &wire.ProbeRequest{Group: answer.Group, Server: answer.Server, KnownOnly: true}
+	told := peers.ask(request, others, live, domainPatience)
+	acked := ackedOf(answer)
+	for _, other := range told {
+		answer.Reached = answer.Reached || other.Reached
+		acked = acked.Max(ackedOf(other))
+	}
+	answer.AckedTerm, answer.AckedNumber = uint64(acked.Term), uint64(acked.Number)
+	answer.Domain = string(peers.proxy.settings.Domain)
+	answer.Answered, answer.Registered = uint32(len(told)+1), uint32(len(others)+1)
+}
+
 func (peers *peers) deliverProbe(answer *wire.ProbeAnswer) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -6,23 +6,28 @@
 	"time"
 
 	"corianderspool.example/spool/internal/core/quota"
+	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 // limiter admits operations of teams; it implements engine.Limiter.
 type limiter struct {
 	timers  spool.Timers
-	request func(team spool.Team, tokens float64)
+	request func(team spool.Team, tokens float64, homes []quota.Proxy, again bool)
+	self    spool.VM
 
 	mutex   sync.Mutex
 	ledger  *quota.Ledger
 	arrived map[spool.Team]chan struct{} // closed when tokens come
 	waiting map[spool.Team]int
+	fleet   []quota.Proxy                // of a fleet so large that few proxies mint each rate; else none
+	homes   map[spool.Team][]quota.Proxy // that were looked up since the fleet last changed
 }
 
-func newLimiter(timers spool.Timers) *limiter {
+func newLimiter(self spool.VM, timers spool.Timers) *limiter {
 	return &limiter{
-		timers: timers, ledger: quota.NewLedger(), request: func(spool.Team, float64) {},
+		timers: timers, ledger: quota.NewLedger(), self: self, homes: map[spool.Team][]quota.Proxy{},
+		request: func(spool.Team, float64, []quota.Proxy, bool) {},
 		arrived: map[spool.Team]chan struct{}{}, waiting: map[spool.Team]int{},
 	}
 }
@@ -64,7 +69,7 @@
 	defer limiter.mutex.Unlock()
 	decision := limiter.ledger.Admit(team, again, limiter.waiting[team], limiter.timers.Now())
 	if decision.Ask > 0 {
-		limiter.request(team, decision.Ask)
+		limiter.request(team, decision.Ask, limiter.homesOf(team), decision.Again)
 	}
 	if decision.Admitted {
 		return decision, nil
@@ -116,8 +121,40 @@
 	limiter.ledger.SetTeams(teams, limiter.timers.Now())
 }
 
-func (limiter *limiter) setFleet(proxies int) {
+// setFleet takes over the registered proxies, this one among them.
+func (limiter *limiter) setFleet(fleet []quota.Proxy) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	limiter.ledger.SetFleet(proxies, limiter.timers.Now())
+	clear(limiter.homes)
+	if len(fleet) <= roster.MeshLimit {
+		limiter.fleet = nil
+		limiter.ledger.SetFleet(len(fleet), limiter.timers.Now())
+		return
+	}
+	limiter.fleet = fleet
+	limiter.ledger.SetHomes(limiter.part, limiter.timers.Now())
+}
+
+// homesOf returns the proxies that mint a team's rate, or none where all do; the caller holds the mutex.
+func (limiter *limiter) homesOf(team spool.Team) []quota.Proxy {
+	if len(limiter.fleet) == 0 {
+		return nil
+	}
+	homes, known := limiter.homes[team]
+	if !known {
+		homes = quota.Homes(team, limiter.fleet)
+		limiter.homes[team] = homes
+	}
+	return homes
+}
+
+// part returns the part of a team's rate that this proxy mints; the caller holds the mutex.
+func (limiter *limiter) part(team spool.Team) float64 {
+	homes := limiter.homesOf(team)
+	for _, home := range homes {
+		if home.VM == limiter.self {
+			return 1 / float64(len(homes))
+		}
+	}
+	return 0
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/quota"
 	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/wire"
@@ -36,6 +37,7 @@
 	proxy  *Proxy
 	mutex  sync.Mutex
 	roster *roster.Roster
+	known  bool // the registry was listed, or other proxies were listened to for long enough
 }
 
 func newMembers(proxy *Proxy) *members {
@@ -117,6 +119,7 @@
 		members.roster.Add(member, now)
 	}
 	members.roster.Keep(registered, now)
+	members.known = true
 	size := members.roster.Size()
 	members.mutex.Unlock()
 	members.resize()
@@ -138,13 +141,33 @@
 	}
 }
 
-// resize tells who shares what with the whole fleet.
+// resize tells who shares what with the whole fleet. A proxy that does not know the fleet yet mints no rates: it would take
+// itself for the only one.
 func (members *members) resize() {
+	settings := &members.proxy.settings
 	members.mutex.Lock()
-	domains, self := members.roster.Domains(members.proxy.settings.Domain)
+	domains, self := members.roster.Domains(settings.Domain)
+	fleet := []quota.Proxy{{VM: settings.VM, Region: settings.Region}}
+	for _, member := range members.roster.Others() {
+		fleet = append(fleet, quota.Proxy{VM: member.VM, Region: settings.Regions[member.Domain]})
+	}
+	known := members.known
 	members.mutex.Unlock()
 	members.proxy.pool.SetFleet(domains, self)
-	members.proxy.limiter.setFleet(len(domains))
+	if known {
+		members.proxy.limiter.setFleet(fleet)
+	}
+}
+
+// settle ends the wait for the registry after the time in which other proxies are heard.
+func (members *members) settle(now spool.Instant) {
+	members.mutex.Lock()
+	settled := !members.known && now.Sub(members.proxy.started) > members.roster.SettleTime()
+	members.known = members.known || settled
+	members.mutex.Unlock()
+	if settled {
+		members.resize()
+	}
 }
 
 // collect removes the registration of a proxy that was silent for long; a proxy that still runs registers again.
@@ -313,6 +336,36 @@
 	return members.roster.Named(ids)
 }
 
+// domainRelays returns the relays of all failure domains but this proxy itself, and how many proxies are registered in each.
+func (members *members) domainRelays() (relays []spool.VM, domains map[spool.Domain]int) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	domains = map[spool.Domain]int{members.proxy.settings.Domain: 1}
+	for _, member := range members.roster.Others() {
+		domains[member.Domain]++
+	}
+	return members.roster.DomainRelays(members.proxy.timers.Now()), domains
+}
+
+// inDomain returns the other registered proxies of this one's failure domain and how many of them live.
+func (members *members) inDomain() (vms []spool.VM, live int) {
+	now := members.proxy.timers.Now()
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	own := members.proxy.settings.Domain
+	for _, member := range members.roster.Others() {
+		if member.Domain == own {
+			vms = append(vms, member.VM)
+		}
+	}
+	for _, member := range members.roster.Live(now) {
+		if member.Domain == own {
+			live++
+		}
+	}
+	return vms, live
+}
+
 // heard notes a heartbeat that was sent no earlier than an instant, and tells if it is the first of its sender, who joins the
 // fleet if it is new.
 func (members *members) heard(from spool.VM, pulse *wire.Pulse, sent spool.Instant) (first bool) {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -4,12 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/quota"
 	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/lend"
@@ -23,7 +23,6 @@
 	introduction     = 3 * time.Second  // after the start: heartbeats to all, until all proxies of a fleet have started
 	introduceBeats   = 16               // rounds between heartbeats that name the address, for proxies that missed it
 	sessionKeepAlive = 15 * time.Second // heartbeats show sooner that a connection is silent
-	tokenPart        = 8                // one in so many proxies of a large fleet is asked for tokens
 	tokenPeers       = 3                // proxies asked for tokens at once
 	seedTimeout      = time.Second
 	introduceRounds  = 2 // in a row, since not all proxies are due in each
@@ -96,6 +95,7 @@
 	beat := peers.beats
 	peers.mutex.Unlock()
 	introducing := now.Sub(proxy.started) < introduction
+	proxy.members.settle(now)
 	links, relaying := proxy.members.links(beat, introducing, now)
 	for _, link := range links {
 		pulse := peers.newPulse(link.VM, now)
@@ -289,20 +289,37 @@
 	peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_ConfigAnswer{ConfigAnswer: answer}})
 }
 
-// askTokens asks a few live proxies for tokens of a team, near ones first; the larger the fleet, the less each has.
-func (peers *peers) askTokens(team spool.Team, tokens float64) {
-	live := peers.proxy.members.liveMembers()
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	asked := max(tokenPeers, len(live)/tokenPart)
-	if len(live) > tokenPart*tokenPeers {
-		slices.SortStableFunc(live, func(left, right roster.Member) int {
-			return boolRank(peers.proxy.near(right.Domain)) - boolRank(peers.proxy.near(left.Domain))
-		})
+// askTokens asks other proxies for tokens of a team: some live ones where all mint, else one of the team's homes in the
+// region and, if that brought nothing, all of them.
+func (peers *peers) askTokens(team spool.Team, tokens float64, homes []quota.Proxy, again bool) {
+	request := &wire.TokenRequest{Team: string(team), Tokens: tokens}
+	for _, to := range peers.tokenGivers(homes, again) {
+		peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_TokenRequest{TokenRequest: request}})
 	}
-	for _, to := range live[:min(len(live), asked)] {
-		request := &wire.TokenRequest{Team: string(team), Tokens: tokens}
-		peers.transport.Send(to.VM, &wire.Envelope{Body: &wire.Envelope_TokenRequest{TokenRequest: request}})
+}
+
+func (peers *peers) tokenGivers(homes []quota.Proxy, again bool) []spool.VM {
+	var near, all []spool.VM
+	if len(homes) == 0 {
+		for _, member := range peers.proxy.members.liveMembers() {
+			all = append(all, member.VM)
+		}
+		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		return all[:min(len(all), tokenPeers)]
+	}
+	for _, home := range homes {
+		if home.VM == peers.proxy.settings.VM {
+			continue
+		}
+		all = append(all, home.VM)
+		if home.Region == peers.proxy.settings.Region {
+			near = append(near, home.VM)
+		}
+	}
+	if again || len(near) == 0 {
+		return all
 	}
+	return []spool.VM{near[rand.IntN(len(near))]}
 }
 
 // Supervises tells if this proxy looks after a group; those in the region of its primary come first.
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -70,7 +70,7 @@
 
 // New returns a proxy that has not started.
 func New(settings spool.FleetSettings, adapter spool.Adapter, timers spool.Timers, logger *zap.Logger) *Proxy {
-	proxy := &Proxy{settings: settings, adapter: adapter, timers: timers, logger: logger, limiter: newLimiter(timers)}
+	proxy := &Proxy{settings: settings, adapter: adapter, timers: timers, logger: logger, limiter: newLimiter(settings.VM, timers)}
 	proxy.started = timers.Now()
 	proxy.dial = sock.Dialer(sock.DefaultSilence)
 	proxy.storeReached, proxy.latest = true, settings
