Ask about a larger fleet at most each five seconds

Cause, found by reading: a proxy that hears of a larger fleet than it knows asks for a digest. Where the other one still counts a proxy that is gone, for a minute or so, each heartbeat made it ask again.

--- a/internal/fleet/copies.go
+++ b/internal/fleet/copies.go
@@ -13,10 +13,10 @@
 const copyPause = 100 * time.Millisecond
 
 // mayAsk tells if enough time has passed since something was last asked for, and notes that it is now.
-func (peers *peers) mayAsk(last *spool.Instant, now spool.Instant) bool {
+func (peers *peers) mayAsk(last *spool.Instant, pause time.Duration, now spool.Instant) bool {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	if now.Sub(*last) < copyPause {
+	if *last != 0 && now.Sub(*last) < pause {
 		return false
 	}
 	*last = now
@@ -25,7 +25,7 @@
 
 // requestCopy asks a proxy for the changes of the servers' entries that this one lacks.
 func (peers *peers) requestCopy(from spool.VM, version spool.Version, now spool.Instant) {
-	if !peers.mayAsk(&peers.copied, now) {
+	if !peers.mayAsk(&peers.copied, copyPause, now) {
 		return
 	}
 	request := &wire.CopyRequest{After: uint64(version)}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -87,7 +87,7 @@
 
 // requestMembers asks a proxy who others are that its digest named.
 func (peers *peers) requestMembers(from spool.VM, unknown []roster.ID, now spool.Instant) {
-	if !peers.mayAsk(&peers.named, now) {
+	if !peers.mayAsk(&peers.named, copyPause, now) {
 		return
 	}
 	entries := make([]roster.Entry, 0, len(unknown))
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -25,7 +25,8 @@
 	sessionKeepAlive = 15 * time.Second // heartbeats show sooner that a connection is silent
 	tokenPeers       = 3                // proxies asked for tokens at once
 	seedTimeout      = time.Second
-	introduceRounds  = 2 // in a row, since not all proxies are due in each
+	introduceRounds  = 2               // in a row, since not all proxies are due in each
+	sizePause        = 5 * time.Second // between questions about a larger fleet, which may count proxies that are gone
 )
 
 // peers exchanges heartbeats, configuration and tokens with the other proxies.
@@ -250,13 +251,13 @@
 			peers.applyDigest(from, pulse.Digest, sent, now)
 		}
 	}
-	if int(pulse.Fleet) > proxy.members.size() && peers.mayAsk(&peers.sized, now) {
+	if int(pulse.Fleet) > proxy.members.size() && peers.mayAsk(&peers.sized, sizePause, now) {
 		peers.introduce(from, now, roster.ScopeFleet)
 	}
 	if version := proxy.servers.Version(); version > 0 && spool.Version(pulse.CopyVersion) > version && proxy.members.near(from) {
 		peers.requestCopy(from, version, now)
 	}
-	if pulse.Revision > proxy.currentRevision() && peers.mayAsk(&peers.asked, now) {
+	if pulse.Revision > proxy.currentRevision() && peers.mayAsk(&peers.asked, copyPause, now) {
 		peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{ConfigRequest: &wire.ConfigRequest{}}})
 	}
 }
