Judge a primary by the commits that it completes

Cause: a primary that is cut off its replicas begins transactions, so it counted as alive, while its commits got no answer.

After a commit without an answer a proxy lets one commit in each pause through (0.5 to 2 s) and refuses the others at once. The supervisor asks all proxies what became of their commits; if three or more stayed unanswered for 1.5 s and none was answered after them anywhere, it replaces the primary, if what the replicas have allows it, at most once in 10 s.

--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -138,6 +138,7 @@
 	Unreached int               // of those that answered: did not
 	Acked     spool.LogPosition // newest position that any proxy acknowledged a commit at
 	Complete  bool              // every registered proxy answered
+	Commits   Commits           // that they sent to the primary
 }
 
 // Note counts the answer of a proxy.
--- /dev/null
+++ b/internal/core/place/breaker.go
@@ -0,0 +1,44 @@
+package place
+
+import (
+	"time"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	shortestBreak = 500 * time.Millisecond // after a commit without an answer; half of what callers wait for one at least
+	longestBreak  = 2 * time.Second        // so that the end of a cut is seen soon
+)
+
+// Breaker keeps commits off a primary that does not answer them, as one does whose replicas confirm none: each would hold a
+// connection and a slot until it runs out of time, which reads could use. One commit in each pause is let through.
+type Breaker struct {
+	pause time.Duration // zero while commits are answered
+	next  spool.Instant // when the next commit may go
+}
+
+// Allow tells if a commit may be sent now, or when to try again.
+func (breaker *Breaker) Allow(now spool.Instant) (wait time.Duration, allowed bool) {
+	if wait, allowed = breaker.Look(now); allowed && breaker.pause > 0 {
+		breaker.next = now.Add(breaker.pause)
+	}
+	return wait, allowed
+}
+
+// Look is like Allow for a statement that a commit will follow.
+func (breaker *Breaker) Look(now spool.Instant) (wait time.Duration, allowed bool) {
+	if breaker.pause == 0 || now >= breaker.next {
+		return 0, true
+	}
+	return breaker.next.Sub(now), false
+}
+
+// Failed notes a commit that was not answered in time.
+func (breaker *Breaker) Failed(now spool.Instant) {
+	breaker.pause = min(max(shortestBreak, 2*breaker.pause), longestBreak)
+	breaker.next = now.Add(breaker.pause)
+}
+
+// Succeeded notes an answered commit.
+func (breaker *Breaker) Succeeded() { breaker.pause = 0 }
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -22,6 +22,9 @@
 
 // single runs a statement outside of a transaction.
 func (session *session) single(ctx context.Context, statement *statement) spool.Answer {
+	if refusal := session.mayCommit(statement); refusal != nil {
+		return spool.Answer{Refusal: refusal, State: spool.TxIdle}
+	}
 	var avoid []spool.Server
 	last := spool.Refuse(spool.CodeNoSlot, "no server could run the statement").Later(busyPause)
 	for statement.attempts < maxAttempts && time.Now().Before(statement.deadline) {
@@ -202,7 +205,12 @@
 	if err == nil {
 		answer, err = conn.Receive(statement.deadline)
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	late := errors.Is(err, os.ErrDeadlineExceeded)
+	unconfirmed := answer.Refusal != nil && answer.Refusal.Code == spool.CodeDeadlineExpired
+	if (late || unconfirmed) && session.commits(statement) {
+		engine.pool.NoteUnanswered(session.route.Group, conn.Server(), began)
+	}
+	if late {
 		engine.pool.Abandon(conn, 1)
 		return answer, err
 	}
@@ -214,6 +222,27 @@
 	return answer, nil
 }
 
+// commits tells if a statement makes the server commit.
+func (session *session) commits(statement *statement) bool {
+	if session.state == spool.TxOpen {
+		return statement.Verb == spool.VerbCommit && session.tx.wrote
+	}
+	return statement.Writes
+}
+
+// mayCommit refuses a statement that writes while the primary answers no commits.
+func (session *session) mayCommit(statement *statement) *spool.Refusal {
+	last := session.commits(statement)
+	if !last && !statement.Writes {
+		return nil
+	}
+	wait, allowed := session.engine.pool.MayCommit(session.route.Group, last)
+	if allowed {
+		return nil
+	}
+	return spool.Refuse(spool.CodeNoSlot, "the primary completes no commits").Later(wait)
+}
+
 // committed notes an acknowledged commit.
 func (session *session) committed(conn *pool.Conn, position spool.LogPosition, sent spool.Instant) {
 	session.seen = session.seen.Max(position)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -15,7 +15,10 @@
 		return session.refuse(spool.Refuse(spool.CodeRolledBack, "the key or route was withdrawn"))
 	}
 	command := statement.Command
-	var refusal *spool.Refusal
+	refusal := session.mayCommit(statement)
+	if refusal != nil {
+		return session.end(statement, spool.Answer{Refusal: session.rolledBack(refusal)})
+	}
 	if session.tx.conn == nil {
 		command, refusal = session.enter(ctx, statement)
 	} else {
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -70,6 +70,7 @@
 	ReplicaChosen    Number = 418
 	PrimarySuspected Number = 419
 	PrimaryCanvassed Number = 420
+	CommitsCanvassed Number = 422
 	ServerUnasked    Number = 421
 
 	ConfigAccepted Number = 501
@@ -136,6 +137,7 @@
 	PromotionUnseen:  {Level: zapcore.WarnLevel, Text: "ordered server does not act as primary", PerSecond: serverLimit},
 	ReplicaChosen:    {Level: zapcore.InfoLevel, Text: "successor of a primary weighed", PerSecond: serverLimit},
 	PrimarySuspected: {Level: zapcore.WarnLevel, Text: "primary does not answer", PerSecond: serverLimit},
+	CommitsCanvassed: {Level: zapcore.WarnLevel, Text: "other proxies asked about commits", PerSecond: serverLimit},
 	PrimaryCanvassed: {Level: zapcore.WarnLevel, Text: "other proxies asked about a primary", PerSecond: serverLimit},
 	ServerUnasked:    {Level: zapcore.WarnLevel, Text: "backend server gave no status", PerSecond: serverLimit},
 	ConfigAccepted:   {Level: zapcore.InfoLevel, Text: "manifest accepted"},
--- a/internal/fake/linesrv/group.go
+++ b/internal/fake/linesrv/group.go
@@ -25,12 +25,13 @@
 type Group struct {
 	Name string
 
-	mutex   sync.Mutex
-	servers []*Server
-	primary *Server
-	term    uint64
-	log     []write // of the primary
-	runs    []Run
+	mutex    sync.Mutex
+	servers  []*Server
+	primary  *Server
+	term     uint64
+	log      []write // of the primary
+	runs     []Run
+	isolated bool // the primary reaches no replica
 }
 
 // write is an entry of the log.
@@ -88,6 +89,7 @@
 	group.log = group.log[:chosen.received]
 	group.term++
 	group.primary = chosen
+	group.isolated = false
 	chosen.paused = 0
 	for _, server := range group.servers {
 		server.received = min(server.received, len(group.log))
@@ -95,6 +97,13 @@
 	}
 }
 
+// Isolate cuts the primary off its replicas until another server is promoted: its commits are never confirmed.
+func (group *Group) Isolate() {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.isolated = true
+}
+
 // Paused returns the servers that were told to receive nothing.
 func (group *Group) Paused() []spool.Server {
 	group.mutex.Lock()
@@ -148,7 +157,7 @@
 	group.primary.received, group.primary.applied = len(group.log), len(group.log)
 	confirmed := false
 	for _, server := range group.servers {
-		if server == group.primary || server.paused > 0 || server.down {
+		if server == group.primary || server.paused > 0 || server.down || group.isolated {
 			continue
 		}
 		server.received = len(group.log)
--- a/internal/fleet/canvass.go
+++ b/internal/fleet/canvass.go
@@ -26,29 +26,37 @@
 	request := &wire.ProbeRequest{Group: string(group), Server: string(server)}
 	canvass := elect.Canvass{Asked: len(asked), Alone: peers.proxy.members.size() == 1}
 	for _, answer := range peers.ask(request, asked, len(asked), probePatience) {
-		canvass.Note(answer.Reached, ackedOf(answer))
+		note(&canvass, answer)
 	}
 	if !canvass.Dead() {
 		return canvass
 	}
-	told := peers.poll(group, server, len(live))
+	told := peers.poll(group, server, false)
 	canvass.Reached += told.Reached
 	canvass.Acked = canvass.Acked.Max(told.Acked)
 	canvass.Complete = told.Complete
 	return canvass
 }
 
+// CanvassCommits asks all registered proxies what became of the commits that they sent to a primary.
+func (peers *peers) CanvassCommits(group spool.Group, server spool.Server) elect.Canvass {
+	canvass := peers.poll(group, server, true)
+	canvass.Commits.Merge(peers.proxy.pool.Commits(group))
+	return canvass
+}
+
 // poll asks all registered proxies what they know of a server; in a large fleet relays ask those of their failure domains.
-func (peers *peers) poll(group spool.Group, server spool.Server, live int) elect.Canvass {
-	request := &wire.ProbeRequest{Group: string(group), Server: string(server), KnownOnly: true}
+// The poll ends with the first one that reached the server unless all are to be heard.
+func (peers *peers) poll(group spool.Group, server spool.Server, hearAll bool) elect.Canvass {
+	request := &wire.ProbeRequest{Group: string(group), Server: string(server), KnownOnly: true, HearAll: hearAll}
 	var canvass elect.Canvass
 	if !peers.proxy.members.relayed() {
 		all := vms(peers.proxy.members.all())
-		answers := peers.ask(request, all, live, probePatience)
+		answers := peers.ask(request, all, len(peers.proxy.members.liveMembers()), probePatience)
 		for _, answer := range answers {
-			canvass.Note(answer.Reached, ackedOf(answer))
+			note(&canvass, answer)
 		}
-		canvass.Complete = len(answers) == len(all)
+		canvass.Asked, canvass.Complete = len(all), len(answers) == len(all)
 		return canvass
 	}
 	request.ForDomain = true
@@ -56,7 +64,7 @@
 	own := peers.proxy.settings.Domain
 	complete := map[string]bool{string(own): domains[own] == 1}
 	for _, answer := range peers.ask(request, relays, len(relays), probePatience) {
-		canvass.Note(answer.Reached, ackedOf(answer))
+		note(&canvass, answer)
 		if registered := domains[spool.Domain(answer.Domain)]; answer.Answered >= max(answer.Registered, uint32(registered)) {
 			complete[answer.Domain] = true
 		}
@@ -65,6 +73,25 @@
 	return canvass
 }
 
+// note adds what an answer tells to a canvass.
+func note(canvass *elect.Canvass, answer *wire.ProbeAnswer) {
+	canvass.Note(answer.Reached, ackedOf(answer))
+	canvass.Commits.Merge(commitsOf(answer))
+}
+
+func commitsOf(answer *wire.ProbeAnswer) elect.Commits {
+	return elect.Commits{
+		Unanswered: int(answer.Unanswered), Stalled: time.Duration(answer.StalledNanos),
+		Last: time.Duration(answer.LastNanos), Answered: time.Duration(answer.AnsweredNanos),
+	}
+}
+
+func setCommits(answer *wire.ProbeAnswer, commits elect.Commits) {
+	answer.Unanswered = uint32(commits.Unanswered)
+	answer.StalledNanos, answer.LastNanos = int64(commits.Stalled), int64(commits.Last)
+	answer.AnsweredNanos = int64(commits.Answered)
+}
+
 func vms(members []roster.Member) []spool.VM {
 	names := make([]spool.VM, 0, len(members))
 	for _, member := range members {
@@ -78,7 +105,7 @@
 }
 
 // ask sends a request to some proxies and gathers the answers, of which so many are expected soon, until one reached the
-// server.
+// server if not all are to be heard.
 func (peers *peers) ask(
 	request *wire.ProbeRequest, asked []spool.VM, expected int, patience time.Duration,
 ) (gathered []*wire.ProbeAnswer) {
@@ -105,7 +132,7 @@
 		select {
 		case answer := <-answers:
 			gathered = append(gathered, answer)
-			if answer.Reached {
+			if answer.Reached && !request.HearAll {
 				return gathered
 			}
 		case <-timer.C:
@@ -130,23 +157,26 @@
 		Group: request.Group, Server: request.Server, Sequence: request.Sequence, Reached: reached,
 		AckedTerm: uint64(acked.Term), AckedNumber: uint64(acked.Number),
 	}
+	setCommits(answer, peers.proxy.pool.Commits(group))
 	if request.ForDomain {
-		peers.answerForDomain(answer)
+		peers.answerForDomain(answer, request.HearAll)
 	}
 	peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ProbeAnswer{ProbeAnswer: answer}})
 }
 
 // answerForDomain adds to an answer what the other proxies of the failure domain know.
-func (peers *peers) answerForDomain(answer *wire.ProbeAnswer) {
+func (peers *peers) answerForDomain(answer *wire.ProbeAnswer, hearAll bool) {
 	others, live := peers.proxy.members.inDomain()
-	request := &wire.ProbeRequest{Group: answer.Group, Server: answer.Server, KnownOnly: true}
+	request := &wire.ProbeRequest{Group: answer.Group, Server: answer.Server, KnownOnly: true, HearAll: hearAll}
 	told := peers.ask(request, others, live, domainPatience)
-	acked := ackedOf(answer)
+	acked, commits := ackedOf(answer), commitsOf(answer)
 	for _, other := range told {
+		commits.Merge(commitsOf(other))
 		answer.Reached = answer.Reached || other.Reached
 		acked = acked.Max(ackedOf(other))
 	}
 	answer.AckedTerm, answer.AckedNumber = uint64(acked.Term), uint64(acked.Number)
+	setCommits(answer, commits)
 	answer.Domain = string(peers.proxy.settings.Domain)
 	answer.Answered, answer.Registered = uint32(len(told)+1), uint32(len(others)+1)
 }
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -46,6 +46,12 @@
 	refreshed chan struct{} // closed when the dated position that was asked for is known; nil if none was
 	retrying  bool
 	contact   spool.Instant // when the primary last answered as such
+
+	commits    place.Breaker
+	unanswered int           // commits in a row that the primary did not answer in time
+	stalled    spool.Instant // when the first of these was sent
+	last       spool.Instant // when the last of these was sent
+	answered   spool.Instant // when the primary last answered a commit; zero if it has not
 }
 
 // Limits of handshakes that one proxy has under way with a server: each takes a slot there, and a server that is slow to
@@ -89,6 +95,9 @@
 	group.marks.Note(mark)
 	group.contact = now
 	changed = group.primary != name
+	if changed {
+		group.commits, group.unanswered, group.answered = place.Breaker{}, 0, 0
+	}
 	group.primary = name
 	return changed
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/internal/core/fresh"
 	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/internal/event"
@@ -207,6 +208,53 @@
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
 	group.acked = group.acked.Max(position)
+	group.unanswered, group.answered = 0, pool.timers.Now()
+	group.commits.Succeeded()
+}
+
+// MayCommit tells if a commit, or a statement that one will follow, may be sent to the primary of a group now, or when to try
+// again: a primary that answers no commits gets few.
+func (pool *Pool) MayCommit(name spool.Group, last bool) (wait time.Duration, allowed bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group, now := pool.group(name), pool.timers.Now()
+	if last {
+		return group.commits.Allow(now)
+	}
+	return group.commits.Look(now)
+}
+
+// NoteUnanswered notes that the primary did not answer a commit in time.
+func (pool *Pool) NoteUnanswered(name spool.Group, server spool.Server, sent spool.Instant) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group := pool.group(name)
+	if group.primary != server || sent < group.answered {
+		return
+	}
+	if group.unanswered == 0 || sent.Sub(group.last) > elect.RowLife {
+		group.unanswered, group.stalled = 0, sent
+	}
+	group.commits.Failed(pool.timers.Now())
+	group.last = max(group.last, sent)
+	group.unanswered++
+}
+
+// Commits returns what became of the commits that were sent to a group's primary from here.
+func (pool *Pool) Commits(name spool.Group) elect.Commits {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group, now := pool.group(name), pool.timers.Now()
+	var commits elect.Commits
+	if group.unanswered > 0 && now.Sub(group.last) < elect.RowLife {
+		commits = elect.Commits{
+			Unanswered: group.unanswered, Stalled: now.Sub(group.stalled), Last: max(1, now.Sub(group.last)),
+		}
+	}
+	if group.answered != 0 {
+		commits.Answered = max(1, now.Sub(group.answered))
+	}
+	return commits
 }
 
 // Covering returns a position at or above every commit acknowledged before an instant.
--- a/internal/warden/replace.go
+++ b/internal/warden/replace.go
@@ -228,6 +228,7 @@
 	if late := warden.timers.Now().Sub(turn.taken); late > orderWithin {
 		err = eris.Errorf("the fencing token was taken %v ago", late)
 	} else {
+		state.ordered = warden.timers.Now()
 		err = warden.promoter.Promote(ctx, spool.Promotion{
 			Group: view.Group, Server: chosen, Holder: warden.vm, Token: turn.token,
 		})
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -20,6 +20,7 @@
 	settleTime  = 1500 * time.Millisecond // after an accepted order until the server must act as primary; promotes take 1 s at most
 	retryAfter  = 300 * time.Millisecond  // after an attempt that ended without an order
 	orderWithin = 800 * time.Millisecond  // of taking a fencing token; later the situation may be another holder's
+	stallRest   = 10 * time.Second        // after a replacement before a primary is replaced because it completes no commits
 	turnWait    = 1300 * time.Millisecond // after another holder's turn: its order and the promotion that follows are done by then
 )
 
@@ -29,6 +30,8 @@
 	Supervises(group spool.Group, primary spool.Domain) bool
 	// Canvass asks all proxies if they reach a server as primary, or any if none is named.
 	Canvass(group spool.Group, primary spool.Server) elect.Canvass
+	// CanvassCommits asks all proxies what became of the commits that they sent to a primary.
+	CanvassCommits(group spool.Group, primary spool.Server) elect.Canvass
 	// Settled tells if the registry shows all servers that run: the store has answered for a while.
 	Settled() bool
 	// Operator returns the team that connections of the proxy itself name.
@@ -57,7 +60,9 @@
 	next    spool.Instant // no look before
 	paused  map[spool.Server]bool
 	primary spool.Server  // that the newest probe asked
+	asked   spool.Instant // when the other proxies were last asked about commits
 	canvass elect.Canvass // what the other proxies said of the silent primary
+	ordered spool.Instant // when a replacement was last ordered; zero if none was
 }
 
 // New returns a warden; the tokens come from the store.
@@ -147,14 +152,14 @@
 		state.primary, state.failed = view.Primary, 0
 	}
 	if now.Sub(contact) < idleProbe && state.failed <= contact {
-		warden.resume(view, state)
+		warden.checkCommits(ctx, view, state)
 		return
 	}
 	err := warden.pool.AskPrimary(view.Group, view.Primary, warden.fleet.Operator())
 	switch elect.Testify(err) {
 	case elect.Acts, elect.Full:
 		state.failed = 0
-		warden.resume(view, state)
+		warden.checkCommits(ctx, view, state)
 		return
 	case elect.Denies:
 		state.failed = 0 // the next look finds no primary
@@ -168,7 +173,34 @@
 	}
 	if warden.confirmed(view, state, view.Primary) {
 		warden.replace(ctx, view, state)
+	} else if state.canvass.Reached > 0 {
+		warden.checkCommits(ctx, view, state)
+	}
+}
+
+// checkCommits replaces a primary that begins transactions and completes none, as one does that is cut off its replicas.
+// Replicas that receive nothing have the same effect, so a replacement that did not help is not repeated for a while.
+func (warden *Warden) checkCommits(ctx context.Context, view pool.View, state *state) {
+	now := warden.timers.Now()
+	own := warden.pool.Commits(view.Group)
+	rested := state.ordered == 0 || now.Sub(state.ordered) > stallRest
+	if !rested || own.Unanswered == 0 && state.canvass.Commits.Unanswered == 0 || now < state.asked.Add(retryAfter) {
+		warden.resume(view, state)
+		return
+	}
+	state.asked = now
+	canvass := warden.fleet.CanvassCommits(view.Group, view.Primary)
+	state.canvass = canvass
+	stall := canvass.Commits.Stall()
+	event.Log(warden.logger, event.CommitsCanvassed, zap.String("Group", string(view.Group)),
+		zap.String("Server", string(view.Primary)), zap.Int("Asked", canvass.Asked),
+		zap.Int("Unanswered", canvass.Commits.Unanswered), zap.Duration("SinceUnanswered", canvass.Commits.Stalled),
+		zap.Duration("SinceAnswered", canvass.Commits.Answered), zap.Bool("Stall", stall))
+	if !stall {
+		warden.resume(view, state)
+		return
 	}
+	warden.replace(ctx, view, state)
 }
 
 // confirmed asks the other proxies and tells if the primary is to be replaced.
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -33,6 +33,8 @@
 
 func (others others) Canvass(spool.Group, spool.Server) elect.Canvass { return others.canvass }
 
+func (others others) CanvassCommits(spool.Group, spool.Server) elect.Canvass { return others.canvass }
+
 func (others others) Settled() bool { return others.settled == nil || others.settled.Load() }
 
 func (others others) Operator() spool.Team { return "operator" }
