Let all teams share four homes in each region

Homes were chosen among all proxies for each team, so each proxy spoke with most of its region; most connections were cold, and a dial each way takes longer than an operation waits for its token.

Now four proxies of each region are homes, and a team has one of them in each region. A proxy asks its region's home, which asks the others when it has none. The connections are few and stay open.

Ruled out, on virtual time with a team of 10 a second at 80 % of its rate: two homes in each failure domain, 30 % refused, since parts of 1/12 seldom make a whole token; giving without a reserve between homes, 6 to 30 %. Under 2 % now (TestSmallRateServesCallersAnywhere, which is harder than before: one home is asked, with the time of the way).

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -125,13 +125,20 @@
 	}
 }
 
-// Spare takes out up to want tokens, but keeps what this proxy needs soon, and returns how many.
+// Spare takes out up to want tokens for another proxy that mints, but keeps what this one needs soon, and returns how many.
 func (bucket *Bucket) Spare(want float64, now spool.Instant) float64 {
 	bucket.fill(now)
-	given := min(want, bucket.level-bucket.demand*reserveTime.Seconds())
-	if bucket.homes {
-		given = math.Floor(given) // the receiver mints nothing that would make a part of a token whole
-	}
+	return bucket.takeOut(min(want, bucket.level-bucket.demand*reserveTime.Seconds()))
+}
+
+// Serve is like Spare for a proxy that mints none, whose demand is met from here: it counts as this one's own.
+func (bucket *Bucket) Serve(want float64, now spool.Instant) float64 {
+	bucket.fill(now)
+	bucket.demand += want / demandMemory.Seconds()
+	return bucket.takeOut(math.Floor(min(want, bucket.level))) // a part of a token would never become whole there
+}
+
+func (bucket *Bucket) takeOut(given float64) float64 {
 	if given <= 0 {
 		return 0
 	}
--- a/internal/core/quota/homes.go
+++ b/internal/core/quota/homes.go
@@ -8,9 +8,9 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// homesPerRegion is how many proxies of each region mint a team's rate in a large fleet: a region that is cut off has its
-// part, and the loss of one proxy costs only a part of that.
-const homesPerRegion = 2
+// HomesPerRegion is how many proxies of each region are homes in a large fleet. They share the teams, so that few
+// connections between proxies carry all tokens. A team has one home in each region: one that is cut off has its part.
+const HomesPerRegion = 4
 
 // Proxy is a registered proxy that may mint.
 type Proxy struct {
@@ -18,27 +18,33 @@
 	Region string
 }
 
-// Homes returns the proxies that mint a team's rate, the first ones of each region by rendezvous hashing. It goes by the
-// registry alone: a proxy that is only silent goes on to mint, and none takes its place before its registration ends.
-func Homes(team spool.Team, fleet []Proxy) []Proxy {
-	subject := rank.Hash(string(team))
+// Homes returns the proxies that mint a team's rate, the first one of each region's homes by rendezvous hashing. It goes by
+// the registry alone: a proxy that is only silent goes on to mint, and none takes its place before its registration ends.
+func Homes(team spool.Team, homes []Proxy) []Proxy { return first(string(team), homes, 1) }
+
+// Candidates returns the proxies of the fleet that are homes.
+func Candidates(fleet []Proxy) []Proxy { return first("homes", fleet, HomesPerRegion) }
+
+// first returns the first proxies of each region for a subject, ordered by name.
+func first(name string, fleet []Proxy, most int) []Proxy {
+	subject := rank.Hash(name)
 	type candidate struct {
 		Proxy
 		weight uint64
 	}
-	first := map[string][]candidate{}
+	regions := map[string][]candidate{}
 	for _, proxy := range fleet {
 		added := candidate{proxy, rank.Mix(subject, rank.Hash(string(proxy.VM)))}
-		candidates := append(first[proxy.Region], added)
+		candidates := append(regions[proxy.Region], added)
 		slices.SortFunc(candidates, func(left, right candidate) int { return cmp.Compare(right.weight, left.weight) })
-		first[proxy.Region] = candidates[:min(len(candidates), homesPerRegion)]
+		regions[proxy.Region] = candidates[:min(len(candidates), most)]
 	}
-	var homes []Proxy
-	for _, candidates := range first {
+	var found []Proxy
+	for _, candidates := range regions {
 		for _, candidate := range candidates {
-			homes = append(homes, candidate.Proxy)
+			found = append(found, candidate.Proxy)
 		}
 	}
-	slices.SortFunc(homes, func(left, right Proxy) int { return cmp.Compare(left.VM, right.VM) })
-	return homes
+	slices.SortFunc(found, func(left, right Proxy) int { return cmp.Compare(left.VM, right.VM) })
+	return found
 }
--- a/internal/core/quota/homes_test.go
+++ b/internal/core/quota/homes_test.go
@@ -16,7 +16,7 @@
 type gathered struct {
 	fleet   []Proxy
 	ledgers []*Ledger
-	homes   []int // indexes of the proxies that mint
+	homes   []int // indexes of the team's homes
 	specs   map[spool.Team]spool.TeamSpec
 }
 
@@ -38,7 +38,7 @@
 }
 
 func (gathered *gathered) part(index int, team spool.Team) float64 {
-	homes := Homes(team, gathered.fleet)
+	homes := Homes(team, Candidates(gathered.fleet))
 	for _, home := range homes {
 		if home.VM == gathered.fleet[index].VM {
 			return 1 / float64(len(homes))
@@ -54,29 +54,50 @@
 	gathered.ledgers[index] = ledger
 }
 
-// admit admits an operation at a proxy, which asks the homes until one gives; lost tells if a gift is lost.
+// tokenWay is the time until a proxy asks again.
+const tokenWay = 45 * time.Millisecond
+
+// admit admits an operation at a proxy, which asks the home of its region, which asks the others; lost tells if a gift is
+// lost.
 func (gathered *gathered) admit(index int, now spool.Instant, lost func() bool) bool {
 	ledger := gathered.ledgers[index]
-	for again := range 2 {
-		decision := ledger.Admit(team, again > 0, 0, now)
+	for try := range 3 {
+		now = now.Add(time.Duration(try) * tokenWay)
+		decision := ledger.Admit(team, try > 0, 0, now)
 		if decision.Admitted {
 			ledger.Settle(team, true, now)
 			return true
 		}
 		for _, home := range gathered.homes {
-			if decision.Ask == 0 || home == index {
-				continue
-			}
-			tokens := gathered.ledgers[home].Spare(team, decision.Ask, now)
-			if tokens > 0 && !lost() {
-				ledger.Give(team, tokens, now)
-				break
+			switch {
+			case decision.Ask == 0 || gathered.fleet[home].Region != gathered.fleet[index].Region:
+			case home == index:
+				gathered.pull(home, decision.Ask, now, lost)
+			default:
+				given, asked := gathered.ledgers[home].Serve(team, decision.Ask, now)
+				if given > 0 && !lost() {
+					ledger.Give(team, given, now)
+				}
+				gathered.pull(home, asked.Ask, now, lost)
 			}
 		}
 	}
 	return false
 }
 
+// pull lets a home ask the others.
+func (gathered *gathered) pull(home int, want float64, now spool.Instant, lost func() bool) {
+	for _, other := range gathered.homes {
+		if other == home || want == 0 {
+			continue
+		}
+		tokens := gathered.ledgers[other].Spare(team, want, now)
+		if tokens > 0 && !lost() {
+			gathered.ledgers[home].Give(team, tokens, now)
+		}
+	}
+}
+
 // TestBoundHoldsWithHomes spreads bursts over many proxies, whose homes and whose own memory are lost now and then, and checks
 // every window of five seconds. What a proxy was given and did not use must not stack on a burst.
 func TestBoundHoldsWithHomes(t *testing.T) {
@@ -99,16 +120,7 @@
 				}
 			}
 		}
-		most := (rate*window.Seconds()+burst)*1.1 + 20
-		first := 0
-		for i, at := range admitted {
-			for at.Sub(admitted[first]) > window {
-				first++
-			}
-			if count := i - first + 1; float64(count) > most {
-				t.Fatalf("%d operations in %v, allowed are %v", count, window, most)
-			}
-		}
+		assertWindows(t, admitted, rate, burst)
 	})
 }
 
@@ -147,14 +159,15 @@
 // TestHomesMoveLittle removes one proxy after the other: only the removed one's place is taken.
 func TestHomesMoveLittle(t *testing.T) {
 	c := qt.New(t)
-	fleet := newGathered(start, 30, 1, 1).fleet
-	for len(fleet) > 12 {
-		before := Homes(team, fleet)
-		c.Assert(before, qt.HasLen, 3*homesPerRegion)
+	fleet := newGathered(start, 45, 1, 1).fleet
+	for len(fleet) > 3*HomesPerRegion {
+		before := Candidates(fleet)
+		c.Assert(before, qt.HasLen, 3*HomesPerRegion)
+		c.Assert(Homes(team, before), qt.HasLen, 3)
 		removed := fleet[0]
 		fleet = fleet[1:]
 		after := map[spool.VM]bool{}
-		for _, home := range Homes(team, fleet) {
+		for _, home := range Candidates(fleet) {
 			after[home.VM] = true
 		}
 		for _, home := range before {
--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"corianderspool.example/spool/pkg/spool"
@@ -99,6 +100,17 @@
 	}
 }
 
+// Serve takes out up to want tokens for a proxy that mints none and returns how many, and what this one asks others for now.
+func (ledger *Ledger) Serve(team spool.Team, want float64, now spool.Instant) (given float64, asked Decision) {
+	bucket := ledger.buckets[team]
+	if bucket == nil {
+		return 0, Decision{}
+	}
+	given = bucket.Serve(want, now)
+	asked.Ask, asked.Again = bucket.Ask(int(math.Ceil(want-given)), now)
+	return given, asked
+}
+
 // Spare takes out up to want tokens for another proxy and returns how many.
 func (ledger *Ledger) Spare(team spool.Team, want float64, now spool.Instant) float64 {
 	bucket := ledger.buckets[team]
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -57,6 +57,20 @@
 	c.Assert(admitted, qt.Equals, 2)
 }
 
+// assertWindows checks every window of five seconds against the pages' bound.
+func assertWindows(t *rapid.T, admitted []spool.Instant, rate, burst float64) {
+	most := (rate*window.Seconds()+burst)*1.1 + 20
+	first := 0
+	for i, at := range admitted {
+		for at.Sub(admitted[first]) > window {
+			first++
+		}
+		if count := i - first + 1; float64(count) > most {
+			t.Fatalf("%d operations in %v, allowed are %v", count, window, most)
+		}
+	}
+}
+
 // TestBoundHoldsOverTheFleet plays proxies that admit, restart, give tokens away, some of which get lost, and take back
 // those of operations that reached no server, and checks every window of five seconds against the pages' bound.
 func TestBoundHoldsOverTheFleet(t *testing.T) {
@@ -106,16 +120,7 @@
 				ledgers[asker].Give(team, tokens, now)
 			}
 		}
-		most := (rate*window.Seconds()+burst)*1.1 + 20
-		first := 0
-		for i, at := range admitted {
-			for at.Sub(admitted[first]) > window {
-				first++
-			}
-			if count := i - first + 1; float64(count) > most {
-				t.Fatalf("%d operations in %v, allowed are %v", count, window, most)
-			}
-		}
+		assertWindows(t, admitted, rate, burst)
 	})
 }
 
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +21,7 @@
 	ledger  *quota.Ledger
 	arrived map[spool.Team]chan struct{} // closed when tokens come
 	waiting map[spool.Team]int
-	fleet   []quota.Proxy                // of a fleet so large that few proxies mint each rate; else none
+	fleet   []quota.Proxy                // that mint, in a fleet so large that few do; else none
 	homes   map[spool.Team][]quota.Proxy // that were looked up since the fleet last changed
 }
 
@@ -109,10 +110,18 @@
 }
 
 // spare takes out tokens for another proxy.
-func (limiter *limiter) spare(team spool.Team, want float64) float64 {
+func (limiter *limiter) spare(from spool.VM, team spool.Team, want float64) float64 {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	return limiter.ledger.Spare(team, want, limiter.timers.Now())
+	now, homes := limiter.timers.Now(), limiter.homesOf(team)
+	if len(homes) == 0 || slices.ContainsFunc(homes, func(home quota.Proxy) bool { return home.VM == from }) {
+		return limiter.ledger.Spare(team, want, now)
+	}
+	given, asked := limiter.ledger.Serve(team, want, now)
+	if asked.Ask > 0 {
+		limiter.request(team, asked.Ask, homes, asked.Again)
+	}
+	return given
 }
 
 func (limiter *limiter) setTeams(teams map[spool.Team]spool.TeamSpec) {
@@ -131,7 +140,7 @@
 		limiter.ledger.SetFleet(len(fleet), limiter.timers.Now())
 		return
 	}
-	limiter.fleet = fleet
+	limiter.fleet = quota.Candidates(fleet)
 	limiter.ledger.SetHomes(limiter.part, limiter.timers.Now())
 }
 
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -191,7 +191,7 @@
 	case *wire.Envelope_CopyAnswer:
 		peers.applyCopy(body.CopyAnswer)
 	case *wire.Envelope_TokenRequest:
-		tokens := peers.proxy.limiter.spare(spool.Team(body.TokenRequest.Team), body.TokenRequest.Tokens)
+		tokens := peers.proxy.limiter.spare(from, spool.Team(body.TokenRequest.Team), body.TokenRequest.Tokens)
 		if tokens > 0 {
 			transfer := &wire.TokenTransfer{Team: body.TokenRequest.Team, Tokens: tokens}
 			peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_TokenTransfer{TokenTransfer: transfer}})
@@ -290,8 +290,8 @@
 	peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_ConfigAnswer{ConfigAnswer: answer}})
 }
 
-// askTokens asks other proxies for tokens of a team: some live ones where all mint, else one of the team's homes in the
-// region and, if that brought nothing, all of them.
+// askTokens asks other proxies for tokens of a team: some live ones where all mint, else the team's home in the region, which
+// asks the others if it has none, and all homes if that brought nothing.
 func (peers *peers) askTokens(team spool.Team, tokens float64, homes []quota.Proxy, again bool) {
 	request := &wire.TokenRequest{Team: string(team), Tokens: tokens}
 	for _, to := range peers.tokenGivers(homes, again) {
@@ -320,7 +320,7 @@
 	if again || len(near) == 0 {
 		return all
 	}
-	return []spool.VM{near[rand.IntN(len(near))]}
+	return near
 }
 
 // Supervises tells if this proxy looks after a group; those in the region of its primary come first.
