Count the commits of a failure domain once

Cause, found by reading: both relays of a failure domain answer for all its proxies, and the supervisor counted itself again, so two commits without an answer looked like four, above the three that a stall takes. The fuller answer of each failure domain counts now.

--- a/internal/fleet/canvass.go
+++ b/internal/fleet/canvass.go
@@ -40,9 +40,7 @@
 
 // CanvassCommits asks all registered proxies what became of the commits that they sent to a primary.
 func (peers *peers) CanvassCommits(group spool.Group, server spool.Server) elect.Canvass {
-	canvass := peers.poll(group, server, true)
-	canvass.Commits.Merge(peers.proxy.pool.Commits(group))
-	return canvass
+	return peers.poll(group, server, true)
 }
 
 // poll asks all registered proxies what they know of a server; in a large fleet relays ask those of their failure domains.
@@ -56,6 +54,7 @@
 		for _, answer := range answers {
 			note(&canvass, answer)
 		}
+		canvass.Commits.Merge(peers.proxy.pool.Commits(group))
 		canvass.Asked, canvass.Complete = len(all), len(answers) == len(all)
 		return canvass
 	}
@@ -63,12 +62,20 @@
 	relays, domains := peers.proxy.members.domainRelays()
 	own := peers.proxy.settings.Domain
 	complete := map[string]bool{string(own): domains[own] == 1}
+	fullest := map[string]*wire.ProbeAnswer{} // both relays of a failure domain count the same commits
 	for _, answer := range peers.ask(request, relays, len(relays), probePatience) {
-		note(&canvass, answer)
+		canvass.Note(answer.Reached, ackedOf(answer))
+		if known := fullest[answer.Domain]; known == nil || known.Answered < answer.Answered {
+			fullest[answer.Domain] = answer
+		}
 		if registered := domains[spool.Domain(answer.Domain)]; answer.Answered >= max(answer.Registered, uint32(registered)) {
 			complete[answer.Domain] = true
 		}
 	}
+	for _, answer := range fullest {
+		canvass.Commits.Merge(commitsOf(answer)) // this proxy's own are among those of its failure domain
+	}
+	canvass.Asked = len(relays)
 	canvass.Complete = len(complete) == len(domains) && complete[string(own)]
 	return canvass
 }
