Choose the ports of a test fleet together

Each proxy's ports were chosen before the earlier ones listened on theirs, so with 35 proxies two could get the same; one that is chosen and not yet used looks free. They are chosen together now. Shown by the log of the failure; no check or bound changed.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -30,6 +30,7 @@
 	group    *linesrv.Group
 	mutex    sync.Mutex
 	version  int
+	ports    []string // chosen together: one that is chosen and not yet listened on looks free
 	settings []spool.FleetSettings
 	stops    []func()
 }
@@ -54,6 +55,8 @@
 		}
 		stopping.Wait()
 	})
+	world.ports, err = ports.Choose(4 * proxies)
+	qt.Assert(t, err, qt.IsNil)
 	for i := range proxies {
 		world.start(i)
 	}
@@ -98,8 +101,7 @@
 
 func (world *world) start(index int) {
 	if index == len(world.settings) {
-		chosen, err := ports.Choose(4)
-		qt.Assert(world, err, qt.IsNil)
+		chosen := world.ports[4*index : 4*index+4]
 		world.settings = append(world.settings, spool.FleetSettings{
 			VM: spool.VM(fmt.Sprintf("vm%d", index)), Domain: "z1", Region: "r1",
 			Regions: map[spool.Domain]string{"z1": "r1"}, Callers: chosen[0], Readiness: chosen[1], Peers: chosen[2],
