--- a/pkg/spool/config.go
+++ b/pkg/spool/config.go
@@ -14,12 +14,13 @@
 
 // FleetConfig is one version of the complete configuration as written by the operators.
 type FleetConfig struct {
-	Revision uint64
-	Routes   map[string]Route
-	Groups   map[Group]GroupLimits
-	Teams    map[Team]TeamSpec
-	Keys     map[string]Team
-	TxIdle   time.Duration // longest idle time inside a transaction
+	Revision    uint64
+	Routes      map[string]Route
+	Groups      map[Group]GroupLimits
+	Teams       map[Team]TeamSpec
+	Keys        map[string]Team
+	TeamRegions map[Team][]string // regions whose servers may run a team's requests; a team without an entry may use all
+	TxIdle      time.Duration     // longest idle time inside a transaction
 }
 
 // Route maps a database name to a group.
@@ -32,12 +33,15 @@
 	Target      time.Duration // latency objective of a whole operation
 	Priority    int           // zero is the highest priority
 	Open        bool          // callers need no key
+	Regions     []string      // whose servers may run its requests; empty allows all
 }
 
 // GroupLimits are the limits of a group's servers.
 type GroupLimits struct {
-	Connections  int // on each server, over all proxies
-	SyncReplicas int // replicas that confirm a commit before it is acknowledged
+	Connections     int           // on each server, over all proxies
+	SyncReplicas    int           // replicas that confirm a commit before it is acknowledged
+	WarmupPerSecond float64       // requests a second to a server that warms up, over all proxies; zero sets no limit
+	Warmup          time.Duration // after a server's start in which it warms up; zero if it does not
 }
 
 // Login returns the route and team of a caller, or the reason why the caller is refused.
--- a/pkg/spool/fleet.go
+++ b/pkg/spool/fleet.go
@@ -16,8 +16,10 @@
 	Bootstrap        bool              // the whole fleet starts for the first time
 	MemoryBytes      int64
 	Descriptors      int
-	Store            string // address of the store
-	PromotionAddress string // address that accepts promotion requests
+	Processor        float64 // share of one core that the VM may use, times its speed relative to the usual one
+	LinkBandwidth    float64 // bytes a second; zero if it is not known
+	Store            string  // address of the store
+	PromotionAddress string  // address that accepts promotion requests
 	Bounds           FleetBounds
 }
 
@@ -27,4 +29,5 @@
 	Drain       time.Duration // for which a leaving server still serves
 	Grace       time.Duration // between SIGTERM and SIGKILL
 	CatchUp     time.Duration // until the registry's entries are restored after an outage of the store
+	Evacuate    time.Duration // until nothing is sent to the servers of an evacuated failure domain; zero if operators evacuate none
 }
--- a/pkg/spool/vm.go
+++ b/pkg/spool/vm.go
@@ -13,4 +13,5 @@
 	Address     string
 	Incarnation uint64
 	Leaving     bool
+	Capacity    uint32 // for the work of other proxies, relative to theirs; zero if it is not known
 }
