Credit a restarted proxy with the share of the rates since its start

After 88 of 146 VMs were killed at once, 4,048 requests were refused as beyond their team's rate within five seconds. A restarted proxy began to refill its buckets only when it knew the registry and the configuration, so the tokens of its start-up time were lost to the teams.

A proxy whose registration was in the store before it started issued nothing between its start and that moment, and no other proxy issued its share. It is now credited with that time, up to its share of the burst. A proxy that was not registered, a team of a later configuration and a fleet that is already known begin empty as before.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -57,6 +57,14 @@
 	bucket.level = min(bucket.level, max(0, bucket.burst-bucket.reserved))
 }
 
+// accrue adds the tokens that the bucket refills with in a time. Reserved tokens count towards the capacity, so that returned
+// ones never exceed it.
+func (bucket *Bucket) accrue(elapsed time.Duration) {
+	if capacity := bucket.burst - bucket.reserved; bucket.level < capacity {
+		bucket.level = min(capacity, bucket.level+bucket.rate*elapsed.Seconds())
+	}
+}
+
 // setIssuersOnly sets whether only the buckets of issuers refill.
 func (bucket *Bucket) setIssuersOnly(issuersOnly bool) {
 	if bucket.issuersOnly != issuersOnly {
@@ -180,8 +188,5 @@
 	if bucket.burst == 0 && now.Sub(bucket.creditedAt) > creditLifetime {
 		bucket.level = 0
 	}
-	// Reserved tokens count towards the capacity, so that returned ones never exceed it.
-	if capacity := bucket.burst - bucket.reserved; bucket.level < capacity {
-		bucket.level = min(capacity, bucket.level+bucket.rate*elapsed.Seconds())
-	}
+	bucket.accrue(elapsed)
 }
--- a/internal/core/quota/bucketset.go
+++ b/internal/core/quota/bucketset.go
@@ -14,6 +14,8 @@
 	share       func(team spool.Team) float64 // of a team's rate at which this proxy's bucket refills
 	single      bool                          // there is no other proxy
 	issuersOnly bool                          // only the buckets of issuers refill
+	shareKnown  bool                          // the fleet is known
+	accrueSince spool.Instant                 // when the buckets began to refill, if that was before the share was known; else zero
 }
 
 // NewBucketSet returns a set without teams, whose buckets do not refill before the fleet is known.
@@ -32,18 +34,27 @@
 	bucketSet.resize(now)
 }
 
+// AccrueSince makes the buckets hold what they would have refilled since an instant, which has to be after the start of this
+// process: a restarted proxy that was registered all the time issued nothing between, and no other proxy issued its share. It
+// has no effect once the fleet is known.
+func (bucketSet *BucketSet) AccrueSince(since spool.Instant) {
+	if !bucketSet.shareKnown {
+		bucketSet.accrueSince = since
+	}
+}
+
 // SetFleetSize gives this proxy an equal share of each rate among the registered proxies.
 func (bucketSet *BucketSet) SetFleetSize(proxies int, now spool.Instant) {
 	share := 1 / float64(max(1, proxies))
 	bucketSet.share = func(spool.Team) float64 { return share }
-	bucketSet.single, bucketSet.issuersOnly = proxies <= 1, false
+	bucketSet.single, bucketSet.issuersOnly, bucketSet.shareKnown = proxies <= 1, false, true
 	bucketSet.resize(now)
 }
 
 // SetIssuerShare sets this proxy's share of each team's rate where only the buckets of issuers refill.
 func (bucketSet *BucketSet) SetIssuerShare(share func(team spool.Team) float64, now spool.Instant) {
 	bucketSet.share = share
-	bucketSet.single, bucketSet.issuersOnly = false, true
+	bucketSet.single, bucketSet.issuersOnly, bucketSet.shareKnown = false, true, true
 	bucketSet.resize(now)
 }
 
@@ -56,6 +67,12 @@
 		}
 		bucket.setIssuersOnly(bucketSet.issuersOnly)
 		bucket.Resize(spec.RatePerSecond, spec.Burst, bucketSet.share(name), now)
+		if bucketSet.shareKnown && bucketSet.accrueSince != 0 {
+			bucket.accrue(now.Sub(bucketSet.accrueSince))
+		}
+	}
+	if bucketSet.shareKnown && len(bucketSet.teams) > 0 {
+		bucketSet.accrueSince = 0 // a team that is added later may have had buckets elsewhere
 	}
 }
 
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -131,6 +131,13 @@
 	limiter.buckets.SetTeams(teams, limiter.timers.Now())
 }
 
+// accrueSince credits the shares of the rates since this process started; see quota.BucketSet.AccrueSince.
+func (limiter *limiter) accrueSince(started spool.Instant) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	limiter.buckets.AccrueSince(started)
+}
+
 // setFleet sets the registered proxies, including this one.
 func (limiter *limiter) setFleet(fleet []quota.Proxy) {
 	limiter.mutex.Lock()
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -79,9 +79,13 @@
 		return err
 	}
 	stored, err := members.proxy.adapter.Get(ctx, kindMember, object.Name)
-	if err != nil || sameMember(stored.Body, body) {
+	if err != nil {
 		return err
 	}
+	if sameMember(stored.Body, body) {
+		members.proxy.limiter.accrueSince(members.proxy.started)
+		return nil
+	}
 	object.Version = stored.Version
 	_, err = members.proxy.adapter.Put(ctx, object)
 	return err
