Read a server's registration under the pool's mutex

Name and group of a server never change and have their own fields now; the address is read under the mutex.

--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -229,8 +229,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	spec := granted.server.spec
-	target := spool.ServerTarget{Group: spec.Group, Server: spec.Server, Address: spec.Address, Team: request.Team}
+	target := pool.target(granted.server, request.Team)
 	began := pool.timers.Now()
 	serverConn, position, err := pool.connect(ctx, granted.server, target)
 	if err != nil {
@@ -244,6 +243,13 @@
 	}, nil
 }
 
+// target returns what a new connection to a server is opened with.
+func (pool *Pool) target(server *server, team spool.Team) spool.ServerTarget {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return spool.ServerTarget{Group: server.group, Server: server.name, Address: server.spec.Address, Team: team}
+}
+
 func (pool *Pool) recordOpened(server *server, position spool.LogPosition) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -13,7 +13,9 @@
 
 // server is a registered backend server and this proxy's connections to it.
 type server struct {
-	spec            spool.RegisteredServer
+	name            spool.Server // name and group never change, so they are read without the pool's mutex
+	group           spool.Group
+	spec            spool.RegisteredServer // guarded by the pool's mutex
 	roundTrip       time.Duration
 	idle            []*Conn
 	open            int // connections in use, idle or being opened
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -80,7 +80,7 @@
 // borrow borrows the connection that a grant allows, or returns nil if the proxy lends none.
 func (pool *Pool) borrow(ctx context.Context, request Request, granted grant) *Conn {
 	loanRequest := LoanRequest{
-		ServerTarget: spool.ServerTarget{Group: request.Group, Server: granted.server.spec.Server, Team: request.Team},
+		ServerTarget: spool.ServerTarget{Group: request.Group, Server: granted.server.name, Team: request.Team},
 		Values:       request.Values, IdleTimeout: request.IdleTimeout + loanMargin,
 	}
 	loan, err := pool.lenders.Borrow(ctx, granted.lender, loanRequest)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -265,3 +265,31 @@
 	c.Assert(read.Server(), qt.Not(qt.Equals), spool.Server("a"))
 	fixture.pool.Release(read)
 }
+
+// TestRegistrationChangesWhileConnectionsAreUsed guards against reads of a server's registration beside a change of it, which the
+// race detector reports: the supervisor probes a server while the registry updates its entry.
+func TestRegistrationChangesWhileConnectionsAreUsed(t *testing.T) {
+	fixture := newFixture(t, dial, 9)
+	stop := make(chan struct{})
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for millis := int64(1); ; millis++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			registration := fixture.registration("a")
+			registration.Slots = 5 + int(millis%2)
+			fixture.pool.SetServer(registration)
+		}
+	})
+	for range 20 {
+		qt.Assert(t, fixture.pool.ProbePrimary("g1", "a", "red"), qt.IsNil)
+		conn := fixture.mustAcquire(pool.Request{Team: "red", Primary: true})
+		qt.Assert(t, conn.Server(), qt.Equals, spool.Server("a"))
+		fixture.pool.Release(conn)
+	}
+	close(stop)
+	changes.Wait()
+}
