Rank VMs by their registered capacity

Lenders, issuers, relays, readers and supervisors were chosen by hash alone, so a VM of 0.134 core and 10 Mbit/s had as many of these roles as one of 0.8 core and 200 Mbit/s.

Each proxy registers its capacity, the scarcest of its processor, link, memory and descriptors relative to a reference VM, in its entry in the store and in the heartbeats with its address. Weighted rendezvous hashing gives roles in proportion to it. VMs of equal capacity keep their order, so fleets of equal VMs do not change; a proxy of an older version counts as the reference VM.

--- a/internal/core/quota/issuers.go
+++ b/internal/core/quota/issuers.go
@@ -15,8 +15,9 @@
 
 // Proxy is a registered proxy that may be an issuer.
 type Proxy struct {
-	VM     spool.VM
-	Region string
+	VM       spool.VM
+	Region   string
+	Capacity uint32 // as of spool.Member
 }
 
 // Issuers returns a team's issuers, the first candidate of each region by rendezvous hashing. It depends on registrations and
@@ -37,7 +38,8 @@
 	}
 	regions := map[string][]candidate{}
 	for _, proxy := range fleet {
-		added := candidate{proxy, rank.CombineHashes(subject, rank.Hash(string(proxy.VM)))}
+		hash := rank.CombineHashes(subject, rank.Hash(string(proxy.VM)))
+		added := candidate{proxy, rank.Weighted(hash, proxy.Capacity)}
 		candidates := append(regions[proxy.Region], added)
 		slices.SortFunc(candidates, func(left, right candidate) int { return cmp.Compare(right.weight, left.weight) })
 		regions[proxy.Region] = candidates[:min(len(candidates), limit)]
--- a/internal/core/roster/relay.go
+++ b/internal/core/roster/relay.go
@@ -182,7 +182,7 @@
 var relaySubject = rank.Hash("relay")
 
 func (roster *Roster) rankRelay(member *Member, now spool.Instant) relayRank {
-	ranked := relayRank{weight: rank.CombineHashes(relaySubject, member.hash)}
+	ranked := relayRank{weight: rank.Weighted(rank.CombineHashes(relaySubject, member.hash), member.Capacity)}
 	switch {
 	case member.Domain == roster.self.Domain:
 		ranked.proximity = 2
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -77,7 +77,7 @@
 	return count
 }
 
-// Add registers a proxy and reports whether it is new or its address or failure domain changed.
+// Add registers a proxy and reports whether it is new or its address, failure domain or capacity changed.
 func (roster *Roster) Add(member spool.Member, now spool.Instant) bool {
 	if member.VM == roster.self.VM || member.VM == "" {
 		return false
@@ -90,9 +90,12 @@
 	if member.Domain == "" {
 		member.Domain = known.Domain // a seed's address is known before its failure domain
 	}
-	moved := known.Address != member.Address || known.Domain != member.Domain
-	known.Address, known.Domain = member.Address, member.Domain
-	return moved
+	if member.Capacity == 0 {
+		member.Capacity = known.Capacity // a proxy of an older version does not pass it on
+	}
+	changed := known.Address != member.Address || known.Domain != member.Domain || known.Capacity != member.Capacity
+	known.Address, known.Domain, known.Capacity = member.Address, member.Domain, member.Capacity
+	return changed
 }
 
 // RemoveUnregistered removes the proxies that are neither registered nor live.
@@ -180,9 +183,9 @@
 		return false
 	}
 	hash := rank.Hash(subject)
-	ownWeight := weight(hash, roster.self.hash, preferred(ownDomain))
+	ownWeight := weight(hash, &roster.self, preferred(ownDomain))
 	for _, member := range roster.members {
-		if weight(hash, member.hash, preferred(member.Domain)) <= ownWeight || member.Leaving || !member.StoreReached {
+		if member.Leaving || !member.StoreReached || weight(hash, member, preferred(member.Domain)) <= ownWeight {
 			continue
 		}
 		if roster.live(member, now) {
@@ -203,12 +206,14 @@
 	}
 	hash, ownWeight := rank.Hash(subject), uint64(0)
 	if selfEligible {
-		ownWeight = weight(hash, roster.self.hash, false)
+		ownWeight = weight(hash, &roster.self, false)
 	}
 	var candidates []rankedVM
 	for vm, member := range roster.members {
-		candidate := rankedVM{vm, weight(hash, member.hash, false)}
-		if candidate.weight >= ownWeight && !member.Leaving && roster.live(member, now) && eligible(member) {
+		if member.Leaving || !roster.live(member, now) || !eligible(member) {
+			continue
+		}
+		if candidate := (rankedVM{vm, weight(hash, member, false)}); candidate.weight >= ownWeight {
 			candidates = append(candidates, candidate)
 		}
 	}
@@ -224,8 +229,9 @@
 // preferredBit is set in the weights of preferred proxies, which puts them before all others.
 const preferredBit = 1 << 63
 
-func weight(subject, vm uint64, preferred bool) uint64 {
-	weight := rank.CombineHashes(subject, vm) &^ preferredBit
+func weight(subject uint64, member *Member, preferred bool) uint64 {
+	// The hash's highest bit is shifted out, so that VMs of equal capacity rank as they did before capacities were known.
+	weight := rank.Weighted(rank.CombineHashes(subject, member.hash)<<1, member.Capacity)
 	if preferred {
 		return weight | preferredBit
 	}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -102,7 +102,7 @@
 	answer := &wire.MemberAnswer{}
 	for _, member := range peers.proxy.members.lookUp(decodeEntries(request.Domains)) {
 		answer.Members = append(answer.Members, &wire.MemberInfo{
-			VM: string(member.VM), Domain: string(member.Domain), Address: member.Address,
+			VM: string(member.VM), Domain: string(member.Domain), Address: member.Address, Capacity: member.Capacity,
 		})
 	}
 	peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_MemberAnswer{MemberAnswer: answer}})
@@ -112,7 +112,7 @@
 	added := make([]spool.Member, 0, len(answer.Members))
 	for _, member := range answer.Members {
 		added = append(added, spool.Member{
-			VM: spool.VM(member.VM), Domain: spool.Domain(member.Domain), Address: member.Address,
+			VM: spool.VM(member.VM), Domain: spool.Domain(member.Domain), Address: member.Address, Capacity: member.Capacity,
 		})
 	}
 	peers.proxy.members.addMembers(added...)
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/core/quota"
+	"corianderspool.example/spool/internal/core/rank"
 	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/pkg/spool"
@@ -27,8 +28,9 @@
 
 // memberBody is the body of a VM's entry.
 type memberBody struct {
-	Address string
-	Domain  spool.Domain
+	Address  string
+	Domain   spool.Domain
+	Capacity uint32 `json:",omitempty"` // absent in entries of older versions
 }
 
 // members registers this proxy in the store and tracks the other proxies of the fleet.
@@ -40,10 +42,17 @@
 }
 
 func newMembers(proxy *Proxy) *members {
-	self := spool.Member{VM: proxy.settings.VM, Domain: proxy.settings.Domain, Address: proxy.settings.Peers}
+	self := spool.Member{
+		VM: proxy.settings.VM, Domain: proxy.settings.Domain, Address: proxy.settings.Peers, Capacity: capacity(proxy.settings),
+	}
 	return &members{proxy: proxy, roster: roster.New(self, proxy.domainInRegion)}
 }
 
+// capacity returns this VM's capacity, by which all proxies rank it.
+func capacity(settings spool.FleetSettings) uint32 {
+	return rank.Capacity(settings.Processor, settings.LinkBandwidth, settings.MemoryBytes, settings.Descriptors)
+}
+
 // run registers this VM, lists the others and removes those that are gone, until the context ends.
 func (members *members) run(ctx context.Context) {
 	for members.register(ctx) != nil {
@@ -69,7 +78,7 @@
 // register writes this VM's entry. The entry stays the same until the VM is replaced, so register is idempotent.
 func (members *members) register(ctx context.Context) error {
 	settings := &members.proxy.settings
-	body, err := json.Marshal(memberBody{Address: settings.Peers, Domain: settings.Domain})
+	body, err := json.Marshal(memberBody{Address: settings.Peers, Domain: settings.Domain, Capacity: capacity(*settings)})
 	if err != nil {
 		return err
 	}
@@ -111,7 +120,7 @@
 		}
 		vm := spool.VM(object.Name)
 		registered[vm] = true
-		listed = append(listed, spool.Member{VM: vm, Domain: body.Domain, Address: body.Address})
+		listed = append(listed, spool.Member{VM: vm, Domain: body.Domain, Address: body.Address, Capacity: body.Capacity})
 	}
 	members.mutex.Lock()
 	for _, member := range listed {
@@ -146,9 +155,11 @@
 	settings := &members.proxy.settings
 	members.mutex.Lock()
 	domains, self := members.roster.Domains(settings.Domain)
-	fleet := []quota.Proxy{{VM: settings.VM, Region: settings.Region}}
+	fleet := []quota.Proxy{{VM: settings.VM, Region: settings.Region, Capacity: capacity(*settings)}}
 	for _, member := range members.roster.Others() {
-		fleet = append(fleet, quota.Proxy{VM: member.VM, Region: settings.Regions[member.Domain]})
+		fleet = append(fleet, quota.Proxy{
+			VM: member.VM, Region: settings.Regions[member.Domain], Capacity: member.Capacity,
+		})
 	}
 	known := members.registryKnown
 	members.mutex.Unlock()
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -141,9 +141,10 @@
 	peers.sendHeartbeat(to, heartbeat)
 }
 
-// addIdentity adds this proxy's address and failure domain to a heartbeat.
+// addIdentity adds this proxy's address, failure domain and capacity to a heartbeat.
 func (peers *peers) addIdentity(heartbeat *wire.Pulse) {
-	heartbeat.Domain, heartbeat.Address = string(peers.proxy.settings.Domain), peers.proxy.settings.Peers
+	settings := &peers.proxy.settings
+	heartbeat.Domain, heartbeat.Address, heartbeat.Capacity = string(settings.Domain), settings.Peers, capacity(*settings)
 }
 
 // newHeartbeat returns a heartbeat for a proxy; it echoes the last one received from it.
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -185,7 +185,9 @@
 // reports whether it is the sender's first.
 func (members *members) recordHeartbeat(from spool.VM, heartbeat *wire.Pulse, sent spool.Instant) (first bool) {
 	if heartbeat.Address != "" {
-		members.addMembers(spool.Member{VM: from, Domain: spool.Domain(heartbeat.Domain), Address: heartbeat.Address})
+		members.addMembers(spool.Member{
+			VM: from, Domain: spool.Domain(heartbeat.Domain), Address: heartbeat.Address, Capacity: heartbeat.Capacity,
+		})
 	}
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
