Decide which work evacuated failure domains and home regions permit

Operators want to empty a failure domain within 2 s, and to keep requests in named regions; no code decided either.

An evacuated server with a longer log than the chosen one counts as unreachable at a failover, since it may alone hold an acknowledged commit.

--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -8,11 +8,13 @@
 
 // Candidate is a replica that may become the primary.
 type Candidate struct {
-	Server    spool.Server
-	Responded bool // to the status query
-	Status    spool.ReplicaStatus
-	Leaving   bool
-	Near      bool // in the supervisor's region, by round-trip time
+	Server     spool.Server
+	Responded  bool // to the status query
+	Status     spool.ReplicaStatus
+	Leaving    bool
+	Near       bool // in the supervisor's region, by round-trip time
+	Evacuated  bool // in an evacuated failure domain, so never promoted
+	HomeRoutes int  // routes of the group that have home regions and may run there
 }
 
 // FailoverState is the known state of a group whose primary is to be replaced.
@@ -50,8 +52,8 @@
 		unreachable++
 	}
 	for _, candidate := range state.Candidates {
-		if !candidate.Responded {
-			unreachable++
+		if !candidate.Responded || candidate.Evacuated && best.Status.Received.Less(candidate.Status.Received) {
+			unreachable++ // a server that is not promoted may be ahead of the one that is
 		}
 	}
 	covered := unreachable < max(1, state.SyncReplicas) // one of the replicas that responded holds every acknowledged commit
@@ -65,7 +67,7 @@
 	var best *Candidate
 	for i := range candidates {
 		candidate := &candidates[i]
-		if !candidate.Responded {
+		if !candidate.Responded || candidate.Evacuated {
 			continue
 		}
 		if best == nil || ranksHigher(candidate, best) || candidate.Server == preferred && !ranksHigher(best, candidate) {
@@ -75,7 +77,8 @@
 	return best
 }
 
-// ranksHigher prefers the longer log, then a server that is not leaving, then a near one.
+// ranksHigher prefers the longer log, then a server that is not leaving, then one in the home regions of more routes, then a
+// near one.
 func ranksHigher(candidate, other *Candidate) bool {
 	if candidate.Status.Received != other.Status.Received {
 		return other.Status.Received.Less(candidate.Status.Received)
@@ -83,16 +86,19 @@
 	if candidate.Leaving != other.Leaving {
 		return !candidate.Leaving
 	}
+	if candidate.HomeRoutes != other.HomeRoutes {
+		return candidate.HomeRoutes > other.HomeRoutes
+	}
 	return candidate.Near && !other.Near
 }
 
 // ChooseSwitchover returns the replica that takes over from a working primary: the one with the least lag that is not
-// leaving.
+// leaving and not evacuated.
 func ChooseSwitchover(candidates []Candidate) (spool.Server, bool) {
 	var best *Candidate
 	for i := range candidates {
 		candidate := &candidates[i]
-		if !candidate.Responded || candidate.Leaving {
+		if !candidate.Responded || candidate.Leaving || candidate.Evacuated {
 			continue
 		}
 		if best == nil || ranksHigher(candidate, best) {
--- a/pkg/spool/adapter.go
+++ b/pkg/spool/adapter.go
@@ -16,6 +16,8 @@
 	ConfigObject() (kind, name string)
 	// ServerKind returns the kind of the registered backend servers in the store.
 	ServerKind() string
+	// EvacuationKind returns the kind of the entries whose names are failure domains that the operators evacuate.
+	EvacuationKind() string
 	// ParseConfig decodes the configuration.
 	ParseConfig(object Object) (*FleetConfig, error)
 	// ParseServer decodes the entry of a backend server and fails on malformed entries, which other writers may leave.
