Send nothing to evacuated failure domains or outside home regions

The pool, the sessions, the lender and the supervisor sent work to every usable server. New connections are checked before and after the dial, so that no handshake is sent.

A lender refuses commands of a borrower that has not learned yet as not run, in place of a lost connection, which made writes look in doubt.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/internal/pool"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -33,6 +34,8 @@
 	limiter    Limiter
 	observer   Observer
 	config     atomic.Pointer[spool.FleetConfig]
+	regions    map[spool.Domain]string
+	homes      atomic.Pointer[place.HomeRegions] // nil if the configuration has none
 	draining   atomic.Bool
 	configured chan struct{} // closed when the first configuration is set
 
@@ -70,6 +73,7 @@
 
 // SetConfig applies a configuration and ends idle sessions that it no longer authorizes.
 func (engine *Engine) SetConfig(config *spool.FleetConfig) {
+	engine.setHomes(config)
 	if engine.config.Swap(config) == nil {
 		close(engine.configured)
 	}
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -57,6 +57,9 @@
 	if verifyPrimary {
 		begin = []spool.Command{{Verb: spool.VerbBegin}}
 	}
+	if refusal := session.checkHome(conn); refusal != nil {
+		return spool.Answer{Refusal: refusal}, true
+	}
 	command, refusal := session.setUp(statement, conn, begin, false)
 	if refusal != nil {
 		return spool.Answer{Refusal: refusal}, true
@@ -66,6 +69,9 @@
 	if verifyPrimary {
 		_ = engine.pool.RollBack(conn) // a failure marks the connection as broken
 	}
+	if answer, unsent := notSent(err); unsent {
+		return answer, true
+	}
 	if err != nil {
 		return session.connectionLost(statement, err), !statement.Writes && !errors.Is(err, os.ErrDeadlineExceeded)
 	}
@@ -121,11 +127,12 @@
 	if statement.deadline.Before(deadline) {
 		deadline = statement.deadline
 	}
-	return session.engine.pool.Acquire(ctx, pool.Request{
+	conn, refusal := session.engine.pool.Acquire(ctx, pool.Request{
 		Group: session.route.Group, Team: session.team, Values: session.values,
 		Primary: primary, Avoid: avoid, MinPosition: statement.MinPosition, Priority: session.route.Priority, Deadline: deadline,
-		IdleTimeout: max(session.route.Timeout, session.engine.config.Load().TxIdle),
+		IdleTimeout: max(session.route.Timeout, session.engine.config.Load().TxIdle), Allowed: session.allowed(),
 	})
+	return conn, session.explainHome(refusal)
 }
 
 // needsPrimary sets the position that a replica must have applied; it returns true if none is known, so that only the
@@ -192,12 +199,19 @@
 // setupFailed discards a connection on which no statement of the caller was sent.
 func (session *session) setupFailed(conn *pool.Conn, cause error) *spool.Refusal {
 	session.engine.pool.RecordFailure(conn, cause)
+	if errors.Is(cause, pool.ErrEvacuated) {
+		return spool.Refuse(spool.CodeNoSlot, "the server's failure domain is evacuated").WithRetryAfter(busyRetryDelay).WithCause(cause)
+	}
 	return spool.Refuse(spool.CodeNoSlot, "the connection could not be prepared").WithRetryAfter(setupTimeout).WithCause(cause)
 }
 
 // exchange sends the statement and waits for the whole answer; an error means that the outcome is unknown.
 func (session *session) exchange(statement *statement, conn *pool.Conn, command spool.Command) (spool.Answer, error) {
 	engine := session.engine
+	if err := session.checkSend(conn); err != nil {
+		engine.pool.RecordFailure(conn, err)
+		return spool.Answer{}, err
+	}
 	statement.attempts++
 	statement.server, statement.lender = conn.Server(), conn.Lender()
 	began := engine.timers.Now()
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -30,13 +30,20 @@
 
 // executeInFailedTx answers a command in a failed transaction, in which only COMMIT and ROLLBACK have an effect.
 func (session *session) executeInFailedTx(command spool.Command) spool.Answer {
+	refusal := session.txRefusal
+	session.txRefusal = nil
 	switch command.Verb {
 	case spool.VerbRollback:
 		session.state = spool.TxIdle
 		return session.success()
 	case spool.VerbCommit:
 		session.state = spool.TxIdle
-		return session.refuse(spool.Refuse(spool.CodeRolledBack, "the transaction has failed"))
+		if refusal == nil {
+			refusal = spool.Refuse(spool.CodeRolledBack, "the transaction has failed")
+		}
+	}
+	if refusal != nil {
+		return session.refuse(refusal)
 	}
 	return session.refuse(spool.Refuse(spool.CodeProtocol, "the transaction has failed"))
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,7 +36,9 @@
 	stateBytes int // size of names, values and statement texts
 	state      spool.TxState
 	tx         transaction
-	lastCommit spool.LogPosition // position of the session's newest commit
+	lastCommit spool.LogPosition         // position of the session's newest commit
+	txConn     atomic.Pointer[pool.Conn] // as tx.conn, for other goroutines
+	txRefusal  *spool.Refusal            // answers the next statement of a transaction that the proxy rolled back; may be nil
 }
 
 // transaction is the state of a session's open transaction.
@@ -164,6 +167,10 @@
 		}
 		return session.engine.draining.Load()
 	}
+	if session.tx.conn != nil && session.tx.conn.TransactionEnded() {
+		session.endEvacuatedTx()
+		return false
+	}
 	if session.tx.conn != nil && !session.engine.draining.Load() {
 		event.Log(session.engine.logger, event.IdleTransactionRolledBack, zap.String("Route", session.routeName),
 			zap.String("Server", string(session.tx.conn.Server())))
@@ -183,6 +190,7 @@
 	session.finishToken(false)
 	conn := session.tx.conn
 	session.tx = transaction{readOnly: session.tx.readOnly}
+	session.txConn.Store(nil)
 	if conn == nil {
 		return
 	}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"corianderspool.example/spool/internal/pool"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -23,7 +24,9 @@
 		command, refusal = session.beginTx(ctx, statement)
 	} else {
 		session.engine.pool.MarkActive(session.tx.conn)
-		command, refusal = session.setUp(statement, session.tx.conn, nil, true)
+		if refusal = session.checkHome(session.tx.conn); refusal == nil {
+			command, refusal = session.setUp(statement, session.tx.conn, nil, true)
+		}
 	}
 	if refusal != nil {
 		return session.failTxWith(statement, spool.Answer{Refusal: session.rolledBack(refusal)})
@@ -49,6 +52,7 @@
 		session.recordCommit(conn, answer.Position, sent)
 	}
 	session.tx = transaction{}
+	session.txConn.Store(nil)
 	session.state = spool.TxIdle
 	session.engine.pool.Release(conn)
 	answer.State = spool.TxIdle
@@ -78,6 +82,8 @@
 // transaction may have committed only if the statement was a COMMIT after a write; otherwise the server rolls it back.
 func (session *session) txConnectionLost(statement *statement, err error) spool.Answer {
 	switch {
+	case errors.Is(err, pool.ErrEvacuated):
+		return spool.Answer{Refusal: evacuatedTx(err)}
 	case statement.Verb == spool.VerbCommit && session.tx.wrote:
 		return spool.Answer{Refusal: &spool.Refusal{
 			Verdict: spool.VerdictUnknown, Code: spool.CodeOutcomeUnknown, Message: "no answer to the commit", Cause: err,
@@ -107,9 +113,13 @@
 		if refusal != nil {
 			return statement.Command, refusal
 		}
-		command, refusal := session.setUp(statement, conn, []spool.Command{begin}, false)
+		command := statement.Command
+		if refusal = session.checkHome(conn); refusal == nil {
+			command, refusal = session.setUp(statement, conn, []spool.Command{begin}, false)
+		}
 		if refusal == nil {
 			session.tx.conn = conn
+			session.txConn.Store(conn)
 			return command, nil
 		}
 		last = refusal
--- a/internal/fake/linesrv/server.go
+++ b/internal/fake/linesrv/server.go
@@ -25,9 +25,10 @@
 	WorkTime       time.Duration // duration of a read, write or commit
 	Lagging        bool          // receives log entries without applying them; SetLagging changes it after the first use
 
-	group *Group
-	mutex sync.Mutex
-	conns map[net.Conn]struct{}
+	group       *Group
+	mutex       sync.Mutex
+	conns       map[net.Conn]struct{}
+	lastArrival Arrival
 
 	// Guarded by the group's mutex.
 	receivedEntries    int
@@ -41,6 +42,25 @@
 	listener net.Listener
 }
 
+// Arrival is a line that a server received.
+type Arrival struct {
+	Line string
+	At   time.Time
+}
+
+// LastArrival returns the newest line that the server received from any client, handshakes included.
+func (server *Server) LastArrival() Arrival {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.lastArrival
+}
+
+func (server *Server) recordArrival(line string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.lastArrival = Arrival{Line: strings.TrimSpace(line), At: time.Now()}
+}
+
 // Start listens and serves; after Kill it listens at the same address again.
 func (server *Server) Start() error {
 	address := server.Address
@@ -121,6 +141,7 @@
 	if err != nil {
 		return
 	}
+	server.recordArrival(line)
 	fields := strings.Fields(line)
 	if refusal := server.checkStart(fields); refusal != "" {
 		_, _ = fmt.Fprintf(conn, "ERR %s\r\n", refusal)
@@ -134,6 +155,7 @@
 		if err != nil {
 			return
 		}
+		server.recordArrival(line)
 		answer, alive := session.handle(strings.TrimRight(line, "\r\n"))
 		if !alive {
 			return
--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	timers      spool.Timers
 	logger      *zap.Logger
 	activeLoans atomic.Int64
+	loans       sync.Map // of *loan, those that are granted
 	closed      atomic.Bool
 }
 
@@ -77,6 +79,8 @@
 		return // nothing was sent to the server
 	}
 	loan := &loan{lender: lender, conn: conn, group: request.Group, stream: stream, idleTimeout: request.IdleTimeout}
+	lender.loans.Store(loan, nil)
+	defer lender.loans.Delete(loan)
 	if !loan.run() {
 		conn.MarkBroken()
 	}
@@ -137,6 +141,9 @@
 		loan.conn.RecordCommands(commands)
 		err = loan.conn.Send(commands...)
 	}
+	if loan.refuseEvacuated(commands, err) {
+		return false
+	}
 	began := loan.lender.timers.Now()
 	for _, command := range commands {
 		if err != nil {
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -19,11 +19,13 @@
 	Values      map[string]string
 	Primary     bool // only the primary is acceptable
 	Avoid       []spool.Server
-	MinPosition spool.LogPosition // that a replica must have applied
-	Priority    int               // zero is served first
-	Deadline    time.Time         // for obtaining a connection
-	IdleTimeout time.Duration     // longest wait for an answer or for the next statement
-	refusedBy   []spool.VM        // proxies that did not lend a connection
+	MinPosition spool.LogPosition              // that a replica must have applied
+	Priority    int                            // zero is served first
+	Deadline    time.Time                      // for obtaining a connection
+	IdleTimeout time.Duration                  // longest wait for an answer or for the next statement
+	Allowed     func(domain spool.Domain) bool // reports whether a failure domain is in the home regions; nil allows all
+	work        place.Work
+	refusedBy   []spool.VM // proxies that did not lend a connection
 }
 
 // waiter is a session in the queue for a connection.
@@ -83,6 +85,10 @@
 		pool.mutex.Unlock()
 		return granted, nil
 	}
+	if refusal := pool.refuseWithoutServer(group, &request); refusal != nil {
+		pool.mutex.Unlock()
+		return grant{}, refusal
+	}
 	if wait := pool.expectedWait(group, &request); wait > time.Until(request.Deadline) {
 		pool.mutex.Unlock()
 		return grant{}, spool.Refuse(spool.CodeNoSlot, "too many statements wait for the server").WithRetryAfter(max(wait, retryAfter))
@@ -126,7 +132,7 @@
 func (pool *Pool) tryReserve(group *group, request *Request, now spool.Instant) (grant, bool) {
 	if request.Primary {
 		primary := group.primaryServer()
-		if primary == nil || !pool.usable(primary, now) || slices.Contains(request.Avoid, primary.spec.Server) {
+		if primary == nil || !pool.usable(primary, now) || slices.Contains(request.Avoid, primary.spec.Server) || !request.allows(primary.spec.Domain) {
 			return grant{}, false
 		}
 		return pool.reserve(primary, request)
@@ -134,7 +140,7 @@
 	var servers []*server
 	var candidates []place.Candidate
 	for _, server := range group.servers {
-		if !pool.usable(server, now) || server.leavingSince != 0 || slices.Contains(request.Avoid, server.spec.Server) {
+		if !pool.usable(server, now) || server.leavingSince != 0 || slices.Contains(request.Avoid, server.spec.Server) || !request.allows(server.spec.Domain) {
 			continue
 		}
 		if server.spec.Server != group.primary && server.lag.LikelyBehind(request.MinPosition, now) {
@@ -142,7 +148,7 @@
 		}
 		servers = append(servers, server)
 		candidates = append(candidates, place.Candidate{
-			ExpectedLatency: server.roundTrip + server.health.ExpectedLatency(now),
+			ExpectedLatency: server.roundTrip + server.expectedLatency(now),
 			InFlight:        server.busy + server.borrowed,
 			Primary:         server.spec.Server == group.primary,
 		})
@@ -184,7 +190,7 @@
 	}
 	best, bestFit := -1, fitReset+1
 	for i, conn := range server.idle {
-		if conn.team != request.Team {
+		if conn.team != request.Team || conn.strays() {
 			continue
 		}
 		if fit := conn.valueFit(request.Values); fit < bestFit {
@@ -231,15 +237,15 @@
 	defer cancel()
 	spec := granted.server.spec
 	target := spool.ServerTarget{Group: spec.Group, Server: spec.Server, Address: spec.Address, Team: request.Team}
-	began := pool.timers.Now()
-	serverConn, position, err := pool.connect(ctx, granted.server, target)
+	began, restricted := pool.timers.Now(), pool.restricted.Load()
+	serverConn, tunneled, position, err := pool.connect(ctx, granted.server, target, request.work)
 	if err != nil {
 		pool.recordOpenFailure(granted.server, err, began)
 		return nil, err
 	}
 	pool.recordOpened(granted.server, position)
 	return &Conn{
-		ServerConn: serverConn, server: granted.server, team: request.Team,
+		ServerConn: serverConn, pool: pool, server: granted.server, domain: spec.Domain, team: request.Team, farTunnel: tunneled && !restricted,
 		values: map[string]string{}, prepared: map[string]string{},
 	}, nil
 }
@@ -260,6 +266,10 @@
 	server.open--
 	server.busy--
 	server.handshakes--
+	if evacuated(cause) {
+		pool.dispatch(pool.group(server.spec.Group), now)
+		return
+	}
 	server.health.RecordFailure(now)
 	event.Log(pool.logger, event.ServerConnectFailed, zap.String("Group", string(server.spec.Group)),
 		zap.String("Server", string(server.spec.Server)), zap.Duration("Took", now.Sub(began)),
@@ -282,7 +292,9 @@
 	server := conn.server
 	server.markActive(conn)
 	server.busy--
-	closing := conn.broken || server.removed || server.open > server.retainLimit
+	conn.supervising = false
+	closing := conn.broken || server.removed || server.open > server.retainLimit ||
+		conn.strays() || pool.evacuation.Load().Closed(server.spec.Domain)
 	if closing {
 		server.open--
 	} else {
@@ -300,6 +312,9 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	conn.MarkBroken()
+	if evacuated(cause) {
+		return
+	}
 	server := conn.server
 	now := pool.timers.Now()
 	var closing []*Conn
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -19,7 +19,9 @@
 // Conn is a connection to a backend server; one session uses it at a time.
 type Conn struct {
 	spool.ServerConn
+	pool           *Pool
 	server         *server
+	domain         spool.Domain // of the server
 	team           spool.Team
 	values         map[string]string // session values set at the server
 	prepared       map[string]string // statement name by statement text
@@ -29,6 +31,9 @@
 	pending        int  // answers to discard before the next one is read
 	pendingLate    bool // the pending answers exceeded their deadline
 	idleInTx       bool // an open transaction waits for the caller
+	inTx           bool // a transaction is open at the server
+	supervising    bool // used for the supervisor's own commands
+	farTunnel      bool // goes through a proxy in any region
 	broken         bool // may hold a transaction or unread answers
 }
 
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -29,6 +29,8 @@
 	notPrimarySince spool.Instant // when it last refused to act as primary
 	leavingSince    spool.Instant // when the registry first showed it as leaving; zero if it is not
 	tunnelUntil     spool.Instant // connections go through another proxy before this instant
+	reopenedAt      spool.Instant // when its failure domain was opened again after an evacuation
+	reopenLimit     int           // statements of this proxy at once while load returns; zero if there is no limit
 	removed         bool
 }
 
@@ -71,7 +73,7 @@
 
 // usable reports whether a server may be sent new work.
 func (pool *Pool) usable(server *server, now spool.Instant) bool {
-	if server.removed || server.health.InBackoff(now) && now >= server.tunnelUntil {
+	if server.removed || pool.evacuation.Load().Closed(server.spec.Domain) || server.health.InBackoff(now) && now >= server.tunnelUntil {
 		return false
 	}
 	return server.leavingSince == 0 || now.Sub(server.leavingSince) < pool.leavingServeTime
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -3,11 +3,23 @@
 import (
 	"time"
 
+	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 // withinWindow reports whether this proxy may send the server one more concurrent statement.
-func (server *server) withinWindow() bool { return server.window.Allows(server.busy - server.idleInTx) }
+func (server *server) withinWindow() bool {
+	return server.window.Allows(server.busy-server.idleInTx) && server.withinReopenLimit()
+}
+
+// expectedLatency returns the expected response time without the network; a server whose load returns after an evacuation counts
+// as slow.
+func (server *server) expectedLatency(now spool.Instant) time.Duration {
+	if server.reopenLimit > 0 {
+		return server.health.ExpectedLatency(now) + place.ReopenPenalty
+	}
+	return server.health.ExpectedLatency(now)
+}
 
 // markActive counts a connection as active again if it was idle in a transaction.
 func (server *server) markActive(conn *Conn) {
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -96,7 +96,7 @@
 	group := pool.group(request.Group)
 	group.term = max(group.term, loan.Term)
 	return &Conn{
-		ServerConn: loan, server: granted.server, team: request.Team, loan: loan, lender: granted.lender,
+		ServerConn: loan, pool: pool, server: granted.server, domain: granted.server.spec.Domain, team: request.Team, loan: loan, lender: granted.lender,
 		values: loan.Values, prepared: loan.Prepared, statementCount: loan.StatementCount,
 	}
 }
@@ -106,7 +106,7 @@
 	pool.mutex.Lock()
 	conn.server.borrowed--
 	pool.mutex.Unlock()
-	if conn.broken {
+	if conn.broken || pool.evacuation.Load().Closed(conn.domain) {
 		_ = conn.loan.Close() // makes the lender close its connection too
 		return
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,11 +41,15 @@
 	dialTunnel       TunnelDialer
 	lenders          Lenders
 	watermarkSource  WatermarkSource
+	guard            Guard                            // nil if nothing is delayed
+	evacuation       atomic.Pointer[place.Evacuation] // nil if no failure domain is evacuated
+	restricted       atomic.Bool                      // home regions are set
 
 	mutex        sync.Mutex
 	groups       map[spool.Group]*group
 	proxyDomains []spool.Domain // failure domain of each proxy that shares the servers' connections
 	selfIndex    int            // index of this proxy in proxyDomains
+	homeRoutes   map[spool.Group]map[spool.Domain]int
 }
 
 // Option configures a pool.
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/core/fresh"
+	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -51,7 +52,7 @@
 	var servers []*server
 	now := pool.timers.Now()
 	for _, server := range group.servers {
-		if !server.removed && !server.health.InBackoff(now) {
+		if !server.removed && !pool.evacuation.Load().Closed(server.spec.Domain) && !server.health.InBackoff(now) {
 			servers = append(servers, server)
 		}
 	}
@@ -61,7 +62,7 @@
 // probeServer begins and rolls back a transaction on a server, which only the primary allows, and records its position.
 func (pool *Pool) probeServer(server *server, team spool.Team, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
-	conn, err := pool.connTo(server, team, timeout)
+	conn, err := pool.connTo(server, team, timeout, place.NewWork)
 	if err != nil {
 		return err
 	}
@@ -70,10 +71,14 @@
 }
 
 // connTo returns a connection to one server without waiting; it may exceed this proxy's share.
-func (pool *Pool) connTo(server *server, team spool.Team, timeout time.Duration) (*Conn, error) {
+func (pool *Pool) connTo(server *server, team spool.Team, timeout time.Duration, work place.Work) (*Conn, error) {
 	pool.mutex.Lock()
+	if !pool.evacuation.Load().Permits(server.spec.Domain, work, pool.timers.Now()) {
+		pool.mutex.Unlock()
+		return nil, ErrEvacuated
+	}
 	group := pool.group(server.spec.Group)
-	request := Request{Group: group.name, Team: team}
+	request := Request{Group: group.name, Team: team, work: work}
 	granted, possible := pool.reserveLocal(server, &request)
 	if !possible {
 		server.open++
@@ -82,12 +87,18 @@
 		granted = grant{server: server} // uses the connection that no proxy's share includes
 	}
 	pool.mutex.Unlock()
+	supervising := work == place.SupervisorWork
 	if granted.conn != nil {
+		granted.conn.supervising = supervising
 		return granted.conn, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return pool.open(ctx, request, granted)
+	conn, err := pool.open(ctx, request, granted)
+	if err == nil {
+		conn.supervising = supervising
+	}
+	return conn, err
 }
 
 func (pool *Pool) beginAndRollBack(conn *Conn, deadline time.Time) error {
--- a/internal/pool/tunnel.go
+++ b/internal/pool/tunnel.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -24,33 +25,36 @@
 	return nil, errNoTunnel
 }
 
-// connect connects to a server, and through another proxy if the server is an unreachable primary.
+// connect connects to a server, and through another proxy if the server is an unreachable primary; tunneled reports the latter.
 func (pool *Pool) connect(
-	ctx context.Context, server *server, target spool.ServerTarget,
-) (spool.ServerConn, spool.LogPosition, error) {
-	dialTunnel := func(ctx context.Context, address string) (net.Conn, error) {
-		return pool.dialTunnel(ctx, target.Group, target.Server, address)
-	}
+	ctx context.Context, server *server, target spool.ServerTarget, work place.Work,
+) (serverConn spool.ServerConn, tunneled bool, position spool.LogPosition, err error) {
 	pool.mutex.Lock()
-	tunneled := pool.timers.Now() < server.tunnelUntil
+	tunneled = pool.timers.Now() < server.tunnelUntil
 	primary := pool.group(target.Group).primary == target.Server
+	domain := server.spec.Domain
 	pool.mutex.Unlock()
+	dial := pool.checkedDial(domain, work, pool.dial)
+	dialTunnel := pool.checkedDial(domain, work, func(ctx context.Context, address string) (net.Conn, error) {
+		return pool.dialTunnel(ctx, target.Group, target.Server, address)
+	})
 	if tunneled {
-		return pool.dialer.Open(ctx, dialTunnel, target)
+		serverConn, position, err = pool.dialer.Open(ctx, dialTunnel, target)
+		return serverConn, true, position, err
 	}
-	serverConn, position, err := pool.dialer.Open(ctx, pool.dial, target)
+	serverConn, position, err = pool.dialer.Open(ctx, dial, target)
 	var refusal *spool.Refusal
-	if err == nil || !primary || errors.As(err, &refusal) {
-		return serverConn, position, err
+	if err == nil || !primary || errors.As(err, &refusal) || evacuated(err) {
+		return serverConn, false, position, err
 	}
 	serverConn, position, tunnelErr := pool.dialer.Open(ctx, dialTunnel, target)
 	if tunnelErr != nil {
-		return nil, position, err
+		return nil, false, position, err
 	}
 	pool.mutex.Lock()
 	server.tunnelUntil = pool.timers.Now().Add(tunnelTTL)
 	pool.mutex.Unlock()
 	event.Log(pool.logger, event.PrimaryTunneled, zap.String("Group", string(target.Group)),
 		zap.String("Server", string(target.Server)), event.Cause(err))
-	return serverConn, position, nil
+	return serverConn, true, position, nil
 }
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderspool.example/spool/internal/core/fresh"
+	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -26,15 +27,17 @@
 // ServerView is a snapshot of what the pool knows about a server.
 type ServerView struct {
 	spool.RegisteredServer
-	Leaving   bool
-	RoundTrip time.Duration
+	Leaving    bool
+	Evacuated  bool // its failure domain is evacuated
+	HomeRoutes int  // routes of the group that have home regions and may run there
+	RoundTrip  time.Duration
 }
 
 // View returns a snapshot of a group.
 func (pool *Pool) View(name spool.Group) GroupView {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	group := pool.group(name)
+	group, evacuation := pool.group(name), pool.evacuation.Load()
 	view := GroupView{
 		Group: name, Primary: group.primary, Term: group.term, NewestWatermark: group.watermarks.Newest(), AckedPosition: group.ackedPosition,
 		LastContact: group.lastContact, SyncReplicas: group.limits.SyncReplicas,
@@ -45,6 +48,7 @@
 		}
 		view.Servers = append(view.Servers, ServerView{
 			RegisteredServer: server.spec, Leaving: server.leavingSince != 0, RoundTrip: server.roundTrip,
+			Evacuated: evacuation.Closed(server.spec.Domain), HomeRoutes: pool.homeRoutes[name][server.spec.Domain],
 		})
 	}
 	slices.SortFunc(view.Servers, func(left, right ServerView) int { return cmp.Compare(left.Server, right.Server) })
@@ -105,7 +109,7 @@
 	if registered == nil {
 		return nil, eris.Errorf("server %s of group %s is not registered", server, name)
 	}
-	conn, err := pool.connTo(registered, team, timeout)
+	conn, err := pool.connTo(registered, team, timeout, place.SupervisorWork)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/super/evacuate.go
@@ -0,0 +1,50 @@
+package super
+
+import (
+	"context"
+	"slices"
+
+	"corianderspool.example/spool/internal/core/elect"
+	"corianderspool.example/spool/internal/pool"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// replaceEvacuated replaces a primary in an evacuated failure domain. While commands to that domain's servers are allowed, it
+// does so like for a leaving primary. Later the domain's servers count as not reachable, and no proxy in reach commits at the
+// primary any more: then the acknowledged positions of all proxies decide as at a failover.
+func (supervisor *Supervisor) replaceEvacuated(ctx context.Context, view pool.GroupView, state *groupState, primary *pool.ServerView) {
+	if !hasSuccessor(view) {
+		supervisor.scheduleRetry(state)
+		return
+	}
+	if !supervisor.pool.Evacuation().Settled(primary.Domain, supervisor.timers.Now()) {
+		supervisor.switchover(ctx, view, state)
+		return
+	}
+	state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
+	supervisor.failover(ctx, view, state)
+}
+
+// evacuatedAnswered reports whether all servers of evacuated failure domains answered. One that does not, usually because nothing
+// is sent to it any more, still confirms commits that the chosen server may lack.
+func evacuatedAnswered(candidates []elect.Candidate) bool {
+	return !slices.ContainsFunc(candidates, func(candidate elect.Candidate) bool {
+		return candidate.Evacuated && !candidate.Responded
+	})
+}
+
+// hasSuccessor reports whether a server other than the primary is outside the evacuated failure domains.
+func hasSuccessor(view pool.GroupView) bool {
+	for _, server := range view.Servers {
+		if server.Server != view.Primary && !server.Evacuated {
+			return true
+		}
+	}
+	return false
+}
+
+// commandable reports whether the supervisor's commands to a server of a view may be sent now.
+func (supervisor *Supervisor) commandable(view pool.GroupView, name spool.Server) bool {
+	server := findServer(view, name)
+	return server != nil && supervisor.pool.CommandsAllowed(server.Domain)
+}
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -71,7 +71,7 @@
 		decision = elect.NoReplica
 	}
 	supervisor.logDecision(view, chosen, decision, candidates, view.AckedPosition)
-	if !found || !supervisor.pauseReplicas(view, state, chosen) || !supervisor.awaitCatchUp(view, chosen) {
+	if !found || !evacuatedAnswered(candidates) || !supervisor.pauseReplicas(view, state, chosen) || !supervisor.awaitCatchUp(view, chosen) {
 		supervisor.resumeReplicas(view, state)
 		supervisor.scheduleRetry(state)
 		return
@@ -124,6 +124,9 @@
 
 // hasCaughtUp reports whether a server has received everything that the other replicas have.
 func hasCaughtUp(candidates []elect.Candidate, chosen spool.Server) bool {
+	if !evacuatedAnswered(candidates) {
+		return false
+	}
 	var own, newest spool.LogPosition
 	for _, candidate := range candidates {
 		if !candidate.Responded {
@@ -156,7 +159,7 @@
 			defer mutex.Unlock()
 			candidates = append(candidates, elect.Candidate{
 				Server: server.Server, Responded: err == nil, Status: status, Leaving: server.Leaving,
-				Near: server.RoundTrip < nearRTT,
+				Near: server.RoundTrip < nearRTT, Evacuated: server.Evacuated, HomeRoutes: server.HomeRoutes,
 			})
 		})
 	}
@@ -211,6 +214,9 @@
 			delete(state.paused, server)
 			continue
 		}
+		if !supervisor.commandable(view, server) {
+			continue // until the evacuation is withdrawn
+		}
 		_, err := supervisor.sendCommand(view.Group, server, spool.Command{Verb: spool.VerbResume})
 		event.Log(supervisor.logger, event.ReplicaResumed, zap.String("Group", string(view.Group)),
 			zap.String("Server", string(server)), event.Cause(err))
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -129,6 +129,8 @@
 	switch {
 	case primary == nil:
 		supervisor.handleMissingPrimary(ctx, view, state)
+	case primary.Evacuated:
+		supervisor.replaceEvacuated(ctx, view, state, primary)
 	case primary.Leaving:
 		supervisor.switchover(ctx, view, state)
 	default:
