Learn evacuated failure domains from the store and from heartbeats

The region's reader lists the evacuations when the store's version has changed, before the first configuration is in effect, and when its watch of them reports a change; heartbeats carry the set and its version. A watch alone is not trusted for the set: a store that drops events would date an old set with a new version. The watch is needed for the goal: reads are 1 s apart, and with the 1.5 s of open transactions a proxy would take up to 2.7 s.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -33,13 +33,48 @@
 	ports     []string // chosen together: a chosen port without a listener yet would be chosen again
 	settings  []spool.FleetSettings
 	stopFuncs []func()
+	layout    layout
+}
+
+// layout places servers and proxies in failure domains and regions; the zero value has one of each.
+type layout struct {
+	serverDomains map[spool.Server]string
+	proxyDomains  []spool.Domain
+	regions       map[spool.Domain]string
+	evacuate      time.Duration
+	adjust        func(index int, settings *spool.FleetSettings) // before the start; nil for none
+	logger        *zap.Logger
+}
+
+// domainOf returns the failure domain of a server.
+func (layout layout) domainOf(server spool.Server) string {
+	if domain, known := layout.serverDomains[server]; known {
+		return domain
+	}
+	return "z1"
+}
+
+// place sets the failure domain and the region of a proxy.
+func (layout layout) place(index int, settings *spool.FleetSettings) {
+	settings.Bounds.Evacuate = layout.evacuate
+	if layout.regions != nil {
+		settings.Domain = layout.proxyDomains[index]
+		settings.Regions, settings.Region = layout.regions, layout.regions[settings.Domain]
+	}
+	if layout.adjust != nil {
+		layout.adjust(index, settings)
+	}
 }
 
 func newCluster(t *testing.T, proxies int) *cluster {
+	return newPlacedCluster(t, proxies, layout{logger: zap.NewNop()})
+}
+
+func newPlacedCluster(t *testing.T, proxies int, layout layout) *cluster {
 	group, err := linesrv.NewGroup("g1", "a", "b", "c")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(group.Close)
-	cluster := &cluster{T: t, group: group}
+	cluster := &cluster{T: t, group: group, layout: layout}
 	cluster.store = kvsrv.New(func(_, server string) bool {
 		group.Promote(spool.Server(server))
 		cluster.register("ready")
@@ -94,7 +129,7 @@
 			role, shown = "primary", state
 		}
 		cluster.store.Write("servers", string(server.ID), map[string]any{
-			"service": "g1", "address": server.Address, "zone": "z1", "slots": 5, "state": shown, "db-role": role, "born": 1,
+			"service": "g1", "address": server.Address, "zone": cluster.layout.domainOf(server.ID), "slots": 5, "state": shown, "db-role": role, "born": 1,
 		})
 	}
 }
@@ -111,6 +146,7 @@
 				ConfigApply: 4 * time.Second, Drain: 7 * time.Second, Grace: 4 * time.Second, CatchUp: 2 * time.Second,
 			},
 		})
+		cluster.layout.place(index, &cluster.settings[index])
 		cluster.stopFuncs = append(cluster.stopFuncs, nil)
 	}
 	settings := cluster.settings[index]
@@ -118,7 +154,7 @@
 	done := make(chan error, 1)
 	go func() {
 		adapter := platform.New(settings, sock.Dialer(sock.DefaultUserTimeout))
-		done <- fleet.New(settings, adapter, clock.Real{}, zap.NewNop()).Run(ctx)
+		done <- fleet.New(settings, adapter, clock.Real{}, cluster.layout.logger).Run(ctx)
 	}()
 	var once sync.Once
 	cluster.stopFuncs[index] = func() {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -156,6 +156,7 @@
 		CopyVersion: uint64(proxy.servers.ContentVersion()), ConfirmedAgeNanos: int64(now.Sub(confirmed)),
 	}
 	proxy.mutex.Unlock()
+	proxy.evacuations.addTo(heartbeat)
 	heartbeat.Fleet = uint32(proxy.members.setSelf(heartbeat.Leaving, heartbeat.StoreReached))
 	peers.mutex.Lock()
 	last, known := peers.heartbeats[to]
@@ -253,6 +254,7 @@
 			peers.applyDigest(from, heartbeat.Digest, sent, now)
 		}
 	}
+	proxy.evacuations.receive(from, heartbeat, sent)
 	if int(heartbeat.Fleet) > proxy.members.size() && peers.allowRequest(&peers.sizeRequested, sizeRequestInterval, now) {
 		peers.introduce(from, now, roster.ScopeFleet)
 	}
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -40,24 +40,25 @@
 
 // Proxy is one running proxy of a fleet.
 type Proxy struct {
-	settings   spool.FleetSettings
-	adapter    spool.Adapter
-	timers     spool.Timers
-	logger     *zap.Logger
-	pool       *pool.Pool
-	engine     *engine.Engine
-	metrics    *metric.Metrics
-	limiter    *limiter
-	members    *members
-	peers      *peers
-	lender     *lend.Lender
-	borrower   *borrower
-	watermarks *watermarks
-	supervisor *super.Supervisor
-	reader     *reader
-	servers    *mirror.Mirror
-	dial       spool.DialFunc
-	started    spool.Instant
+	settings    spool.FleetSettings
+	adapter     spool.Adapter
+	timers      spool.Timers
+	logger      *zap.Logger
+	pool        *pool.Pool
+	engine      *engine.Engine
+	metrics     *metric.Metrics
+	limiter     *limiter
+	members     *members
+	peers       *peers
+	lender      *lend.Lender
+	borrower    *borrower
+	watermarks  *watermarks
+	supervisor  *super.Supervisor
+	reader      *reader
+	evacuations *evacuations
+	servers     *mirror.Mirror
+	dial        spool.DialFunc
+	started     spool.Instant
 
 	mutex        sync.Mutex
 	revision     uint64              // of the configuration in force
@@ -75,14 +76,15 @@
 	proxy.dial = sock.Dialer(sock.DefaultUserTimeout)
 	proxy.storeReached, proxy.lastReloaded = true, settings
 	proxy.setUpMetrics()
+	proxy.evacuations = newEvacuations(proxy)
 	proxy.borrower, proxy.watermarks = newBorrower(proxy), newWatermarks(proxy)
 	proxy.pool = pool.New(proxy.adapter, proxy.dial, timers,
 		pool.WithLogger(proxy.logger), pool.WithRoundTrip(proxy.roundTrip), pool.WithDrain(settings.Bounds.Drain), pool.WithTunnelDialer(proxy.dialTunnel),
 		pool.WithLenders(proxy.borrower), pool.WithWatermarkSource(proxy.watermarks), pool.WithSameRegion(func(left, right spool.Domain) bool {
 			return settings.Regions[left] == settings.Regions[right]
-		}))
+		}), proxy.evacuationGuard())
 	proxy.lender = lend.NewLender(proxy.pool, timers, proxy.logger)
-	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(proxy.logger),
+	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(proxy.logger), engine.WithRegions(settings.Regions),
 		engine.WithObserver(statementObserver{proxy.metrics}))
 	proxy.members = newMembers(proxy)
 	proxy.peers = newPeers(proxy)
@@ -156,6 +158,7 @@
 	go proxy.servers.Run(ctx)
 	go proxy.members.run(ctx)
 	go proxy.reader.run(ctx)
+	go proxy.evacuations.run(ctx)
 	proxy.timers.Every(cleanupInterval, spool.TimerFunc(func(spool.Instant) { proxy.members.removeGone(ctx) }))
 }
 
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -105,6 +105,10 @@
 			zap.Duration("SinceConfirmed", began.Sub(reader.lastConfirmed())), event.Cause(err))
 		return err
 	}
+	first := reader.proxy.currentRevision() == 0
+	if first {
+		reader.proxy.evacuations.listIfChanged(ctx, version) // before the configuration, with which requests are served
+	}
 	newestIsConfig, changed := false, false
 	for _, object := range objects {
 		if object.Name != name {
@@ -119,6 +123,9 @@
 	if reader.confirm(began) || changed {
 		reader.proxy.peers.notifyRegion()
 	}
+	if !first {
+		reader.proxy.evacuations.listIfChanged(ctx, version)
+	}
 	return nil
 }
 
--- a/internal/fleet/tunnel.go
+++ b/internal/fleet/tunnel.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/lend"
@@ -49,6 +50,9 @@
 	live := proxy.members.liveMembers()
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	region := proxy.settings.Regions[domain]
+	if proxy.pool.Restricted() { // the tunnel carries requests whose home regions include only the server's region
+		live = slices.DeleteFunc(live, func(member roster.Member) bool { return proxy.settings.Regions[member.Domain] != region })
+	}
 	slices.SortStableFunc(live, func(left, right roster.Member) int {
 		return boolRank(proxy.settings.Regions[right.Domain] == region) - boolRank(proxy.settings.Regions[left.Domain] == region)
 	})
@@ -87,6 +91,11 @@
 		event.Log(proxy.logger, event.TunnelRefused, zap.String("Address", address))
 		return
 	}
+	domain := proxy.pool.AddressDomain(address)
+	if err := proxy.pool.CheckSend(domain, place.NewWork); err != nil {
+		event.Log(proxy.logger, event.TunnelRefused, zap.String("Address", address), event.Cause(err))
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), tunnelTimeout)
 	defer cancel()
 	conn, err := proxy.dial(ctx, address)
@@ -95,6 +104,7 @@
 		return
 	}
 	defer func() { _ = conn.Close() }() // either side has closed
+	defer proxy.evacuations.addTunnel(conn, domain)()
 	answer := &wire.StreamFrame_RelayAnswer{RelayAnswer: &wire.RelayAnswer{}}
 	if err := stream.Write(&wire.StreamFrame{Body: answer}); err != nil {
 		return
@@ -104,7 +114,7 @@
 	}
 	done := make(chan struct{}, 2)
 	go func() {
-		_, _ = io.Copy(conn, stream.Remaining()) // the end of one side ends both
+		_, _ = io.Copy(tunnelWriter{conn, proxy.pool, domain}, stream.Remaining()) // the end of one side ends both
 		done <- struct{}{}
 	}()
 	go func() {
--- a/internal/metric/sample.go
+++ b/internal/metric/sample.go
@@ -13,6 +13,13 @@
 	TeamLeases  int // teams whose tokens this proxy issues
 	AuditLost   uint64
 	Versions    map[spool.Partner]spool.Version // versions of the manifests in force
+	Evacuated   map[spool.Domain]Remaining      // evacuated failure domains
+}
+
+// Remaining counts what a proxy still has open at the servers of an evacuated failure domain.
+type Remaining struct {
+	Connections int
+	Statements  int // connections that a statement or transaction uses
 }
 
 // sampler collects the metrics of a sample; it implements prometheus.Collector.
@@ -22,6 +29,7 @@
 	sessionsDesc  = newDesc("sessions", "Connected callers.")
 	leasesDesc    = newDesc("leases_held", "Leases that this proxy holds.", "role")
 	auditLostDesc = newDesc("audit_entries_lost_total", "Audit entries that were never written.")
+	evacuatedDesc = newDesc("evacuated", "What is still open at the servers of an evacuated failure domain.", "domain", "of")
 	versionDesc   = newDesc("config_version", "Version of the manifest in force.", "partner")
 )
 
@@ -35,6 +43,7 @@
 	descs <- leasesDesc
 	descs <- auditLostDesc
 	descs <- versionDesc
+	descs <- evacuatedDesc
 }
 
 // Collect takes a sample and sends its metrics.
@@ -47,6 +56,10 @@
 	gauge(leasesDesc, float64(sample.GroupLeases), "group")
 	gauge(leasesDesc, float64(sample.TeamLeases), "team")
 	metrics <- prometheus.MustNewConstMetric(auditLostDesc, prometheus.CounterValue, float64(sample.AuditLost))
+	for domain, remaining := range sample.Evacuated {
+		gauge(evacuatedDesc, float64(remaining.Connections), string(domain), "connections")
+		gauge(evacuatedDesc, float64(remaining.Statements), string(domain), "statements")
+	}
 	for partner, version := range sample.Versions {
 		gauge(versionDesc, float64(version), string(partner))
 	}
