Check each statement for an evacuation without reading the clock

The check read the boot clock, a system call, for each command. Statements, set-up commands and loans now pass the instant that they read anyway, and the set is asked for the failure domain first.

Tests of the supervisor for evacuated primaries, with and without commands to their failure domain, and of tunnels that other proxies keep open: ok with -race.

--- a/internal/engine/evacuation.go
+++ b/internal/engine/evacuation.go
@@ -45,9 +45,10 @@
 
 // checkSend returns pool.ErrEvacuated if a statement must not be sent on a connection. A statement outside of a transaction is new
 // work, also if the proxy began a transaction for it.
-func (session *session) checkSend(conn *pool.Conn) error {
+func (session *session) checkSend(conn *pool.Conn, now spool.Instant) error {
+	session.engine.pool.AwaitEvacuation(now)
 	if session.state == spool.TxOpen {
-		return conn.Sendable()
+		return nil // conn.Send checks it
 	}
-	return session.engine.pool.CheckSend(conn.Domain(), place.NewWork)
+	return conn.SendableAsNew()
 }
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -168,6 +168,7 @@
 	deadline := time.Now().Add(setupTimeout)
 	sent := engine.timers.Now()
 	if len(setup) > 0 {
+		engine.pool.AwaitEvacuation(sent)
 		if err := conn.Send(setup...); err != nil {
 			return command, session.setupFailed(conn, err)
 		}
@@ -208,13 +209,13 @@
 // exchange sends the statement and waits for the whole answer; an error means that the outcome is unknown.
 func (session *session) exchange(statement *statement, conn *pool.Conn, command spool.Command) (spool.Answer, error) {
 	engine := session.engine
-	if err := session.checkSend(conn); err != nil {
+	began := engine.timers.Now()
+	if err := session.checkSend(conn, began); err != nil {
 		engine.pool.RecordFailure(conn, err)
 		return spool.Answer{}, err
 	}
 	statement.attempts++
 	statement.server, statement.lender = conn.Server(), conn.Lender()
-	began := engine.timers.Now()
 	session.finishToken(true)
 	err := conn.Send(command)
 	var answer spool.Answer
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -194,6 +194,7 @@
 	if conn == nil {
 		return
 	}
+	session.engine.pool.AwaitEvacuation(session.engine.timers.Now())
 	_ = session.engine.pool.RollBack(conn) // a failure marks the connection as broken, and closing it rolls back
 	session.engine.pool.Release(conn)
 }
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -49,13 +49,15 @@
 	return time.Now()
 }
 
-// assertQuiet waits and requires that nothing arrived at a server later than the goal after the operators' write.
+// assertQuiet waits and requires that nothing arrived at a server later than the goal after the operators' write, and that no
+// connection to it is open.
 func (cluster *cluster) assertQuiet(server spool.Server, written time.Time) {
 	cluster.Helper()
 	time.Sleep(time.Until(written.Add(evacuationGoal + 2*time.Second)))
 	arrival := cluster.group.Server(server).LastArrival()
 	cluster.Logf("last line at %s: %q, %v after the write", server, arrival.Line, arrival.At.Sub(written))
 	qt.Assert(cluster, arrival.At.Sub(written) < evacuationGoal, qt.IsTrue, qt.Commentf("%q after %v", arrival.Line, arrival.At.Sub(written)))
+	qt.Assert(cluster, cluster.group.Server(server).OpenConnections(), qt.Equals, 0)
 }
 
 // load runs statements of several callers at each proxy until it is stopped.
--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -137,14 +137,15 @@
 	deadline := time.Now().Add(loan.idleTimeout)
 	pool.MarkActive(loan.conn)
 	err := loan.conn.DiscardPending(deadline)
+	began := loan.lender.timers.Now()
 	if err == nil {
+		pool.AwaitEvacuation(began)
 		loan.conn.RecordCommands(commands)
 		err = loan.conn.Send(commands...)
 	}
 	if loan.refuseEvacuated(commands, err) {
 		return false
 	}
-	began := loan.lender.timers.Now()
 	for _, command := range commands {
 		if err != nil {
 			break
--- a/internal/pool/evacuation.go
+++ b/internal/pool/evacuation.go
@@ -53,11 +53,22 @@
 // CheckSend returns ErrEvacuated if work of a kind must not be sent to the servers of a failure domain now. It waits if the VM
 // was suspended.
 func (pool *Pool) CheckSend(domain spool.Domain, work place.Work) error {
+	pool.AwaitEvacuation(pool.timers.Now())
+	return pool.checkSend(domain, work)
+}
+
+// AwaitEvacuation waits if the VM was suspended and the evacuated failure domains have not been learned since. The caller passes
+// the current instant, since reading the clock costs more than the rest of the check.
+func (pool *Pool) AwaitEvacuation(now spool.Instant) {
 	if pool.guard != nil {
-		pool.guard.Await(pool.timers.Now())
+		pool.guard.Await(now)
 	}
+}
+
+// checkSend is like CheckSend without the wait. It reads the clock only for servers of evacuated failure domains.
+func (pool *Pool) checkSend(domain spool.Domain, work place.Work) error {
 	evacuation := pool.evacuation.Load()
-	if evacuation == nil || evacuation.Permits(domain, work, pool.timers.Now()) {
+	if !evacuation.Closed(domain) || evacuation.Permits(domain, work, pool.timers.Now()) {
 		return nil
 	}
 	return ErrEvacuated
@@ -86,8 +97,8 @@
 	}
 }
 
-// Sendable returns ErrEvacuated if the connection's next commands must not be sent.
-func (conn *Conn) Sendable() error { return conn.pool.CheckSend(conn.domain, conn.work()) }
+// SendableAsNew returns ErrEvacuated if no new work must be sent on the connection.
+func (conn *Conn) SendableAsNew() error { return conn.pool.checkSend(conn.domain, place.NewWork) }
 
 // TransactionEnded reports whether an open transaction on the connection must end because of an evacuation.
 func (conn *Conn) TransactionEnded() bool {
@@ -98,9 +109,10 @@
 // Domain returns the failure domain of the connection's server.
 func (conn *Conn) Domain() spool.Domain { return conn.domain }
 
-// Send sends commands to the server or lender unless the server's failure domain is evacuated.
+// Send sends commands to the server or lender unless the server's failure domain is evacuated. After a pause the caller calls
+// AwaitEvacuation before.
 func (conn *Conn) Send(commands ...spool.Command) error {
-	if err := conn.Sendable(); err != nil {
+	if err := conn.checkSend(); err != nil {
 		return err
 	}
 	for _, command := range commands {
@@ -114,6 +126,9 @@
 	return conn.ServerConn.Send(commands...)
 }
 
+// checkSend returns ErrEvacuated if the connection's next commands must not be sent.
+func (conn *Conn) checkSend() error { return conn.pool.checkSend(conn.domain, conn.work()) }
+
 // work returns the kind of work of the connection's next commands.
 func (conn *Conn) work() place.Work {
 	switch {
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -103,6 +103,7 @@
 
 func (pool *Pool) beginAndRollBack(conn *Conn, deadline time.Time) error {
 	sent := pool.timers.Now()
+	pool.AwaitEvacuation(sent)
 	if err := conn.DiscardPending(deadline); err != nil {
 		pool.RecordFailure(conn, err)
 		return err
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -114,6 +114,7 @@
 		return nil, err
 	}
 	defer pool.Release(conn)
+	pool.AwaitEvacuation(pool.timers.Now())
 	deadline := time.Now().Add(timeout)
 	if err := conn.DiscardPending(deadline); err != nil {
 		pool.RecordFailure(conn, err)
--- /dev/null
+++ b/internal/super/evacuate_test.go
@@ -0,0 +1,69 @@
+package super_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/internal/clock"
+	"corianderspool.example/spool/internal/core/elect"
+	"corianderspool.example/spool/internal/core/place"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// newEvacuatedCluster places each server in the failure domain z and its name, and evacuates domains that were learned of a
+// while ago.
+func newEvacuatedCluster(t *testing.T, ago time.Duration, domains ...spool.Domain) *cluster {
+	cluster := newCluster(t)
+	for _, server := range cluster.group.Servers() {
+		spec := cluster.spec(server.ID, "a")
+		spec.Domain = spool.Domain("z" + string(server.ID))
+		cluster.pool.SetServer(spec)
+	}
+	var record place.EvacuationRecord
+	record.Apply(1, domains, clock.Real{}.Now().Add(-ago))
+	cluster.pool.SetEvacuation(record.Current, nil)
+	return cluster
+}
+
+// TestEvacuatedPrimaryIsReplaced evacuates the primary and one replica: the other replica is promoted while commands may still be
+// sent, without asking the other proxies.
+func TestEvacuatedPrimaryIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	cluster := newEvacuatedCluster(t, 0, "za", "zb")
+	cluster.startSupervisor("vm1", stubFleet{})
+	cluster.eventually(func() bool { return len(cluster.promotedServers()) == 1 })
+	c.Assert(cluster.promotedServers(), qt.DeepEquals, []string{"c"})
+}
+
+// TestEvacuatedPrimaryIsReplacedWithoutCommands replaces a primary after the time for commands: it needs the acknowledged
+// positions of all proxies, since the evacuated replica may alone hold a commit, and sends nothing to either.
+func TestEvacuatedPrimaryIsReplacedWithoutCommands(t *testing.T) {
+	for _, complete := range []bool{true, false} {
+		c := qt.New(t)
+		cluster := newEvacuatedCluster(t, place.SettledTime, "za", "zb")
+		cluster.startSupervisor("vm1", stubFleet{poll: elect.PeerPoll{Complete: complete}})
+		if complete {
+			cluster.eventually(func() bool { return len(cluster.promotedServers()) == 1 })
+			c.Assert(cluster.promotedServers(), qt.DeepEquals, []string{"c"})
+		} else {
+			time.Sleep(2 * time.Second)
+			c.Assert(cluster.promotedServers(), qt.HasLen, 0)
+		}
+		c.Assert(cluster.group.Server("a").LastArrival().Line, qt.Equals, "")
+		c.Assert(cluster.group.Server("b").LastArrival().Line, qt.Equals, "")
+	}
+}
+
+// TestNoSuccessorOutsideEvacuatedDomains evacuates the whole group: nothing is promoted and nothing sent.
+func TestNoSuccessorOutsideEvacuatedDomains(t *testing.T) {
+	c := qt.New(t)
+	cluster := newEvacuatedCluster(t, 0, "za", "zb", "zc")
+	cluster.startSupervisor("vm1", stubFleet{poll: elect.PeerPoll{Complete: true}})
+	time.Sleep(place.SettledTime + time.Second)
+	c.Assert(cluster.promotedServers(), qt.HasLen, 0)
+	for _, server := range cluster.group.Servers() {
+		c.Assert(server.LastArrival().Line, qt.Equals, "")
+	}
+}
