--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	timers      spool.Timers
 	logger      *zap.Logger
 	activeLoans atomic.Int64
+	loans       sync.Map // of *loan, those that are granted
 	closed      atomic.Bool
 }
 
@@ -77,6 +79,8 @@
 		return // nothing was sent to the server
 	}
 	loan := &loan{lender: lender, conn: conn, group: request.Group, stream: stream, idleTimeout: request.IdleTimeout}
+	lender.loans.Store(loan, nil)
+	defer lender.loans.Delete(loan)
 	if !loan.run() {
 		conn.MarkBroken()
 	}
@@ -133,11 +137,15 @@
 	deadline := time.Now().Add(loan.idleTimeout)
 	pool.MarkActive(loan.conn)
 	err := loan.conn.DiscardPending(deadline)
+	began := loan.lender.timers.Now()
 	if err == nil {
+		pool.AwaitEvacuation(began)
 		loan.conn.RecordCommands(commands)
 		err = loan.conn.Send(commands...)
 	}
-	began := loan.lender.timers.Now()
+	if loan.refuseEvacuated(commands, err) {
+		return false
+	}
 	for _, command := range commands {
 		if err != nil {
 			break
