Queue loans at the lender and requests in the pool by priority and fairly between teams

Loan requests now carry the route's priority and what is left of the borrower's wait. The lender's own callers and the borrowers wait in one bounded queue for each group, in the order of internal/core/queue, and a request that cannot be served in time is refused at once with a retry time. All of this applies only where the routes of a configuration differ in priority.

A borrower withdraws by closing its stream, which the lender reads while the request waits. A grant to a caller that has left goes to the next request. A handshake that has begun is completed even if its caller leaves: an aborted one counted as a failure of the server and put it in backoff, which TestCallerThatLeavesWhileConnectionIsFreed showed. A connection that was lent and not used is kept, not closed. A lender that stops answers the requests that wait there.

Tests with stand-ins cover the order at a lender, a borrower that leaves, a lender that stops or never answers, requests that cannot be served in time, and own callers against borrowers: internal/lend and internal/pool pass with -race, lend three times.

--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -199,7 +199,8 @@
 	}
 	if answer.Refusal != nil {
 		number = event.RequestRefused
-		fields = append(fields, zap.String("Code", answer.Refusal.Code), zap.String("Reason", answer.Refusal.Message), event.Cause(answer.Refusal.Cause))
+		fields = append(fields, zap.String("Code", answer.Refusal.Code), zap.String("Reason", answer.Refusal.Message),
+			zap.Int("Priority", session.route.Priority), zap.Duration("RetryAfter", answer.Refusal.RetryAfter), event.Cause(answer.Refusal.Cause))
 	}
 	event.Log(session.engine.logger, number, fields...)
 }
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -90,6 +90,8 @@
 	TunnelRefused       Number = 711
 	StoreReadFailed     Number = 712
 	LendRefused         Number = 713
+	WaitRefused         Number = 790
+	LoanWithdrawn       Number = 791
 )
 
 var kinds = map[Number]Kind{
@@ -156,4 +158,6 @@
 	TunnelRefused:              {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
 	StoreReadFailed:            {Level: zapcore.WarnLevel, Text: "reading the store failed", PerSecond: serverLimit},
 	LendRefused:                {Level: zapcore.InfoLevel, Text: "connection not lent", PerSecond: serverLimit},
+	WaitRefused:                {Level: zapcore.InfoLevel, Text: "request refused in the queue for connections", PerSecond: serverLimit},
+	LoanWithdrawn:              {Level: zapcore.InfoLevel, Text: "waiting loan withdrawn", PerSecond: serverLimit},
 }
--- a/internal/fleet/borrower.go
+++ b/internal/fleet/borrower.go
@@ -41,18 +41,22 @@
 	return known && now.Sub(since) < suspectDuration
 }
 
-// Borrow borrows a connection from a proxy; a proxy that gives no answer is suspected for a while.
-func (borrower *borrower) Borrow(ctx context.Context, from spool.VM, request pool.LoanRequest) (*pool.Loan, error) {
-	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+// Borrow borrows a connection from a proxy. A proxy that gives no answer within borrowTimeout after the wait that was asked for
+// is suspected for a while, unless the request was withdrawn.
+func (borrower *borrower) Borrow(caller context.Context, from spool.VM, request pool.LoanRequest) (*pool.Loan, error) {
+	ctx, cancel := context.WithTimeout(caller, request.Wait+borrowTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	stream, err := borrower.proxy.peers.transport.Open(ctx, from)
 	if err != nil {
-		borrower.suspect(from)
+		if caller.Err() == nil {
+			borrower.suspect(from)
+		}
 		return nil, err
 	}
-	loan, err := lend.Borrow(stream, request, deadline)
-	if err != nil && !errors.Is(err, lend.ErrRefused) {
+	loan, err := lend.Borrow(ctx, stream, request, deadline)
+	var refusal *pool.LoanRefusal
+	if err != nil && !errors.As(err, &refusal) && caller.Err() == nil {
 		borrower.suspect(from)
 	}
 	return loan, err
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -78,7 +78,7 @@
 	proxy.borrower, proxy.watermarks = newBorrower(proxy), newWatermarks(proxy)
 	proxy.pool = pool.New(proxy.adapter, proxy.dial, timers,
 		pool.WithLogger(proxy.logger), pool.WithRoundTrip(proxy.roundTrip), pool.WithDrain(settings.Bounds.Drain), pool.WithTunnelDialer(proxy.dialTunnel),
-		pool.WithLenders(proxy.borrower), pool.WithWatermarkSource(proxy.watermarks), pool.WithSameRegion(func(left, right spool.Domain) bool {
+		pool.WithLenders(proxy.borrower), pool.WithObserver(waitObserver{proxy.metrics}), pool.WithWatermarkSource(proxy.watermarks), pool.WithSameRegion(func(left, right spool.Domain) bool {
 			return settings.Regions[left] == settings.Regions[right]
 		}))
 	proxy.lender = lend.NewLender(proxy.pool, timers, proxy.logger)
--- a/internal/lend/borrow.go
+++ b/internal/lend/borrow.go
@@ -1,6 +1,7 @@
 package lend
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -13,15 +14,17 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-// ErrRefused reports that the lender refused the loan.
-var ErrRefused = eris.New("lender refused the loan")
-
 var errUnexpectedFrame = eris.New("unexpected frame from lender")
 
-// Borrow requests a connection from the proxy at the other end of a stream; on an error it closes the stream.
-func Borrow(conn net.Conn, request pool.LoanRequest, deadline time.Time) (*pool.Loan, error) {
+// Borrow requests a connection from the proxy at the other end of a stream. On an error, which is a pool.LoanRefusal if the
+// lender refused, and when the context ends before the answer, it closes the stream.
+func Borrow(ctx context.Context, conn net.Conn, request pool.LoanRequest, deadline time.Time) (*pool.Loan, error) {
 	borrowedConn := &borrowedConn{stream: NewStream(conn)}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // withdraws the request
 	loan, err := borrowedConn.request(request, deadline)
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
 	if err != nil {
 		_ = conn.Close() // nothing was sent to the server
 		return nil, err
@@ -41,6 +44,7 @@
 	err := borrowedConn.stream.Write(&wire.StreamFrame{Body: &wire.StreamFrame_LoanRequest{LoanRequest: &wire.LoanRequest{
 		Group: string(request.Group), Server: string(request.Server), Team: string(request.Team),
 		Values: request.Values, PatienceNanos: int64(request.IdleTimeout),
+		Priority: int32(request.Priority), WaitNanos: int64(request.Wait),
 	}}})
 	if err != nil {
 		return nil, err
@@ -54,7 +58,7 @@
 		return nil, errUnexpectedFrame
 	}
 	if !answer.Granted {
-		return nil, eris.Wrap(ErrRefused, answer.Reason)
+		return nil, &pool.LoanRefusal{Reason: answer.Reason, RetryAfter: time.Duration(answer.RetryNanos)}
 	}
 	return &pool.Loan{
 		BorrowedConn: borrowedConn, Term: spool.Term(answer.Term),
--- a/internal/lend/lend_test.go
+++ b/internal/lend/lend_test.go
@@ -64,7 +64,7 @@
 }
 
 // Borrow opens a stream to the lender.
-func (fixture *fixture) Borrow(_ context.Context, _ spool.VM, request pool.LoanRequest) (*pool.Loan, error) {
+func (fixture *fixture) Borrow(ctx context.Context, _ spool.VM, request pool.LoanRequest) (*pool.Loan, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return lend.Borrow(near, request, time.Now().Add(timeout))
+	return lend.Borrow(ctx, near, request, time.Now().Add(request.Wait+timeout))
 }
 
 func acquire(t *testing.T, connections *pool.Pool, values map[string]string) *pool.Conn {
--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -5,11 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/core/fresh"
-	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/pool"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
@@ -24,19 +22,21 @@
 	timers      spool.Timers
 	logger      *zap.Logger
 	activeLoans atomic.Int64
-	closed      atomic.Bool
+	running     context.Context // ends when the lender refuses loans
+	stop        context.CancelFunc
 }
 
 // NewLender returns a lender for a pool.
 func NewLender(pool *pool.Pool, timers spool.Timers, logger *zap.Logger) *Lender {
-	return &Lender{pool: pool, timers: timers, logger: logger}
+	running, stop := context.WithCancel(context.Background())
+	return &Lender{pool: pool, timers: timers, logger: logger, running: running, stop: stop}
 }
 
 // ActiveLoans returns the number of connections on loan.
 func (lender *Lender) ActiveLoans() int { return int(lender.activeLoans.Load()) }
 
-// Close makes the lender refuse new loans; active ones continue.
-func (lender *Lender) Close() { lender.closed.Store(true) }
+// Close makes the lender refuse new loans and those that wait for a connection; active ones continue.
+func (lender *Lender) Close() { lender.stop() }
 
 // Drain waits until no loan is active or the context ends.
 func (lender *Lender) Drain(ctx context.Context) {
@@ -60,12 +60,16 @@
 			Group: spool.Group(body.Group), Server: spool.Server(body.Server), Team: spool.Team(body.Team),
 		},
 		Values: body.Values, IdleTimeout: time.Duration(body.PatienceNanos),
+		Priority: int(body.Priority), Wait: min(time.Duration(body.WaitNanos), maxLoanWait),
+	}
+	borrower := &borrower{stream: stream}
+	conn, term, err := lender.reserve(request, borrower)
+	if borrower.left() {
+		lender.withdraw(from, request, conn)
+		return
 	}
-	conn, term, err := lender.reserve(request)
 	if err != nil {
-		event.Log(lender.logger, event.LendRefused, zap.String("Borrower", string(from)), zap.String("Group", body.Group),
-			zap.String("Server", body.Server), zap.String("Team", body.Team), event.Cause(err))
-		_ = sendLoanAnswer(stream, &wire.LoanAnswer{Reason: err.Error()}) // without an answer the borrower also tries elsewhere
+		lender.refuse(from, request, stream, err)
 		return
 	}
 	defer lender.pool.Release(conn)
@@ -76,19 +80,12 @@
 	if sendLoanAnswer(stream, answer) != nil {
 		return // nothing was sent to the server
 	}
-	loan := &loan{lender: lender, conn: conn, group: request.Group, stream: stream, idleTimeout: request.IdleTimeout}
+	loan := &loan{lender: lender, conn: conn, group: request.Group, borrower: borrower, stream: stream, idleTimeout: request.IdleTimeout}
 	if !loan.run() {
 		conn.MarkBroken()
 	}
 }
 
-func (lender *Lender) reserve(request pool.LoanRequest) (*pool.Conn, spool.Term, error) {
-	if lender.closed.Load() {
-		return nil, 0, eris.New("the proxy is about to stop")
-	}
-	return lender.pool.Lend(context.Background(), request)
-}
-
 func sendLoanAnswer(stream *Stream, answer *wire.LoanAnswer) error {
 	return stream.Write(&wire.StreamFrame{Body: &wire.StreamFrame_LoanAnswer{LoanAnswer: answer}})
 }
@@ -98,8 +95,10 @@
 	lender      *Lender
 	conn        *pool.Conn
 	group       spool.Group
+	borrower    *borrower
 	stream      *Stream
 	idleTimeout time.Duration
+	used        bool          // commands were sent to the server
 	state       spool.TxState // after the last answer; zero before the first one
 	txWrote     bool          // the open transaction has written
 }
@@ -107,12 +106,9 @@
 // run forwards commands and answers, and reports whether the connection was returned and can be reused.
 func (loan *loan) run() bool {
 	for {
-		if err := loan.stream.SetReadDeadline(time.Now().Add(loan.idleTimeout)); err != nil {
-			return false
-		}
-		frame, err := loan.stream.Read()
+		frame, err := loan.borrower.read(loan.idleTimeout)
 		if err != nil {
-			return false
+			return !loan.used // a borrower that left without a command leaves the connection as it was
 		}
 		switch body := frame.Body.(type) {
 		case *wire.StreamFrame_LoanReturn:
@@ -129,6 +125,7 @@
 
 // forward sends commands to the server and its answers to the borrower; false means that the connection to the server broke.
 func (loan *loan) forward(commands []spool.Command) bool {
+	loan.used = true
 	pool := loan.lender.pool
 	deadline := time.Now().Add(loan.idleTimeout)
 	pool.MarkActive(loan.conn)
--- a/internal/metric/metrics.go
+++ b/internal/metric/metrics.go
@@ -38,6 +38,7 @@
 	platformCalls *prometheus.CounterVec
 	peerBytes     prometheus.Counter
 	events        *prometheus.CounterVec
+	waits         *waitMetrics
 }
 
 // Option configures Metrics.
@@ -60,7 +61,7 @@
 
 // New returns metrics in which all counters are zero.
 func New(options ...Option) *Metrics {
-	metrics := &Metrics{registry: prometheus.NewRegistry(), labelLimit: defaultLabelLimit}
+	metrics := &Metrics{registry: prometheus.NewRegistry(), labelLimit: defaultLabelLimit, waits: newWaitMetrics()}
 	for _, option := range options {
 		option(metrics)
 	}
@@ -89,7 +90,7 @@
 func (metrics *Metrics) registerCollectors() {
 	metrics.registry.MustRegister(
 		metrics.requests, metrics.requestTime, metrics.slotWait, metrics.reads, metrics.refusals,
-		metrics.failovers, metrics.platformCalls, metrics.peerBytes, metrics.events,
+		metrics.failovers, metrics.platformCalls, metrics.peerBytes, metrics.events, metrics.waits,
 	)
 	if metrics.sample != nil {
 		metrics.registry.MustRegister(sampler(metrics.sample))
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -24,12 +24,7 @@
 	Deadline    time.Time         // for obtaining a connection
 	IdleTimeout time.Duration     // longest wait for an answer or for the next statement
 	refusedBy   []spool.VM        // proxies that did not lend a connection
-}
-
-// waiter is a session in the queue for a connection.
-type waiter struct {
-	Request
-	grants chan grant
+	server      spool.Server      // the only acceptable server, whose connection is lent to another proxy; empty for a session
 }
 
 // grant reserves an idle connection, or the right to open or borrow one.
@@ -38,20 +33,28 @@
 	conn    *Conn    // nil if one is to be opened or borrowed
 	evicted *Conn    // idle connection of another team to close first, so that the limit holds
 	lender  spool.VM // proxy to borrow from; empty if one is to be opened
+	refusal *spool.Refusal
 }
 
 // Acquire returns a connection for a session, or a refusal if none is available in time; after a refusal no statement of the
 // session was sent to a server.
 func (pool *Pool) Acquire(ctx context.Context, request Request) (*Conn, *spool.Refusal) {
 	for {
+		if ctx.Err() != nil {
+			return nil, refuseCanceled(ctx)
+		}
 		granted, refusal := pool.waitForGrant(ctx, request)
 		if refusal != nil {
 			return nil, refusal
 		}
 		if granted.lender != "" {
-			if conn := pool.borrow(ctx, request, granted); conn != nil {
+			conn, loanRefusal := pool.borrow(ctx, request, granted)
+			if conn != nil {
 				return conn, nil
 			}
+			if loanRefusal != nil && loanRefusal.RetryAfter > 0 && time.Now().After(request.Deadline) {
+				return nil, loanRefusal.toCaller()
+			}
 			request.refusedBy = append(request.refusedBy, granted.lender)
 			continue
 		}
@@ -64,6 +67,10 @@
 			continue
 		}
 		conn, err := pool.open(ctx, request, granted)
+		if err == nil && ctx.Err() != nil {
+			pool.Release(conn)
+			return nil, refuseCanceled(ctx)
+		}
 		if err == nil {
 			return conn, nil
 		}
@@ -73,57 +80,15 @@
 	}
 }
 
-// waitForGrant returns a grant, or queues the request until one is available or its deadline passes.
-func (pool *Pool) waitForGrant(ctx context.Context, request Request) (grant, *spool.Refusal) {
-	pool.mutex.Lock()
-	group := pool.group(request.Group)
-	now := pool.timers.Now()
-	granted, possible := pool.tryReserve(group, &request, now)
-	if possible {
-		pool.mutex.Unlock()
-		return granted, nil
-	}
-	if wait := pool.expectedWait(group, &request); wait > time.Until(request.Deadline) {
-		pool.mutex.Unlock()
-		return grant{}, spool.Refuse(spool.CodeNoSlot, "too many statements wait for the server").WithRetryAfter(max(wait, retryAfter))
-	}
-	waiting := &waiter{Request: request, grants: make(chan grant, 1)}
-	group.waiters = append(group.waiters, waiting)
-	slices.SortStableFunc(group.waiters, func(left, right *waiter) int { return left.Priority - right.Priority })
-	if request.Primary && group.primaryServer() == nil {
-		pool.startProbing(group, request.Team)
-	}
-	pool.startDispatchTimer(group)
-	pool.mutex.Unlock()
-	timer := time.NewTimer(time.Until(request.Deadline))
-	defer timer.Stop()
-	select {
-	case granted := <-waiting.grants:
-		return granted, nil
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return pool.cancelWait(group, waiting)
-}
-
-// cancelWait removes a waiter from the queue, or returns the grant that it has received meanwhile.
-func (pool *Pool) cancelWait(group *group, waiting *waiter) (grant, *spool.Refusal) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	select {
-	case granted := <-waiting.grants:
-		return granted, nil
-	default:
-	}
-	group.waiters = slices.DeleteFunc(group.waiters, func(other *waiter) bool { return other == waiting })
-	if waiting.Primary && (group.primaryServer() == nil || !pool.usable(group.primaryServer(), pool.timers.Now())) {
-		return grant{}, spool.Refuse(spool.CodeNoPrimary, "no primary").WithRetryAfter(2 * retryAfter)
-	}
-	return grant{}, spool.Refuse(spool.CodeNoSlot, "all connections are in use").WithRetryAfter(retryAfter)
-}
-
 // tryReserve reserves a connection without waiting; the caller holds the mutex.
 func (pool *Pool) tryReserve(group *group, request *Request, now spool.Instant) (grant, bool) {
+	if request.server != "" {
+		server := group.servers[request.server]
+		if server == nil || !pool.usable(server, now) {
+			return grant{}, false
+		}
+		return pool.reserveLocal(server, request)
+	}
 	if request.Primary {
 		primary := group.primaryServer()
 		if primary == nil || !pool.usable(primary, now) || slices.Contains(request.Avoid, primary.spec.Server) {
@@ -159,22 +124,41 @@
 
 // reserve reserves an idle connection, a connection of a lender, or the right to open one, in that order.
 func (pool *Pool) reserve(server *server, request *Request) (grant, bool) {
-	if conn := server.popBestIdle(request); conn != nil {
+	if conn := pool.reserveIdle(server, request); conn != nil {
 		return grant{server: server, conn: conn}, true
 	}
 	if lender := pool.chooseLender(server, request); lender != "" {
 		server.borrowed++
 		return grant{server: server, lender: lender}, true
 	}
-	return server.reserveNew()
+	return pool.reserveOpening(server, request)
 }
 
 // reserveLocal is like reserve, but does not borrow.
 func (pool *Pool) reserveLocal(server *server, request *Request) (grant, bool) {
-	if conn := server.popBestIdle(request); conn != nil {
+	if conn := pool.reserveIdle(server, request); conn != nil {
 		return grant{server: server, conn: conn}, true
 	}
-	return server.reserveNew()
+	return pool.reserveOpening(server, request)
+}
+
+// reserveIdle reserves the team's idle connection whose session values match best, or returns nil.
+func (pool *Pool) reserveIdle(server *server, request *Request) *Conn {
+	conn := server.popBestIdle(request)
+	if conn != nil {
+		conn.heldSince = pool.timers.Now()
+		pool.startUse(server, request.Team)
+	}
+	return conn
+}
+
+// reserveOpening reserves the right to open a connection.
+func (pool *Pool) reserveOpening(server *server, request *Request) (grant, bool) {
+	granted, possible := server.reserveNew()
+	if possible {
+		pool.startUse(server, request.Team)
+	}
+	return granted, possible
 }
 
 // popBestIdle removes and returns the team's idle connection whose session values match best, or returns nil.
@@ -222,24 +206,29 @@
 	return grant{server: server, evicted: evicted}, true
 }
 
-// open opens the connection that a grant allows.
+// open opens the connection that a grant allows. It completes the handshake also if the caller leaves meanwhile: the server has
+// begun it, the connection serves the next request, and a broken handshake would count as a failure of the server.
 func (pool *Pool) open(ctx context.Context, request Request, granted grant) (*Conn, error) {
 	if granted.evicted != nil {
 		_ = granted.evicted.Close() // an idle connection has no transaction to lose
 	}
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	timeout := openTimeout
+	if deadline, bounded := ctx.Deadline(); bounded {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
 	spec := granted.server.spec
 	target := spool.ServerTarget{Group: spec.Group, Server: spec.Server, Address: spec.Address, Team: request.Team}
 	began := pool.timers.Now()
 	serverConn, position, err := pool.connect(ctx, granted.server, target)
 	if err != nil {
-		pool.recordOpenFailure(granted.server, err, began)
+		pool.recordOpenFailure(granted.server, request.Team, err, began)
 		return nil, err
 	}
 	pool.recordOpened(granted.server, position)
 	return &Conn{
-		ServerConn: serverConn, server: granted.server, team: request.Team,
+		ServerConn: serverConn, server: granted.server, team: request.Team, heldSince: began,
 		values: map[string]string{}, prepared: map[string]string{},
 	}, nil
 }
@@ -253,13 +242,14 @@
 	pool.dispatch(group, pool.timers.Now())
 }
 
-func (pool *Pool) recordOpenFailure(server *server, cause error, began spool.Instant) {
+func (pool *Pool) recordOpenFailure(server *server, team spool.Team, cause error, began spool.Instant) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := pool.timers.Now()
 	server.open--
 	server.busy--
 	server.handshakes--
+	pool.stopUse(server, team)
 	server.health.RecordFailure(now)
 	event.Log(pool.logger, event.ServerConnectFailed, zap.String("Group", string(server.spec.Group)),
 		zap.String("Server", string(server.spec.Server)), zap.Duration("Took", now.Sub(began)),
@@ -280,7 +270,7 @@
 	pool.mutex.Lock()
 	now := pool.timers.Now()
 	server := conn.server
-	server.markActive(conn)
+	pool.endUse(conn)
 	server.busy--
 	closing := conn.broken || server.removed || server.open > server.retainLimit
 	if closing {
@@ -311,33 +301,3 @@
 		zap.String("Server", string(server.spec.Server)), zap.Int("Failures", server.health.ConsecutiveFailures()), event.Cause(cause))
 	go closeAll(closing)
 }
-
-// dispatch grants connections to waiters in the order of the queue; the caller holds the mutex.
-func (pool *Pool) dispatch(group *group, now spool.Instant) {
-	group.waiters = slices.DeleteFunc(group.waiters, func(waiting *waiter) bool {
-		granted, possible := pool.tryReserve(group, &waiting.Request, now)
-		if possible {
-			waiting.grants <- granted
-		}
-		return possible
-	})
-}
-
-// startDispatchTimer dispatches periodically while there are waiters, since the backoff of a failed server ends without an
-// event.
-func (pool *Pool) startDispatchTimer(group *group) {
-	if group.dispatchTimerRunning {
-		return
-	}
-	group.dispatchTimerRunning = true
-	var stop func()
-	stop = pool.timers.Every(dispatchPeriod, spool.TimerFunc(func(now spool.Instant) {
-		pool.mutex.Lock()
-		defer pool.mutex.Unlock()
-		pool.dispatch(group, now)
-		if len(group.waiters) == 0 && group.dispatchTimerRunning {
-			group.dispatchTimerRunning = false
-			stop()
-		}
-	}))
-}
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -26,10 +26,11 @@
 	statementCount int
 	loan           *Loan // nil for a connection that this proxy opened
 	lender         spool.VM
-	pending        int  // answers to discard before the next one is read
-	pendingLate    bool // the pending answers exceeded their deadline
-	idleInTx       bool // an open transaction waits for the caller
-	broken         bool // may hold a transaction or unread answers
+	pending        int           // answers to discard before the next one is read
+	pendingLate    bool          // the pending answers exceeded their deadline
+	idleInTx       bool          // an open transaction waits for the caller
+	heldSince      spool.Instant // when the connection was granted to its present user
+	broken         bool          // may hold a transaction or unread answers
 }
 
 // Lender returns the proxy that lends the connection, or an empty VM if this proxy opened it.
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -5,6 +5,7 @@
 
 	"corianderspool.example/spool/internal/core/fresh"
 	"corianderspool.example/spool/internal/core/place"
+	"corianderspool.example/spool/internal/core/queue"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -41,7 +42,7 @@
 	term                 spool.Term   // newest term seen
 	watermarks           fresh.Watermarks
 	ackedPosition        spool.LogPosition // newest commit that this proxy acknowledged
-	waiters              []*waiter
+	waiters              *queue.Queue[*waiter]
 	probing              bool
 	refreshDone          chan struct{} // closed when the refresh in progress ends; nil if there is none
 	dispatchTimerRunning bool
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -10,10 +10,11 @@
 func (server *server) withinWindow() bool { return server.window.Allows(server.busy - server.idleInTx) }
 
 // markActive counts a connection as active again if it was idle in a transaction.
-func (server *server) markActive(conn *Conn) {
+func (pool *Pool) markActive(conn *Conn) {
 	if conn.idleInTx {
 		conn.idleInTx = false
-		server.idleInTx--
+		conn.server.idleInTx--
+		pool.startUse(conn.server, conn.team)
 	}
 }
 
@@ -26,6 +27,7 @@
 	defer pool.mutex.Unlock()
 	conn.idleInTx = true
 	conn.server.idleInTx++
+	pool.stopUse(conn.server, conn.team)
 	pool.dispatch(pool.group(conn.server.spec.Group), pool.timers.Now())
 }
 
@@ -36,7 +38,7 @@
 	}
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	conn.server.markActive(conn)
+	pool.markActive(conn)
 }
 
 // RecordAnswer records a server's answer to a statement and its response time.
@@ -76,25 +78,3 @@
 		conn.server.window.Shrink(conn.server.busy-conn.server.idleInTx, now)
 	}
 }
-
-// expectedWait estimates from the load how long a statement waits for a connection if none is free.
-func (pool *Pool) expectedWait(group *group, request *Request) time.Duration {
-	ahead := 0
-	for _, waiting := range group.waiters {
-		if waiting.Priority <= request.Priority && waiting.Primary == request.Primary {
-			ahead++
-		}
-	}
-	shortest := time.Duration(-1)
-	now := pool.timers.Now()
-	for name, server := range group.servers {
-		if request.Primary && name != group.primary || !pool.usable(server, now) {
-			continue
-		}
-		wait := server.window.ExpectedWait(ahead, server.limit, server.health.ExpectedLatency(now))
-		if shortest < 0 || wait < shortest {
-			shortest = wait
-		}
-	}
-	return max(0, shortest)
-}
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -42,6 +42,8 @@
 	spool.ServerTarget
 	Values      map[string]string
 	IdleTimeout time.Duration // longest wait for an answer or for the next command
+	Priority    int           // of the route; zero is the most urgent
+	Wait        time.Duration // longest wait in the lender's queue; zero asks for an answer at once
 }
 
 // Lenders are the other proxies that lend connections.
@@ -77,11 +79,12 @@
 	return ""
 }
 
-// borrow borrows the connection that a grant allows, or returns nil if the proxy lends none.
-func (pool *Pool) borrow(ctx context.Context, request Request, granted grant) *Conn {
+// borrow borrows the connection that a grant allows, or returns nil if the proxy lends none, with its refusal if it gave one.
+func (pool *Pool) borrow(ctx context.Context, request Request, granted grant) (*Conn, *LoanRefusal) {
 	loanRequest := LoanRequest{
 		ServerTarget: spool.ServerTarget{Group: request.Group, Server: granted.server.spec.Server, Team: request.Team},
 		Values:       request.Values, IdleTimeout: request.IdleTimeout + loanMargin,
+		Priority: request.Priority, Wait: pool.loanWait(request.Deadline),
 	}
 	loan, err := pool.lenders.Borrow(ctx, granted.lender, loanRequest)
 	pool.mutex.Lock()
@@ -90,15 +93,18 @@
 		granted.server.borrowed--
 		event.Log(pool.logger, event.BorrowFailed, zap.String("Lender", string(granted.lender)),
 			zap.String("Group", string(request.Group)), zap.String("Server", string(granted.server.spec.Server)),
-			zap.String("Team", string(request.Team)), event.Cause(err))
-		return nil
+			zap.String("Team", string(request.Team)), zap.Int("Priority", request.Priority),
+			zap.Duration("Wait", loanRequest.Wait), event.Cause(err))
+		var refusal *LoanRefusal
+		_ = errors.As(err, &refusal) // otherwise the proxy gave no answer
+		return nil, refusal
 	}
 	group := pool.group(request.Group)
 	group.term = max(group.term, loan.Term)
 	return &Conn{
 		ServerConn: loan, server: granted.server, team: request.Team, loan: loan, lender: granted.lender,
 		values: loan.Values, prepared: loan.Prepared, statementCount: loan.StatementCount,
-	}
+	}, nil
 }
 
 // returnLoan ends a loan.
@@ -113,42 +119,6 @@
 	_ = conn.loan.Return() // on a failure the lender sees the end of the stream
 }
 
-// Lend returns a connection for another proxy and the newest term of its group; it fails if none is available at once.
-func (pool *Pool) Lend(ctx context.Context, loanRequest LoanRequest) (*Conn, spool.Term, error) {
-	request := Request{Group: loanRequest.Group, Team: loanRequest.Team, Values: loanRequest.Values}
-	for {
-		granted, term, err := pool.reserveAt(loanRequest.Server, request)
-		if err != nil {
-			return nil, 0, err
-		}
-		if granted.conn == nil {
-			conn, err := pool.open(ctx, request, granted)
-			return conn, term, err
-		}
-		if granted.conn.pending > 0 || !granted.conn.Stale() {
-			return granted.conn, term, nil
-		}
-		granted.conn.MarkBroken()
-		pool.Release(granted.conn)
-	}
-}
-
-// reserveAt reserves a connection to one server without waiting.
-func (pool *Pool) reserveAt(serverName spool.Server, request Request) (grant, spool.Term, error) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	group := pool.group(request.Group)
-	server := group.servers[serverName]
-	if server == nil || !pool.usable(server, pool.timers.Now()) {
-		return grant{}, 0, eris.Errorf("server %s is not usable here", serverName)
-	}
-	granted, possible := pool.reserveLocal(server, &request)
-	if !possible {
-		return grant{}, 0, eris.Errorf("all connections to server %s are in use", serverName)
-	}
-	return granted, group.term, nil
-}
-
 // State returns the session state of the connection.
 func (conn *Conn) State() ConnState {
 	return ConnState{Values: conn.values, Prepared: conn.prepared, StatementCount: conn.statementCount}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,6 +10,7 @@
 	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/internal/core/fresh"
 	"corianderspool.example/spool/internal/core/place"
+	"corianderspool.example/spool/internal/core/queue"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -40,9 +41,11 @@
 	dialTunnel       TunnelDialer
 	lenders          Lenders
 	watermarkSource  WatermarkSource
+	observer         Observer
 
 	mutex        sync.Mutex
 	groups       map[spool.Group]*group
+	prioritized  bool           // the routes differ in priority
 	proxyDomains []spool.Domain // failure domain of each proxy that shares the servers' connections
 	selfIndex    int            // index of this proxy in proxyDomains
 }
@@ -86,7 +89,7 @@
 	pool := &Pool{
 		dialer: dialer, dial: dial, timers: timers, logger: zap.NewNop(),
 		roundTrip:  func(spool.Domain) time.Duration { return 0 },
-		sameRegion: func(left, right spool.Domain) bool { return left == right }, dialTunnel: noTunnel, lenders: disabled{}, watermarkSource: disabled{},
+		sameRegion: func(left, right spool.Domain) bool { return left == right }, dialTunnel: noTunnel, lenders: disabled{}, watermarkSource: disabled{}, observer: disabled{},
 		groups: map[spool.Group]*group{}, proxyDomains: []spool.Domain{""},
 	}
 	for _, option := range options {
@@ -274,7 +277,8 @@
 func (pool *Pool) group(name spool.Group) *group {
 	existing := pool.groups[name]
 	if existing == nil {
-		existing = &group{name: name, servers: map[spool.Server]*server{}}
+		existing = &group{name: name, servers: map[spool.Server]*server{}, waiters: queue.New[*waiter]()}
+		existing.waiters.SetPrioritized(pool.prioritized)
 		pool.groups[name] = existing
 	}
 	return existing
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -58,7 +58,7 @@
 func (fixture *fixture) mustAcquire(request pool.Request) *pool.Conn {
 	fixture.Helper()
 	conn, refusal := fixture.acquire(request)
-	qt.Assert(fixture, refusal == nil, qt.IsTrue)
+	qt.Assert(fixture, refusal == nil, qt.IsTrue, qt.Commentf("%+v", refusal))
 	return conn
 }
 
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,8 +39,7 @@
 func (pool *Pool) keepProbing(group *group) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	group.probing = group.primaryServer() == nil &&
-		slices.ContainsFunc(group.waiters, func(waiting *waiter) bool { return waiting.Primary })
+	group.probing = group.primaryServer() == nil && group.awaitsPrimary()
 	return group.probing
 }
 
@@ -79,6 +77,7 @@
 		server.open++
 		server.busy++
 		server.handshakes++
+		pool.startUse(server, team)
 		granted = grant{server: server} // uses the connection that no proxy's share includes
 	}
 	pool.mutex.Unlock()
