Free the queue place and token of a caller that closes its connection

A session did not read from its caller while a statement waited for a token or a connection, so a caller that had left kept its place until the statement's deadline, and its statement could still run.

The context of a command now ends when the caller closes its connection.

--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -77,7 +77,9 @@
 func (session *session) serve(ctx context.Context, message spool.CallerMessage) bool {
 	switch message.Kind {
 	case spool.MessageCommand:
-		answer := session.execute(ctx, message.Command)
+		watched := newCallerContext(ctx, session.caller)
+		answer := session.execute(watched, message.Command)
+		watched.stop()
 		return session.caller.Answer(answer) == nil
 	case spool.MessageInvalid:
 		event.Log(session.engine.logger, event.ProtocolViolation, zap.String("Reason", message.Reason))
--- a/pkg/spool/command.go
+++ b/pkg/spool/command.go
@@ -91,3 +91,10 @@
 	Interrupt()
 	Close() error
 }
+
+// CloseWatcher is a CallerConn that notices while a command waits that the caller has closed its connection.
+type CloseWatcher interface {
+	// WatchClose calls closed, at most once, when the caller closes the connection. The watch ends with stop, which must be
+	// called before the next Receive, or when the caller sends more.
+	WatchClose(closed func()) (stop func())
+}
