--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -98,6 +98,9 @@
 	HomeRegionUnknown              Number = 774
 	ClockJumped                    Number = 775
 	EvacuationReadFailed           Number = 776
+
+	WaitRefused   Number = 790
+	LoanWithdrawn Number = 791
 )
 
 var kinds = map[Number]Kind{
@@ -171,4 +174,6 @@
 	HomeRegionUnknown:              {Level: zapcore.ErrorLevel, Text: "home region unknown"},
 	ClockJumped:                    {Level: zapcore.WarnLevel, Text: "VM was suspended", PerSecond: serverLimit},
 	EvacuationReadFailed:           {Level: zapcore.WarnLevel, Text: "reading the evacuations failed", PerSecond: serverLimit},
+	WaitRefused:                    {Level: zapcore.InfoLevel, Text: "request refused in the queue for connections", PerSecond: serverLimit},
+	LoanWithdrawn:                  {Level: zapcore.InfoLevel, Text: "waiting loan withdrawn", PerSecond: serverLimit},
 }
