Limit requests to servers that warm up over all proxies

A server that just started, or says that it became cold, got the same load as the others. Where a group sets a limit for its warm-up, a proxy now takes a token before each statement, one by one in a transaction and over borrowed connections as well. Cold replicas are the last choice for reads, cold successors for promotions. A statement that finds no token in time is refused as not run.

Where no limit is set, a statement costs one atomic load.

--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -15,6 +15,7 @@
 	Near       bool // in the supervisor's region, by round-trip time
 	Evacuated  bool // in an evacuated failure domain, so never promoted
 	HomeRoutes int  // routes of the group that have home regions and may run there
+	Cold       bool // it warms up and gets a limited number of requests
 }
 
 // FailoverState is the known state of a group whose primary is to be replaced.
@@ -77,8 +78,8 @@
 	return best
 }
 
-// ranksHigher prefers the longer log, then a server that is not leaving, then one in the home regions of more routes, then a
-// near one.
+// ranksHigher prefers the longer log, then a server that is not leaving, then one in the home regions of more routes, then one
+// that does not warm up, then a near one.
 func ranksHigher(candidate, other *Candidate) bool {
 	if candidate.Status.Received != other.Status.Received {
 		return other.Status.Received.Less(candidate.Status.Received)
@@ -89,6 +90,9 @@
 	if candidate.HomeRoutes != other.HomeRoutes {
 		return candidate.HomeRoutes > other.HomeRoutes
 	}
+	if candidate.Cold != other.Cold {
+		return !candidate.Cold
+	}
 	return candidate.Near && !other.Near
 }
 
--- a/internal/core/quota/warmup.go
+++ b/internal/core/quota/warmup.go
@@ -17,7 +17,8 @@
 	// warmupChangePause is how long a new issuer waits before it issues, within which all tokens of its predecessor expire.
 	warmupChangePause     = 2 * WarmupTokenLifetime
 	warmupRequestInterval = 50 * time.Millisecond // between requests for tokens of a server: a round trip between regions
-	maxWarmupRequest      = 4                     // tokens; more would expire before they are used
+	// WarmupRequest is how many tokens one request asks each issuer for; more would expire before they are used.
+	WarmupRequest = 2
 )
 
 // WarmupIssuer issues this proxy's part of the requests that a server may get while it warms up.
@@ -88,18 +89,34 @@
 	return tokens.lastNumber, true
 }
 
-// Wanted returns how many tokens one request asks for while a number of operations wait.
-func (tokens *WarmupTokens) Wanted(waiting int) float64 {
-	return float64(min(maxWarmupRequest, max(1, waiting)))
-}
-
 // Credit adds the tokens that an issuer sent in answer to a request. Those of an earlier request than the newest one are dropped,
 // since their expiry is not known.
 func (tokens *WarmupTokens) Credit(number uint64, issued float64) {
 	if number != tokens.lastNumber {
 		return
 	}
-	for range int(min(issued, maxWarmupRequest)) {
+	for range int(min(issued, WarmupRequest)) {
 		tokens.expiries = append(tokens.expiries, tokens.requestedAt.Add(WarmupTokenLifetime))
 	}
 }
+
+// WarmupIssuersOf returns the proxies that issue a server's tokens: those of its region that rank first for it, or of the whole
+// fleet if its region has no proxy.
+func WarmupIssuersOf(server spool.Server, region string, fleet []Proxy) []spool.VM {
+	eligible := make([]Proxy, 0, len(fleet))
+	for _, proxy := range fleet {
+		if proxy.Region == region {
+			eligible = append(eligible, Proxy{VM: proxy.VM, Capacity: proxy.Capacity})
+		}
+	}
+	if len(eligible) == 0 {
+		for _, proxy := range fleet {
+			eligible = append(eligible, Proxy{VM: proxy.VM, Capacity: proxy.Capacity})
+		}
+	}
+	issuers := make([]spool.VM, 0, WarmupIssuers)
+	for _, proxy := range topPerRegion("warmup\x00"+string(server), eligible, WarmupIssuers) {
+		issuers = append(issuers, proxy.VM)
+	}
+	return issuers
+}
--- a/internal/core/quota/warmup_test.go
+++ b/internal/core/quota/warmup_test.go
@@ -54,7 +54,7 @@
 			proxy := rapid.IntRange(0, proxies-1).Draw(t, "proxy")
 			if number, due := tokens[proxy].Request(now); due {
 				for _, issuer := range issuers {
-					issued := issuer.Issue(tokens[proxy].Wanted(9), perSecond, now)
+					issued := issuer.Issue(WarmupRequest, perSecond, now)
 					delay := time.Duration(rapid.IntRange(0, 300).Draw(t, "delay")) * time.Millisecond
 					if issued > 0 && rapid.IntRange(0, 9).Draw(t, "lost") > 0 {
 						answers = append(answers, warmupAnswer{proxy, number, issued, now.Add(delay)})
@@ -95,7 +95,7 @@
 		proxy := &tokens[step%len(tokens)]
 		if number, due := proxy.Request(now); due {
 			for _, issuer := range issuers {
-				proxy.Credit(number, issuer.Issue(proxy.Wanted(9), perSecond, now))
+				proxy.Credit(number, issuer.Issue(WarmupRequest, perSecond, now))
 			}
 		}
 		for {
--- a/internal/engine/evacuation.go
+++ b/internal/engine/evacuation.go
@@ -34,8 +34,13 @@
 	return spool.Refuse(spool.CodeRolledBack, "the server's failure domain is evacuated").WithRetryAfter(busyRetryDelay).WithCause(cause)
 }
 
-// notSent returns the answer for a statement that was not sent because of an evacuation; false means that it may have been sent.
+// notSent returns the answer for a statement that was not sent because of an evacuation or a server that warms up; false means
+// that it may have been sent.
 func notSent(err error) (spool.Answer, bool) {
+	if errors.Is(err, pool.ErrWarmingUp) {
+		refusal := spool.Refuse(spool.CodeNoSlot, "the server warms up").WithRetryAfter(warmupRetry).WithCause(err)
+		return spool.Answer{Refusal: refusal, State: spool.TxIdle}, true
+	}
 	if !errors.Is(err, pool.ErrEvacuated) {
 		return spool.Answer{}, false
 	}
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -17,6 +17,7 @@
 	busyRetryDelay = 15 * time.Millisecond  // before a retry on a full server; about the time that a server works on one statement
 	ageMargin      = 30 * time.Millisecond  // subtracted from a route's maximum age, for the transit of the request to the server
 	waitDivisor    = 4                      // a statement that gets no connection within the latency objective divided by this is refused
+	warmupRetry    = 500 * time.Millisecond // retry hint to callers whose server warms up and had no room for their statement
 	maxWait        = 500 * time.Millisecond // for a connection on a route without a latency objective
 )
 
@@ -210,14 +211,18 @@
 func (session *session) exchange(statement *statement, conn *pool.Conn, command spool.Command) (spool.Answer, error) {
 	engine := session.engine
 	began := engine.timers.Now()
-	if err := session.checkSend(conn, began); err != nil {
+	err := engine.pool.AwaitWarmup(conn, began, statement.deadline)
+	if err == nil {
+		err = session.checkSend(conn, began)
+	}
+	if err != nil {
 		engine.pool.RecordFailure(conn, err)
 		return spool.Answer{}, err
 	}
 	statement.attempts++
 	statement.server, statement.lender = conn.Server(), conn.Lender()
 	session.finishToken(true)
-	err := conn.Send(command)
+	err = conn.Send(command)
 	var answer spool.Answer
 	if err == nil {
 		answer, err = conn.Receive(statement.deadline)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -84,6 +84,8 @@
 	switch {
 	case errors.Is(err, pool.ErrEvacuated):
 		return spool.Answer{Refusal: evacuatedTx(err)}
+	case errors.Is(err, pool.ErrWarmingUp):
+		return spool.Answer{Refusal: spool.Refuse(spool.CodeRolledBack, "the server warms up").WithRetryAfter(warmupRetry).WithCause(err)}
 	case statement.Verb == spool.VerbCommit && session.tx.wrote:
 		return spool.Answer{Refusal: &spool.Refusal{
 			Verdict: spool.VerdictUnknown, Code: spool.CodeOutcomeUnknown, Message: "no answer to the commit", Cause: err,
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -99,6 +99,8 @@
 	ClockJumped                    Number = 775
 	EvacuationReadFailed           Number = 776
 
+	ServerWarmingUp Number = 780
+
 	WaitRefused   Number = 790
 	LoanWithdrawn Number = 791
 )
@@ -173,6 +175,7 @@
 	EvacuatedTransactionRolledBack: {Level: zapcore.InfoLevel, Text: "transaction rolled back because of an evacuation", PerSecond: callerLimit},
 	HomeRegionUnknown:              {Level: zapcore.ErrorLevel, Text: "home region unknown"},
 	ClockJumped:                    {Level: zapcore.WarnLevel, Text: "VM was suspended", PerSecond: serverLimit},
+	ServerWarmingUp:                {Level: zapcore.InfoLevel, Text: "backend server warms up", PerSecond: serverLimit},
 	EvacuationReadFailed:           {Level: zapcore.WarnLevel, Text: "reading the evacuations failed", PerSecond: serverLimit},
 	WaitRefused:                    {Level: zapcore.InfoLevel, Text: "request refused in the queue for connections", PerSecond: serverLimit},
 	LoanWithdrawn:                  {Level: zapcore.InfoLevel, Text: "waiting loan withdrawn", PerSecond: serverLimit},
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -168,6 +168,7 @@
 	known := members.registryKnown
 	members.mutex.Unlock()
 	members.proxy.pool.SetFleet(domains, self)
+	members.proxy.warmup.setFleet(fleet)
 	if known {
 		members.proxy.limiter.setFleet(fleet)
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -195,12 +195,20 @@
 	case *wire.Envelope_CopyAnswer:
 		peers.applyDelta(body.CopyAnswer)
 	case *wire.Envelope_TokenRequest:
+		if body.TokenRequest.Server != "" {
+			peers.proxy.warmup.answer(from, body.TokenRequest)
+			return
+		}
 		granted := peers.proxy.limiter.grantTokens(from, spool.Team(body.TokenRequest.Team), body.TokenRequest.Tokens)
 		if granted > 0 {
 			transfer := &wire.TokenTransfer{Team: body.TokenRequest.Team, Tokens: granted}
 			peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_TokenTransfer{TokenTransfer: transfer}})
 		}
 	case *wire.Envelope_TokenTransfer:
+		if body.TokenTransfer.Server != "" {
+			peers.proxy.warmup.credit(body.TokenTransfer)
+			return
+		}
 		peers.proxy.limiter.addTokens(spool.Team(body.TokenTransfer.Team), body.TokenTransfer.Tokens)
 	case *wire.Envelope_MarkRequest:
 		go peers.proxy.watermarks.sendAnswer(from, body.MarkRequest)
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -57,6 +57,7 @@
 	reader      *reader
 	evacuations *evacuations
 	servers     *mirror.Mirror
+	warmup      *warmup
 	dial        spool.DialFunc
 	started     spool.Instant
 
@@ -77,12 +78,12 @@
 	proxy.storeReached, proxy.lastReloaded = true, settings
 	proxy.setUpMetrics()
 	proxy.evacuations = newEvacuations(proxy)
-	proxy.borrower, proxy.watermarks = newBorrower(proxy), newWatermarks(proxy)
+	proxy.borrower, proxy.watermarks, proxy.warmup = newBorrower(proxy), newWatermarks(proxy), newWarmup(proxy)
 	proxy.pool = pool.New(proxy.adapter, proxy.dial, timers,
 		pool.WithLogger(proxy.logger), pool.WithRoundTrip(proxy.roundTrip), pool.WithDrain(settings.Bounds.Drain), pool.WithTunnelDialer(proxy.dialTunnel),
 		pool.WithLenders(proxy.borrower), pool.WithObserver(waitObserver{proxy.metrics}), pool.WithWatermarkSource(proxy.watermarks), pool.WithSameRegion(func(left, right spool.Domain) bool {
 			return settings.Regions[left] == settings.Regions[right]
-		}), proxy.evacuationGuard())
+		}), proxy.evacuationGuard(), pool.WithWarmupTokens(proxy.warmup))
 	proxy.lender = lend.NewLender(proxy.pool, timers, proxy.logger)
 	proxy.engine = engine.New(proxy.pool, timers, proxy.limiter, engine.WithLogger(proxy.logger), engine.WithRegions(settings.Regions),
 		engine.WithObserver(statementObserver{proxy.metrics}))
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -31,11 +31,12 @@
 
 // grant reserves an idle connection, or the right to open or borrow one.
 type grant struct {
-	server  *server
-	conn    *Conn    // nil if one is to be opened or borrowed
-	evicted *Conn    // idle connection of another team to close first, so that the limit holds
-	lender  spool.VM // proxy to borrow from; empty if one is to be opened
-	refusal *spool.Refusal
+	server       *server
+	conn         *Conn         // nil if one is to be opened or borrowed
+	evicted      *Conn         // idle connection of another team to close first, so that the limit holds
+	lender       spool.VM      // proxy to borrow from; empty if one is to be opened
+	warmupExpiry spool.Instant // of the token for a server that warms up; zero if there is none
+	refusal      *spool.Refusal
 }
 
 // Acquire returns a connection for a session, or a refusal if none is available in time; after a refusal no statement of the
@@ -52,6 +53,7 @@
 		if granted.lender != "" {
 			conn, loanRefusal := pool.borrow(ctx, request, granted)
 			if conn != nil {
+				conn.warmupExpiry = granted.warmupExpiry
 				return conn, nil
 			}
 			if loanRefusal != nil && loanRefusal.RetryAfter > 0 && time.Now().After(request.Deadline) {
@@ -62,6 +64,7 @@
 		}
 		if granted.conn != nil {
 			if granted.conn.pending > 0 || !granted.conn.Stale() {
+				granted.conn.warmupExpiry = granted.warmupExpiry
 				return granted.conn, nil
 			}
 			granted.conn.MarkBroken()
@@ -74,6 +77,7 @@
 			return nil, refuseCanceled(ctx)
 		}
 		if err == nil {
+			conn.warmupExpiry = granted.warmupExpiry
 			return conn, nil
 		}
 		if ctx.Err() != nil || time.Now().After(request.Deadline) {
@@ -96,9 +100,12 @@
 		if primary == nil || !pool.usable(primary, now) || slices.Contains(request.Avoid, primary.spec.Server) || !request.allows(primary.spec.Domain) {
 			return grant{}, false
 		}
+		if group.cold(primary, now) {
+			return pool.reserveCold(group, primary, request, now)
+		}
 		return pool.reserve(primary, request)
 	}
-	var servers []*server
+	var servers, coldServers []*server
 	var candidates []place.Candidate
 	for _, server := range group.servers {
 		if !pool.usable(server, now) || server.leavingSince != 0 || slices.Contains(request.Avoid, server.spec.Server) || !request.allows(server.spec.Domain) {
@@ -107,6 +114,10 @@
 		if server.spec.Server != group.primary && server.lag.LikelyBehind(request.MinPosition, now) {
 			continue
 		}
+		if group.cold(server, now) {
+			coldServers = append(coldServers, server)
+			continue
+		}
 		servers = append(servers, server)
 		candidates = append(candidates, place.Candidate{
 			ExpectedLatency: server.roundTrip + server.expectedLatency(now),
@@ -121,6 +132,11 @@
 		}
 		servers, candidates = slices.Delete(servers, best, best+1), slices.Delete(candidates, best, best+1)
 	}
+	for _, server := range coldServers {
+		if granted, possible := pool.reserveCold(group, server, request, now); possible {
+			return granted, true
+		}
+	}
 	return grant{}, false
 }
 
@@ -259,7 +275,7 @@
 	server.busy--
 	server.handshakes--
 	pool.stopUse(server, team)
-	if evacuated(cause) {
+	if unsent(cause) {
 		pool.dispatch(pool.group(server.spec.Group), now)
 		return
 	}
@@ -305,7 +321,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	conn.MarkBroken()
-	if evacuated(cause) {
+	if unsent(cause) {
 		return
 	}
 	server := conn.server
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -35,6 +35,7 @@
 	supervising    bool          // used for the supervisor's own commands
 	farTunnel      bool          // goes through a proxy in any region
 	heldSince      spool.Instant // when the connection was granted to its present user
+	warmupExpiry   spool.Instant // of the token for the next statement if the server warms up; zero if there is none
 	broken         bool          // may hold a transaction or unread answers
 }
 
--- a/internal/pool/evacuation.go
+++ b/internal/pool/evacuation.go
@@ -222,5 +222,5 @@
 	return spool.Refuse(code, "all servers are in evacuated failure domains or outside the home regions").WithRetryAfter(place.EvacuationRetry)
 }
 
-// evacuated reports whether an error means that nothing was sent to an evacuated failure domain.
-func evacuated(err error) bool { return errors.Is(err, ErrEvacuated) }
+// unsent reports whether an error means that this proxy held a statement back, which says nothing about the server.
+func unsent(err error) bool { return errors.Is(err, ErrEvacuated) || errors.Is(err, ErrWarmingUp) }
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -34,6 +34,7 @@
 	tunnelUntil     spool.Instant // connections go through another proxy before this instant
 	reopenedAt      spool.Instant // when its failure domain was opened again after an evacuation
 	reopenLimit     int           // statements of this proxy at once while load returns; zero if there is no limit
+	coldUntil       spool.Instant // the server warms up before this instant
 	removed         bool
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -46,6 +46,8 @@
 	evacuation       atomic.Pointer[place.Evacuation] // nil if no failure domain is evacuated
 	restricted       atomic.Bool                      // home regions are set
 	observer         Observer
+	warmupTokens     WarmupTokens
+	coldUntil        atomic.Int64 // latest instant at which any server warms up
 
 	mutex        sync.Mutex
 	groups       map[spool.Group]*group
@@ -94,7 +96,7 @@
 	pool := &Pool{
 		dialer: dialer, dial: dial, timers: timers, logger: zap.NewNop(),
 		roundTrip:  func(spool.Domain) time.Duration { return 0 },
-		sameRegion: func(left, right spool.Domain) bool { return left == right }, dialTunnel: noTunnel, lenders: disabled{}, watermarkSource: disabled{}, observer: disabled{},
+		sameRegion: func(left, right spool.Domain) bool { return left == right }, dialTunnel: noTunnel, lenders: disabled{}, watermarkSource: disabled{}, warmupTokens: disabled{}, observer: disabled{},
 		groups: map[spool.Group]*group{}, proxyDomains: []spool.Domain{""},
 	}
 	for _, option := range options {
@@ -127,6 +129,9 @@
 	for name, limit := range limits {
 		group := pool.group(name)
 		group.limits = limit
+		for _, server := range group.servers {
+			pool.recordWarmup(group, server, pool.timers.Now())
+		}
 		pool.divideConnections(group)
 	}
 }
@@ -148,6 +153,7 @@
 	}
 	becamePrimary := spec.Primary && !registered.spec.Primary
 	registered.spec = spec
+	pool.recordWarmup(group, registered, now)
 	if spec.Mode == spool.ServerReady {
 		registered.leavingSince = 0
 	} else if registered.leavingSince == 0 {
--- a/internal/pool/tunnel.go
+++ b/internal/pool/tunnel.go
@@ -44,7 +44,7 @@
 	}
 	serverConn, position, err = pool.dialer.Open(ctx, dial, target)
 	var refusal *spool.Refusal
-	if err == nil || !primary || errors.As(err, &refusal) || evacuated(err) {
+	if err == nil || !primary || errors.As(err, &refusal) || unsent(err) {
 		return serverConn, false, position, err
 	}
 	serverConn, position, tunnelErr := pool.dialer.Open(ctx, dialTunnel, target)
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -29,6 +29,7 @@
 	spool.RegisteredServer
 	Leaving    bool
 	Evacuated  bool // its failure domain is evacuated
+	Cold       bool // it warms up and gets a limited number of requests
 	HomeRoutes int  // routes of the group that have home regions and may run there
 	RoundTrip  time.Duration
 }
@@ -37,7 +38,7 @@
 func (pool *Pool) View(name spool.Group) GroupView {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	group, evacuation := pool.group(name), pool.evacuation.Load()
+	group, evacuation, now := pool.group(name), pool.evacuation.Load(), pool.timers.Now()
 	view := GroupView{
 		Group: name, Primary: group.primary, Term: group.term, NewestWatermark: group.watermarks.Newest(), AckedPosition: group.ackedPosition,
 		LastContact: group.lastContact, SyncReplicas: group.limits.SyncReplicas,
@@ -48,7 +49,7 @@
 		}
 		view.Servers = append(view.Servers, ServerView{
 			RegisteredServer: server.spec, Leaving: server.leavingSince != 0, RoundTrip: server.roundTrip,
-			Evacuated: evacuation.Closed(server.spec.Domain), HomeRoutes: pool.homeRoutes[name][server.spec.Domain],
+			Cold: group.cold(server, now), Evacuated: evacuation.Closed(server.spec.Domain), HomeRoutes: pool.homeRoutes[name][server.spec.Domain],
 		})
 	}
 	slices.SortFunc(view.Servers, func(left, right ServerView) int { return cmp.Compare(left.Server, right.Server) })
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -159,7 +159,7 @@
 			defer mutex.Unlock()
 			candidates = append(candidates, elect.Candidate{
 				Server: server.Server, Responded: err == nil, Status: status, Leaving: server.Leaving,
-				Near: server.RoundTrip < nearRTT, Evacuated: server.Evacuated, HomeRoutes: server.HomeRoutes,
+				Near: server.RoundTrip < nearRTT, Evacuated: server.Evacuated, HomeRoutes: server.HomeRoutes, Cold: server.Cold,
 			})
 		})
 	}
