Allow for single long statements in a team's share of a queue

A team may now use as much as two held connections beyond its tolerance, and the expected wait counts the items of teams within their share only until the requester is within its own again.

--- a/internal/core/queue/account.go
+++ b/internal/core/queue/account.go
@@ -14,6 +14,9 @@
 	// shareTolerance keeps a team within its share until its use exceeds the share by this factor. Without it about half of
 	// the teams with equal load would count as beyond their share at any time.
 	shareTolerance = 1.5
+	// holdTolerance is how many connections, each held once, a team may use beyond that. Where few connections are shared, one
+	// long statement changes the use of a team by much.
+	holdTolerance = 2
 	// minUsage is the use, in connections, below which a team that runs and waits for nothing is forgotten.
 	minUsage     = 1e-3
 	shareRounds  = 8                     // of the max-min division; each raises the share by what smaller demands leave
@@ -110,11 +113,23 @@
 		}
 		share = raised
 	}
+	queue.inUse = total
+	queue.allowed = share*shareTolerance + holdTolerance*queue.MeanHold().Seconds()/usageWindow.Seconds()
 	for _, team := range queue.teams {
-		team.within = team.usage <= share*shareTolerance
+		team.within = team.usage <= queue.allowed
 	}
 }
 
+// untilWithin returns how many items are expected to be served before a team that is beyond its share and served nothing is
+// within it again.
+func (queue *Queue[T]) untilWithin(team *team) int {
+	if team.within || queue.allowed <= 0 {
+		return 0
+	}
+	seconds := usageWindow.Seconds() * math.Log(team.usage/queue.allowed)
+	return int(math.Ceil(seconds * queue.inUse / queue.MeanHold().Seconds()))
+}
+
 // Held records for how long a connection was held, from its grant to its release.
 func (queue *Queue[T]) Held(hold time.Duration) {
 	queue.holdTime = queue.holdTime*holdDecay + hold.Seconds()
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -21,6 +21,8 @@
 	length      int
 	holdTime    float64 // seconds, decayed at each release
 	holds       float64
+	inUse       float64 // connections that all teams use, as of the last division
+	allowed     float64 // use, in connections, up to which a team is within its share, as of the last division
 }
 
 // New returns an empty queue that serves requests in the order of their arrival.
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -31,13 +31,22 @@
 			own += upTo
 		}
 	}
-	ahead := own
+	ahead, first := own, 0
 	for _, class := range queue.classes {
-		if class.team != requester && class.target.overlaps(target, primary) {
-			ahead += class.servedBefore(requester.within, priority, own+1)
+		if class.team == requester || !class.target.overlaps(target, primary) {
+			continue
+		}
+		switch served := class.servedBefore(priority, own+1); {
+		case requester.within && class.team.within:
+			ahead += served
+		case class.team.within: // all of them, until the requester's team is within its share again
+			ahead += served
+			first += len(class.items) - served
+		case !requester.within:
+			ahead += min(len(class.items), own+1)
 		}
 	}
-	return ahead
+	return ahead + min(first, queue.untilWithin(requester))
 }
 
 // aheadInOrder counts all items that are as urgent.
@@ -52,18 +61,10 @@
 	return ahead
 }
 
-// servedBefore returns how many items of another team are served before one of a requester, whose team and this one take
-// turns if neither precedes the other.
-func (class *class[T]) servedBefore(requesterWithin bool, priority, turns int) int {
+// servedBefore returns how many items of another team are served before one of a requester, if neither team is beyond its share
+// or both are: the more urgent ones, and as many others as the teams take turns.
+func (class *class[T]) servedBefore(priority, turns int) int {
 	upTo, moreUrgent := class.count(priority)
-	switch {
-	case requesterWithin && !class.team.within:
-		return 0
-	case !requesterWithin && class.team.within:
-		return len(class.items)
-	case !requesterWithin:
-		return min(len(class.items), turns)
-	}
 	return moreUrgent + min(upTo-moreUrgent, turns)
 }
 
