Give a team's tokens to its most urgent operations first

Requests for tokens carry the most urgent priority that waits and how many of the tokens it needs. An issuer averages that demand over a second and holds back what it needs in reserveWindow, while the demand exceeds its rate, from less urgent requests; without an urgent request during reserveWindow nothing is held back. Operations that wait at one proxy get tokens by priority. An operation more urgent than that of the last failed request does not wait for its longer interval. After a failed request a proxy asks one issuer and not all of them where routes differ in priority: with tokens held back, several issuers sent tokens for one operation, and 31 of 40 a second were used in place of 35.

With one priority decisions are as before; the oracle tests of every window hold, also with three priorities. Refusals are logged with their inputs (792) and counted by priority.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -33,11 +33,14 @@
 	reserved        float64 // tokens of admitted operations that have not reached a server yet
 	filledAt        spool.Instant
 	demand          float64 // operations a second
+	urgent          urgentDemand
 	requestedAt     spool.Instant
 	requestInterval time.Duration
-	creditedAt      spool.Instant // when tokens of another proxy last arrived
-	issuersOnly     bool          // only the buckets of issuers refill
-	teamRate        float64       // tokens a second in the whole fleet
+	// requestedPriority is the priority of the operation that caused the last request.
+	requestedPriority int
+	creditedAt        spool.Instant // when tokens of another proxy last arrived
+	issuersOnly       bool          // only the buckets of issuers refill
+	teamRate          float64       // tokens a second in the whole fleet
 }
 
 // NewBucket returns an empty bucket, so that a restarted proxy does not spend a burst twice.
@@ -74,15 +77,16 @@
 }
 
 // RecordDemand counts an operation that needs a token.
-func (bucket *Bucket) RecordDemand(now spool.Instant) {
+func (bucket *Bucket) RecordDemand(priority int, now spool.Instant) {
 	bucket.refill(now)
 	bucket.demand += 1 / demandWindow.Seconds()
+	bucket.urgent.record(priority, 1, now)
 }
 
 // Reserve reserves a token for an operation and returns false if there is none; Settle ends the reservation.
-func (bucket *Bucket) Reserve(now spool.Instant) bool {
+func (bucket *Bucket) Reserve(operation Operation, now spool.Instant) bool {
 	bucket.refill(now)
-	if bucket.level < 1 {
+	if bucket.level < bucket.needed(operation, now) {
 		return false
 	}
 	bucket.level--
@@ -90,21 +94,22 @@
 	return true
 }
 
-// TokensToRequest returns how many tokens to request from other proxies now, or zero; waiting is the number of operations that
-// wait for a token, and lastFailed reports that the last request brought no tokens.
-func (bucket *Bucket) TokensToRequest(waiting int, now spool.Instant) (tokens float64, lastFailed bool) {
+// TokensToRequest returns which tokens to request from other proxies now, if any; lastFailed reports that the last request
+// brought no tokens. Requests that bring none become rarer, except for operations more urgent than those of the last one.
+func (bucket *Bucket) TokensToRequest(need need, now spool.Instant) (request Request, lastFailed bool) {
 	bucket.refill(now)
 	threshold := max(1, bucket.demand*bucket.minInterval().Seconds()*2)
-	if bucket.level >= threshold || bucket.requestedAt != 0 && now.Sub(bucket.requestedAt) < bucket.requestInterval {
-		return 0, false
+	interval := bucket.requestInterval
+	if need.priority < bucket.requestedPriority {
+		interval = bucket.minInterval()
 	}
-	bucket.requestedAt = now
-	lastFailed = bucket.requestInterval > bucket.minInterval()
-	bucket.requestInterval = min(2*bucket.requestInterval, maxRequestInterval)
-	if bucket.issuersOnly {
-		return math.Ceil(max(float64(waiting), bucket.demand*requestWindow.Seconds())), lastFailed
+	if bucket.level >= threshold || bucket.requestedAt != 0 && now.Sub(bucket.requestedAt) < interval {
+		return Request{}, false
 	}
-	return max(minRequest, bucket.demand*requestWindow.Seconds()), lastFailed
+	bucket.requestedAt, bucket.requestedPriority = now, need.priority
+	lastFailed = interval > bucket.minInterval()
+	bucket.requestInterval = min(2*interval, maxRequestInterval)
+	return bucket.request(need), lastFailed
 }
 
 // Credit adds tokens that another proxy sent.
@@ -127,19 +132,32 @@
 	}
 }
 
-// TakeSurplus removes up to want tokens for another proxy whose bucket refills and returns how many; it keeps the tokens that
-// this proxy needs within reserveWindow.
-func (bucket *Bucket) TakeSurplus(want float64, now spool.Instant) float64 {
+// TakeSurplus removes up to the requested tokens for another proxy whose bucket refills and returns how many; it keeps the tokens
+// that this proxy needs within reserveWindow, for the most urgent tokens only those that its own operations of that priority need.
+func (bucket *Bucket) TakeSurplus(request Request, now spool.Instant) float64 {
 	bucket.refill(now)
-	return bucket.debit(min(want, bucket.level-bucket.demand*reserveWindow.Seconds()))
+	available := bucket.level - bucket.demand*reserveWindow.Seconds()
+	urgentAvailable := available
+	if request.Priority < bucket.urgent.priority {
+		urgentAvailable = bucket.level
+	} else if request.Priority == bucket.urgent.priority {
+		urgentAvailable = bucket.level - min(bucket.demand, bucket.urgent.rate)*reserveWindow.Seconds()
+	}
+	return bucket.debit(request.split(urgentAvailable, available, false))
 }
 
-// Issue removes up to want tokens for a proxy whose bucket does not refill and returns how many. The demand of that proxy counts
-// as this one's own, so no tokens are kept back.
-func (bucket *Bucket) Issue(want float64, now spool.Instant) float64 {
+// Issue removes up to the requested tokens for a proxy whose bucket does not refill and returns how many. The demand of that
+// proxy counts as this one's own, so no tokens are kept back but those for more urgent operations.
+func (bucket *Bucket) Issue(request Request, now spool.Instant) float64 {
 	bucket.refill(now)
-	bucket.demand += want / demandWindow.Seconds()
-	return bucket.debit(math.Floor(min(want, bucket.level))) // a fraction of a token could not grow to a whole one there
+	bucket.demand += request.Tokens / demandWindow.Seconds()
+	bucket.urgent.record(request.Priority, request.UrgentTokens, now)
+	available := bucket.level - bucket.heldBack(now)
+	urgentAvailable := available
+	if request.Priority <= bucket.urgent.priority {
+		urgentAvailable = bucket.level
+	}
+	return bucket.debit(request.split(urgentAvailable, available, true))
 }
 
 func (bucket *Bucket) debit(tokens float64) float64 {
@@ -177,6 +195,7 @@
 	}
 	bucket.filledAt = now
 	bucket.demand *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+	bucket.urgent.decay(elapsed)
 	if bucket.burst == 0 && now.Sub(bucket.creditedAt) > creditLifetime {
 		bucket.level = 0
 	}
--- a/internal/core/quota/bucketset.go
+++ b/internal/core/quota/bucketset.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"time"
 
 	"corianderspool.example/spool/pkg/spool"
@@ -14,6 +13,7 @@
 	share       func(team spool.Team) float64 // of a team's rate at which this proxy's bucket refills
 	single      bool                          // there is no other proxy
 	issuersOnly bool                          // only the buckets of issuers refill
+	prioritized bool                          // the routes differ in priority
 }
 
 // NewBucketSet returns a set without teams, whose buckets do not refill before the fleet is known.
@@ -64,24 +64,26 @@
 	Admitted          bool
 	Wait              time.Duration // until this proxy's bucket refills to the next token, if not admitted
 	Exhausted         bool          // waiting is useless: neither refilling nor other proxies bring a token in time
-	TokensToRequest   float64       // tokens to request from other proxies now, or zero
+	TokensToRequest   Request       // tokens to request from other proxies now, if any
 	LastRequestFailed bool          // the last request to other proxies brought no tokens
+	AskOne            bool          // ask one issuer of any region, not all
 }
 
-// Admit reserves a token of the team until Settle, if there is one. A retry is not counted as new demand; waiting is the number
-// of the team's operations that wait for a token.
-func (bucketSet *BucketSet) Admit(team spool.Team, retry bool, waiting int, now spool.Instant) Decision {
+// Admit reserves a token of the team until Settle, if there is one for the operation.
+func (bucketSet *BucketSet) Admit(team spool.Team, operation Operation, now spool.Instant) Decision {
 	bucket := bucketSet.buckets[team]
 	if bucket == nil {
 		return Decision{Wait: maxRetryAfter}
 	}
-	if !retry {
-		bucket.RecordDemand(now)
+	if !operation.Retry {
+		bucket.RecordDemand(operation.Priority, now)
 	}
-	decision := Decision{Admitted: bucket.Reserve(now), Wait: bucket.TimeToNextToken(now)}
-	decision.Exhausted = (bucketSet.single || bucket.requestInterval >= exhaustedInterval) && !bucket.availableWithin(waiting+1, WaitTimeout)
+	decision := Decision{Admitted: bucket.Reserve(operation, now), Wait: bucket.TimeToNextToken(now)}
+	ahead := operation.Waiting - operation.LessUrgent
+	decision.Exhausted = (bucketSet.single || bucket.requestInterval >= exhaustedInterval) && !bucket.availableWithin(ahead+1, WaitTimeout)
 	if !bucketSet.single {
-		decision.TokensToRequest, decision.LastRequestFailed = bucket.TokensToRequest(waiting+1, now)
+		decision.TokensToRequest, decision.LastRequestFailed = bucket.TokensToRequest(operation.need(), now)
+		decision.AskOne = decision.LastRequestFailed && bucketSet.asksOne(bucket)
 	}
 	return decision
 }
@@ -100,23 +102,24 @@
 	}
 }
 
-// Issue removes up to want tokens for a proxy whose bucket does not refill. It returns how many, and the tokens that this proxy
-// requests from other issuers now.
-func (bucketSet *BucketSet) Issue(team spool.Team, want float64, now spool.Instant) (issued float64, request Decision) {
+// Issue removes up to the requested tokens for a proxy whose bucket does not refill. It returns how many, and the tokens that
+// this proxy requests from other issuers now.
+func (bucketSet *BucketSet) Issue(team spool.Team, wanted Request, now spool.Instant) (issued float64, request Decision) {
 	bucket := bucketSet.buckets[team]
 	if bucket == nil {
 		return 0, Decision{}
 	}
-	issued = bucket.Issue(want, now)
-	request.TokensToRequest, request.LastRequestFailed = bucket.TokensToRequest(int(math.Ceil(want-issued)), now)
+	issued = bucket.Issue(wanted, now)
+	request.TokensToRequest, request.LastRequestFailed = bucket.TokensToRequest(wanted.need(issued), now)
 	return issued, request
 }
 
-// TakeSurplus removes up to want tokens for another proxy and returns how many; it keeps those that this proxy needs soon.
-func (bucketSet *BucketSet) TakeSurplus(team spool.Team, want float64, now spool.Instant) float64 {
+// TakeSurplus removes up to the requested tokens for another proxy and returns how many; it keeps those that this proxy needs
+// soon.
+func (bucketSet *BucketSet) TakeSurplus(team spool.Team, wanted Request, now spool.Instant) float64 {
 	bucket := bucketSet.buckets[team]
 	if bucket == nil {
 		return 0
 	}
-	return bucket.TakeSurplus(want, now)
+	return bucket.TakeSurplus(wanted, now)
 }
--- a/internal/core/quota/issuers_test.go
+++ b/internal/core/quota/issuers_test.go
@@ -60,17 +60,22 @@
 // admit admits an operation at a proxy, which requests tokens from the issuer of its region, which requests them from the other
 // issuers; lost decides whether a message with tokens is lost.
 func (issuerFleet *issuerFleet) admit(index int, now spool.Instant, lost func() bool) bool {
+	return issuerFleet.admitUrgent(index, 0, now, lost)
+}
+
+// admitUrgent is like admit for an operation of a priority.
+func (issuerFleet *issuerFleet) admitUrgent(index, priority int, now spool.Instant, lost func() bool) bool {
 	bucketSet := issuerFleet.bucketSets[index]
 	for attempt := range 3 {
 		now = now.Add(time.Duration(attempt) * retryDelay)
-		decision := bucketSet.Admit(team, attempt > 0, 0, now)
+		decision := bucketSet.Admit(team, Operation{Priority: priority, Retry: attempt > 0}, now)
 		if decision.Admitted {
 			bucketSet.Settle(team, true, now)
 			return true
 		}
 		for _, issuer := range issuerFleet.issuers {
 			switch {
-			case decision.TokensToRequest == 0 || issuerFleet.fleet[issuer].Region != issuerFleet.fleet[index].Region:
+			case decision.TokensToRequest.Tokens == 0 || issuerFleet.fleet[issuer].Region != issuerFleet.fleet[index].Region:
 			case issuer == index:
 				issuerFleet.collect(issuer, decision.TokensToRequest, now, lost)
 			default:
@@ -86,9 +91,9 @@
 }
 
 // collect transfers tokens to an issuer from the others.
-func (issuerFleet *issuerFleet) collect(issuer int, want float64, now spool.Instant, lost func() bool) {
+func (issuerFleet *issuerFleet) collect(issuer int, want Request, now spool.Instant, lost func() bool) {
 	for _, other := range issuerFleet.issuers {
-		if other == issuer || want == 0 {
+		if other == issuer || want.Tokens == 0 {
 			continue
 		}
 		tokens := issuerFleet.bucketSets[other].TakeSurplus(team, want, now)
@@ -148,7 +153,7 @@
 		bucketSets[i] = newTestBucketSet(start, size, rate, rate)
 	}
 	without := refusedShare(func(index int, now spool.Instant) bool {
-		admitted := bucketSets[index].Admit(team, false, 0, now).Admitted
+		admitted := bucketSets[index].Admit(team, Operation{}, now).Admitted
 		bucketSets[index].Settle(team, admitted, now)
 		return admitted
 	})
@@ -182,9 +187,9 @@
 	c := qt.New(t)
 	bucketSet := NewBucketSet()
 	bucketSet.SetTeams(map[spool.Team]spool.TeamSpec{team: {Name: team, RatePerSecond: 100, Burst: 100}}, start)
-	decision := bucketSet.Admit(team, false, 0, start.Add(time.Minute))
+	decision := bucketSet.Admit(team, Operation{}, start.Add(time.Minute))
 	c.Assert(decision.Admitted, qt.IsFalse)
-	c.Assert(decision.TokensToRequest > 0, qt.IsTrue)
+	c.Assert(decision.TokensToRequest.Tokens > 0, qt.IsTrue)
 	bucketSet.Credit(team, 1, start.Add(time.Minute))
-	c.Assert(bucketSet.Admit(team, true, 0, start.Add(time.Minute)).Admitted, qt.IsTrue)
+	c.Assert(bucketSet.Admit(team, Operation{Retry: true}, start.Add(time.Minute)).Admitted, qt.IsTrue)
 }
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -27,12 +27,12 @@
 func TestRestartedProxyStartsEmpty(t *testing.T) {
 	c := qt.New(t)
 	bucketSet := newTestBucketSet(start, 2, 10, 10)
-	c.Assert(bucketSet.Admit(team, false, 0, start).Admitted, qt.IsFalse)
-	decision := bucketSet.Admit(team, true, 0, start.Add(100*time.Millisecond))
+	c.Assert(bucketSet.Admit(team, Operation{}, start).Admitted, qt.IsFalse)
+	decision := bucketSet.Admit(team, Operation{Retry: true}, start.Add(100*time.Millisecond))
 	c.Assert(decision.Admitted, qt.IsFalse)
 	c.Assert(decision.Wait, qt.Equals, 100*time.Millisecond)
-	c.Assert(bucketSet.Admit(team, true, 0, start.Add(200*time.Millisecond)).Admitted, qt.IsTrue)
-	c.Assert(bucketSet.Admit("other", false, 0, start).Wait, qt.Equals, maxRetryAfter)
+	c.Assert(bucketSet.Admit(team, Operation{Retry: true}, start.Add(200*time.Millisecond)).Admitted, qt.IsTrue)
+	c.Assert(bucketSet.Admit("other", Operation{}, start).Wait, qt.Equals, maxRetryAfter)
 }
 
 // TestExhaustedWhenTooManyWait lets only as many operations wait as get a token within WaitTimeout.
@@ -40,9 +40,9 @@
 	c := qt.New(t)
 	bucketSet := newTestBucketSet(start, 1, 50, 50)
 	for waiting := range 6 {
-		c.Assert(bucketSet.Admit(team, false, waiting, start).Exhausted, qt.IsFalse)
+		c.Assert(bucketSet.Admit(team, Operation{Waiting: waiting}, start).Exhausted, qt.IsFalse)
 	}
-	c.Assert(bucketSet.Admit(team, false, 6, start).Exhausted, qt.IsTrue)
+	c.Assert(bucketSet.Admit(team, Operation{Waiting: 6}, start).Exhausted, qt.IsTrue)
 }
 
 func TestLoweredRateDropsTokens(t *testing.T) {
@@ -51,7 +51,7 @@
 	now := start.Add(time.Minute)
 	bucketSet.SetTeams(map[spool.Team]spool.TeamSpec{team: {Name: team, RatePerSecond: 1, Burst: 2}}, now)
 	admitted := 0
-	for bucketSet.Admit(team, false, 0, now).Admitted {
+	for bucketSet.Admit(team, Operation{}, now).Admitted {
 		admitted++
 	}
 	c.Assert(admitted, qt.Equals, 2)
@@ -102,11 +102,13 @@
 				}
 			}
 			pending[requester] = 0
-			want := 0.0
+			want := Request{}
 			deferred := rapid.Bool().Draw(t, "late")
 			for range rapid.IntRange(1, 40).Draw(t, "demand") {
-				decision := bucketSets[requester].Admit(team, false, 0, now)
-				want = max(want, decision.TokensToRequest)
+				decision := bucketSets[requester].Admit(team, Operation{}, now)
+				if decision.TokensToRequest.Tokens > want.Tokens {
+					want = decision.TokensToRequest
+				}
 				switch {
 				case decision.Admitted && deferred:
 					pending[requester]++
@@ -116,7 +118,7 @@
 				}
 			}
 			donor := (requester + 1 + step%(size-1)) % size
-			if tokens := bucketSets[donor].TakeSurplus(team, want, now); want > 0 && rapid.IntRange(0, 9).Draw(t, "lost") > 0 {
+			if tokens := bucketSets[donor].TakeSurplus(team, want, now); want.Tokens > 0 && rapid.IntRange(0, 9).Draw(t, "lost") > 0 {
 				bucketSets[requester].Credit(team, tokens, now)
 			}
 		}
@@ -138,15 +140,15 @@
 		for range demand * 20 {
 			now = now.Add(time.Second / demand)
 			asked++
-			decision := bucketSets[0].Admit(team, false, 0, now)
-			if decision.TokensToRequest > 0 && transfer {
+			decision := bucketSets[0].Admit(team, Operation{}, now)
+			if decision.TokensToRequest.Tokens > 0 && transfer {
 				for range 3 {
 					next++
 					donor := bucketSets[1+next%(fleet-1)]
 					bucketSets[0].Credit(team, donor.TakeSurplus(team, decision.TokensToRequest, now), now)
 				}
 			}
-			if !decision.Admitted && !bucketSets[0].Admit(team, true, 0, now).Admitted {
+			if !decision.Admitted && !bucketSets[0].Admit(team, Operation{Retry: true}, now).Admitted {
 				refused++
 				continue
 			}
@@ -172,7 +174,7 @@
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
 			for range rapid.IntRange(0, 60).Draw(t, "demand") {
-				if proxy.Admit(team, false, 0, now).Admitted {
+				if proxy.Admit(team, Operation{}, now).Admitted {
 					pending++
 				}
 			}
--- /dev/null
+++ b/internal/core/quota/urgent_test.go
@@ -0,0 +1,304 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+const (
+	playStep     = 5 * time.Millisecond
+	playTime     = 20 * time.Second
+	regionDelay  = 5 * time.Millisecond  // of a message within a region, rounded up to a step
+	distantDelay = 20 * time.Millisecond // of a message between regions
+)
+
+// waitingOperation is an operation that waits for a token at a proxy.
+type waitingOperation struct {
+	priority int
+	deadline spool.Instant
+}
+
+// message is a request for tokens or a transfer on its way.
+type message struct {
+	at     spool.Instant
+	to     int
+	from   int
+	want   Request // of a request
+	tokens float64 // of a transfer
+}
+
+// tokenPlay plays operations of one team at a fleet with issuers, whose operations wait for tokens as in internal/fleet.
+type tokenPlay struct {
+	*issuerFleet
+	random      *rand.Rand
+	now         spool.Instant
+	waiting     [][]waitingOperation
+	messages    []message
+	prioritized bool
+	dead        int // index of an issuer that answers nothing, or -1
+	asked       map[int]int
+	admitted    map[int]int
+	times       []spool.Instant
+}
+
+func newTokenPlay(size int, rate float64, prioritized bool) *tokenPlay {
+	play := &tokenPlay{
+		issuerFleet: newIssuerFleet(start, size, rate, rate), random: rand.New(rand.NewPCG(5, 1)), now: start,
+		waiting: make([][]waitingOperation, size), dead: -1, prioritized: prioritized, asked: map[int]int{}, admitted: map[int]int{},
+	}
+	for _, bucketSet := range play.bucketSets {
+		bucketSet.SetPrioritized(prioritized)
+	}
+	return play
+}
+
+// run plays the operations that demand returns for each step.
+func (play *tokenPlay) run(operations float64, priority func() int) {
+	for play.now < start.Add(playTime) {
+		play.now = play.now.Add(playStep)
+		play.deliver()
+		for expected := operations * playStep.Seconds(); expected > 0; expected-- {
+			if play.random.Float64() < expected {
+				play.ask(play.random.IntN(len(play.bucketSets)), priority())
+			}
+		}
+		for index := range play.waiting {
+			play.retry(index)
+		}
+	}
+}
+
+func (play *tokenPlay) ask(index, priority int) {
+	play.asked[priority]++
+	if !play.decide(index, Operation{Priority: priority}) {
+		play.waiting[index] = append(play.waiting[index], waitingOperation{priority, play.now.Add(WaitTimeout)})
+	}
+}
+
+// retry lets the waiting operations of a proxy ask again, in random order as they wake up.
+func (play *tokenPlay) retry(index int) {
+	waiting := play.waiting[index]
+	play.random.Shuffle(len(waiting), func(i, j int) { waiting[i], waiting[j] = waiting[j], waiting[i] })
+	for i := 0; i < len(play.waiting[index]); i++ {
+		operation := play.waiting[index][i]
+		ended := play.now > operation.deadline
+		if ended || play.decide(index, Operation{Priority: operation.priority, Retry: true}) {
+			play.waiting[index] = slices.Delete(play.waiting[index], i, i+1)
+			i--
+		}
+	}
+}
+
+func (play *tokenPlay) decide(index int, operation Operation) bool {
+	counts := map[int]int{}
+	for _, other := range play.waiting[index] {
+		counts[other.priority]++
+	}
+	if operation.Retry && play.prioritized {
+		counts[operation.Priority]-- // the operation itself
+	}
+	operation.CountWaiting(counts)
+	decision := play.bucketSets[index].Admit(team, operation, play.now)
+	play.request(index, decision)
+	if !decision.Admitted {
+		return false
+	}
+	play.bucketSets[index].Settle(team, true, play.now)
+	play.admitted[operation.Priority]++
+	play.times = append(play.times, play.now)
+	return true
+}
+
+// request sends a request for tokens to the issuer of the region, or after a failure to all issuers or any one.
+func (play *tokenPlay) request(index int, decision Decision) {
+	if decision.TokensToRequest.Tokens == 0 {
+		return
+	}
+	one := play.issuers[play.random.IntN(len(play.issuers))]
+	for _, issuer := range play.issuers {
+		if decision.AskOne && issuer != one {
+			continue
+		}
+		near := play.fleet[issuer].Region == play.fleet[index].Region
+		if issuer == index || !near && !decision.LastRequestFailed && !slices.Contains(play.issuers, index) {
+			continue
+		}
+		play.messages = append(play.messages, message{at: play.now.Add(play.delay(index, issuer)), to: issuer, from: index, want: decision.TokensToRequest})
+	}
+}
+
+func (play *tokenPlay) delay(from, to int) time.Duration {
+	if play.fleet[from].Region == play.fleet[to].Region {
+		return regionDelay
+	}
+	return distantDelay
+}
+
+func (play *tokenPlay) deliver() {
+	var due []message
+	play.messages = slices.DeleteFunc(play.messages, func(message message) bool {
+		if message.at <= play.now {
+			due = append(due, message)
+		}
+		return message.at <= play.now
+	})
+	for _, message := range due {
+		switch {
+		case message.to == play.dead || message.from == play.dead:
+		case message.tokens > 0:
+			play.bucketSets[message.to].Credit(team, message.tokens, play.now)
+		default:
+			play.grant(message)
+		}
+	}
+}
+
+func (play *tokenPlay) grant(request message) {
+	bucketSet := play.bucketSets[request.to]
+	var tokens float64
+	if slices.Contains(play.issuers, request.from) {
+		tokens = bucketSet.TakeSurplus(team, request.want, play.now)
+	} else {
+		var decision Decision
+		tokens, decision = bucketSet.Issue(team, request.want, play.now)
+		play.request(request.to, decision)
+	}
+	if tokens > 0 {
+		play.messages = append(play.messages, message{at: play.now.Add(play.delay(request.to, request.from)), to: request.from, tokens: tokens})
+	}
+}
+
+// share returns the operations of a priority that were admitted, relative to those asked for.
+func (play *tokenPlay) share(priority int) float64 {
+	return float64(play.admitted[priority]) / float64(max(1, play.asked[priority]))
+}
+
+func (play *tokenPlay) total() int {
+	total := 0
+	for _, admitted := range play.admitted {
+		total += admitted
+	}
+	return total
+}
+
+// TestUrgentOperationsFirst has a team ask for several times its rate at a fleet of 76 proxies, a fifth of it on its most urgent
+// route. It guards against tokens going to whoever asks first.
+func TestUrgentOperationsFirst(t *testing.T) {
+	c := qt.New(t)
+	const size, rate = 76, 40.0
+	t.Logf("%-22s %8s %8s %8s %10s", "demand", "p0", "p1", "p2", "tokens/s")
+	for _, demand := range []float64{0.8, 2, 3, 7} {
+		alike := 0.0 // tokens a second without priorities
+		for _, priorities := range []bool{false, true} {
+			play := newTokenPlay(size, rate, priorities)
+			random := rand.New(rand.NewPCG(3, 1))
+			play.run(rate*demand, func() int {
+				kind := min(2, random.IntN(5)) // a fifth each of priorities 0 and 1
+				if !priorities {
+					return 0
+				}
+				return kind
+			})
+			tokens := float64(play.total()) / playTime.Seconds()
+			if !priorities {
+				alike = tokens
+				t.Logf("%.1f of the rate, alike  %8.3f %8.3f %8.3f %10.1f", demand, play.share(0), play.share(0), play.share(0), tokens)
+				continue
+			}
+			t.Logf("%.1f of the rate, urgent %8.3f %8.3f %8.3f %10.1f", demand, play.share(0), play.share(1), play.share(2), tokens)
+			possible := min(1, 1/(demand*0.2))
+			c.Check(play.share(0) > 0.6*possible, qt.IsTrue)
+			c.Check(play.share(0) > 0.9 || demand > 3, qt.IsTrue)
+			c.Check(tokens > 0.97*alike, qt.IsTrue)
+		}
+	}
+}
+
+// TestDeadIssuerLosesOnlyItsTokens has one of three issuers answer nothing: the most urgent operations get what the others issue.
+func TestDeadIssuerLosesOnlyItsTokens(t *testing.T) {
+	c := qt.New(t)
+	const size, rate = 76, 40.0
+	play := newTokenPlay(size, rate, true)
+	play.dead = play.issuers[0]
+	random := rand.New(rand.NewPCG(3, 1))
+	play.run(3*rate, func() int { return min(2, random.IntN(5)) })
+	tokens := float64(play.total()) / playTime.Seconds()
+	t.Logf("p0 %.3f p1 %.3f p2 %.3f, %.1f tokens/s", play.share(0), play.share(1), play.share(2), tokens)
+	c.Assert(play.share(0) > 1.5*play.share(2), qt.IsTrue)
+	c.Assert(tokens > 0.5*rate, qt.IsTrue)
+}
+
+// TestHeldBackTokensAreReleased stops the urgent operations of a team: after reserveWindow the others get all tokens.
+func TestHeldBackTokensAreReleased(t *testing.T) {
+	c := qt.New(t)
+	bucketSet := newTestBucketSet(start, 1, 100, 20)
+	now := start
+	for range 300 {
+		now = now.Add(5 * time.Millisecond)
+		for _, priority := range []int{0, 2} {
+			if bucketSet.Admit(team, Operation{Priority: priority}, now).Admitted {
+				bucketSet.Settle(team, true, now)
+			}
+		}
+	}
+	bucket := bucketSet.buckets[team]
+	c.Assert(bucket.heldBack(now) > 5, qt.IsTrue, qt.Commentf("%v", bucket.heldBack(now)))
+	now = now.Add(reserveWindow + time.Millisecond)
+	c.Assert(bucket.heldBack(now), qt.Equals, 0.0)
+	c.Assert(bucketSet.Admit(team, Operation{Priority: 2}, now).Admitted, qt.IsTrue)
+}
+
+// TestNothingIsHeldBackWithinTheRate has a team ask for less than its rate: its less urgent operations get their tokens.
+func TestNothingIsHeldBackWithinTheRate(t *testing.T) {
+	c := qt.New(t)
+	bucketSet := newTestBucketSet(start, 1, 100, 5)
+	now := start.Add(time.Second)
+	for range 400 {
+		now = now.Add(25 * time.Millisecond)
+		for _, priority := range []int{0, 2} {
+			c.Assert(bucketSet.Admit(team, Operation{Priority: priority}, now).Admitted, qt.IsTrue)
+			bucketSet.Settle(team, true, now)
+		}
+	}
+}
+
+// TestWaitingOperationsByPriority has operations of two priorities wait: one token goes to the more urgent one.
+func TestWaitingOperationsByPriority(t *testing.T) {
+	c := qt.New(t)
+	bucketSet := newTestBucketSet(start, 100, 1, 1)
+	bucketSet.Credit(team, 1, start)
+	c.Assert(bucketSet.Admit(team, Operation{Priority: 1, Retry: true, Waiting: 1, MoreUrgent: 1}, start).Admitted, qt.IsFalse)
+	c.Assert(bucketSet.Admit(team, Operation{Priority: 0, Retry: true, Waiting: 1, LessUrgent: 1}, start).Admitted, qt.IsTrue)
+}
+
+// TestRateBoundWithPriorities is TestRateBoundWithIssuers with operations of three priorities: holding tokens back must add none.
+func TestRateBoundWithPriorities(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := float64(rapid.IntRange(2, 100).Draw(t, "rate"))
+		burst := float64(rapid.IntRange(2, 100).Draw(t, "burst"))
+		const size = 60
+		fleet := newIssuerFleet(start, size, rate, burst)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		now := start
+		var admitted []spool.Instant
+		for range 200 {
+			now = now.Add(time.Duration(random.IntN(200)) * time.Millisecond)
+			if random.IntN(40) == 0 {
+				fleet.restart(random.IntN(size), now)
+			}
+			for range random.IntN(60) {
+				if fleet.admitUrgent(random.IntN(size), random.IntN(3), now, func() bool { return random.IntN(10) == 0 }) {
+					admitted = append(admitted, now)
+				}
+			}
+		}
+		assertWindows(t, admitted, rate, burst)
+	})
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,15 +14,15 @@
 
 // Limiter limits the rate of operations of each team.
 type Limiter interface {
-	// Admit reserves a token of the team for an operation or refuses it.
-	Admit(ctx context.Context, team spool.Team) *spool.Refusal
+	// Admit reserves a token of the team for an operation of a priority or refuses it; zero is the most urgent.
+	Admit(ctx context.Context, team spool.Team, priority int) *spool.Refusal
 	// Finish ends the reservation: the token is spent if the operation reached a server, else it is returned.
 	Finish(team spool.Team, reached bool)
 }
 
 // Observer receives the outcome of each statement.
 type Observer interface {
-	Finished(team spool.Team, refusal *spool.Refusal, took time.Duration)
+	Finished(team spool.Team, priority int, refusal *spool.Refusal, took time.Duration)
 }
 
 // Engine runs the sessions of callers.
@@ -66,7 +66,7 @@
 type noObserver struct{}
 
 // Finished does nothing.
-func (noObserver) Finished(spool.Team, *spool.Refusal, time.Duration) {}
+func (noObserver) Finished(spool.Team, int, *spool.Refusal, time.Duration) {}
 
 // SetConfig applies a configuration and ends idle sessions that it no longer authorizes.
 func (engine *Engine) SetConfig(config *spool.FleetConfig) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -25,7 +25,7 @@
 	spent *atomic.Int64
 }
 
-func (countingLimiter countingLimiter) Admit(context.Context, spool.Team) *spool.Refusal {
+func (countingLimiter countingLimiter) Admit(context.Context, spool.Team, int) *spool.Refusal {
 	countingLimiter.spent.Add(1)
 	return nil
 }
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -90,7 +90,7 @@
 	if team == "" {
 		return nil // an open route without a key has no rate limit
 	}
-	refusal = session.engine.limiter.Admit(ctx, team)
+	refusal = session.engine.limiter.Admit(ctx, team, route.Priority)
 	session.holdsToken = refusal == nil
 	return refusal
 }
@@ -152,7 +152,7 @@
 		session.finishToken(false)
 	}
 	took := session.engine.timers.Now().Sub(received)
-	session.engine.observer.Finished(session.team, answer.Refusal, took)
+	session.engine.observer.Finished(session.team, session.route.Priority, answer.Refusal, took)
 	session.logAnswer(statement, answer, took)
 	return answer
 }
@@ -184,10 +184,11 @@
 }
 
 func (session *session) logRefusal(command spool.Command, refusal *spool.Refusal) {
-	session.engine.observer.Finished(session.team, refusal, 0)
+	session.engine.observer.Finished(session.team, session.route.Priority, refusal, 0)
 	event.Log(session.engine.logger, event.RequestRefused, zap.String("Request", command.ID),
 		zap.String("Route", session.routeName), zap.String("Team", string(session.team)), zap.String("Code", refusal.Code),
-		zap.String("Reason", refusal.Message), zap.Duration("RetryAfter", refusal.RetryAfter), event.Cause(refusal.Cause))
+		zap.String("Reason", refusal.Message), zap.Int("Priority", session.route.Priority),
+		zap.Duration("RetryAfter", refusal.RetryAfter), event.Cause(refusal.Cause))
 }
 
 func (session *session) logAnswer(statement *statement, answer spool.Answer, took time.Duration) {
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -92,6 +92,7 @@
 	LendRefused         Number = 713
 	WaitRefused         Number = 790
 	LoanWithdrawn       Number = 791
+	RateRefused         Number = 792
 )
 
 var kinds = map[Number]Kind{
@@ -158,6 +159,7 @@
 	TunnelRefused:              {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
 	StoreReadFailed:            {Level: zapcore.WarnLevel, Text: "reading the store failed", PerSecond: serverLimit},
 	LendRefused:                {Level: zapcore.InfoLevel, Text: "connection not lent", PerSecond: serverLimit},
-	WaitRefused:                {Level: zapcore.InfoLevel, Text: "request refused in the queue for connections", PerSecond: serverLimit},
+	WaitRefused:                {Level: zapcore.InfoLevel, Text: "request refused in the queue for connections", PerSecond: requestLimit},
 	LoanWithdrawn:              {Level: zapcore.InfoLevel, Text: "waiting loan withdrawn", PerSecond: serverLimit},
+	RateRefused:                {Level: zapcore.InfoLevel, Text: "no token of the team's rate", PerSecond: requestLimit},
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -26,7 +26,7 @@
 	proxy.revision = config.Revision
 	proxy.config = object
 	proxy.pool.SetLimits(config.Groups)
-	proxy.pool.SetPrioritized(prioritized(config))
+	proxy.setPrioritized(config)
 	proxy.limiter.setTeams(config.Teams)
 	proxy.engine.SetConfig(config)
 	event.Log(proxy.logger, event.ManifestAccepted, zap.Uint64("Revision", config.Revision),
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"corianderspool.example/spool/internal/core/quota"
 	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/pkg/spool"
@@ -14,34 +16,36 @@
 // limiter enforces the rates of teams; it implements engine.Limiter.
 type limiter struct {
 	timers        spool.Timers
-	requestTokens func(team spool.Team, tokens float64, issuers []quota.Proxy, retry bool)
+	logger        *zap.Logger
+	requestTokens func(team spool.Team, decision quota.Decision, issuers []quota.Proxy)
 	self          spool.VM
 
-	mutex      sync.Mutex
-	buckets    *quota.BucketSet
-	refilled   map[spool.Team]chan struct{} // closed when tokens arrive
-	waiters    map[spool.Team]int
-	candidates []quota.Proxy                // proxies that may issue tokens in a large fleet; empty if all do
-	issuers    map[spool.Team][]quota.Proxy // cache, cleared when the fleet changes
+	mutex       sync.Mutex
+	buckets     *quota.BucketSet
+	refilled    map[spool.Team]chan struct{} // closed when tokens arrive
+	waiters     map[spool.Team]map[int]int   // by priority
+	prioritized bool                         // the routes differ in priority
+	candidates  []quota.Proxy                // proxies that may issue tokens in a large fleet; empty if all do
+	issuers     map[spool.Team][]quota.Proxy // cache, cleared when the fleet changes
 }
 
 func newLimiter(self spool.VM, timers spool.Timers) *limiter {
 	return &limiter{
 		timers: timers, buckets: quota.NewBucketSet(), self: self, issuers: map[spool.Team][]quota.Proxy{},
-		requestTokens: func(spool.Team, float64, []quota.Proxy, bool) {},
-		refilled:      map[spool.Team]chan struct{}{}, waiters: map[spool.Team]int{},
+		requestTokens: func(spool.Team, quota.Decision, []quota.Proxy) {}, logger: zap.NewNop(),
+		refilled: map[spool.Team]chan struct{}{}, waiters: map[spool.Team]map[int]int{},
 	}
 }
 
-// Admit reserves a token of the team. If there is none, it waits up to the quota's timeout for one to be issued here or
-// received from another proxy, then refuses.
-func (limiter *limiter) Admit(ctx context.Context, team spool.Team) *spool.Refusal {
-	decision, refilled := limiter.decide(team, false)
+// Admit reserves a token of the team for an operation of a priority. If there is none, it waits up to the quota's timeout for one
+// to be issued here or received from another proxy, then refuses.
+func (limiter *limiter) Admit(ctx context.Context, team spool.Team, priority int) *spool.Refusal {
+	decision, refilled := limiter.decide(team, quota.Operation{Priority: priority})
 	if decision.Admitted {
 		return nil
 	}
-	limiter.adjustWaiters(team, 1)
-	defer limiter.adjustWaiters(team, -1)
+	limiter.adjustWaiters(team, priority, 1)
+	defer limiter.adjustWaiters(team, priority, -1)
 	deadline := time.Now().Add(quota.WaitTimeout)
 	for !decision.Exhausted && time.Now().Before(deadline) {
 		timer := time.NewTimer(min(decision.Wait, time.Until(deadline)) + time.Millisecond)
@@ -52,26 +56,47 @@
 			deadline = time.Now()
 		}
 		timer.Stop()
-		decision, refilled = limiter.decide(team, true)
+		if ctx.Err() != nil {
+			break // a token for a caller that has left would only be returned
+		}
+		decision, refilled = limiter.decide(team, quota.Operation{Priority: priority, Retry: true})
 		if decision.Admitted {
 			return nil
 		}
 	}
+	if ctx.Err() == nil {
+		limiter.logRefusal(team, priority, decision)
+	}
 	return spool.Refuse(spool.CodeRateExceeded, "the team's rate is exceeded").WithRetryAfter(decision.Wait)
 }
 
-func (limiter *limiter) adjustWaiters(team spool.Team, change int) {
+func (limiter *limiter) adjustWaiters(team spool.Team, priority, change int) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	limiter.waiters[team] += change
+	waiting := limiter.waiters[team]
+	if waiting == nil {
+		waiting = map[int]int{}
+		limiter.waiters[team] = waiting
+	}
+	waiting[priority] += change
+	if waiting[priority] == 0 {
+		delete(waiting, priority)
+	}
+	if len(waiting) == 0 {
+		delete(limiter.waiters, team)
+	}
 }
 
-func (limiter *limiter) decide(team spool.Team, retry bool) (quota.Decision, <-chan struct{}) {
+func (limiter *limiter) decide(team spool.Team, operation quota.Operation) (quota.Decision, <-chan struct{}) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	decision := limiter.buckets.Admit(team, retry, limiter.waiters[team], limiter.timers.Now())
-	if decision.TokensToRequest > 0 {
-		limiter.requestTokens(team, decision.TokensToRequest, limiter.issuersOf(team), decision.LastRequestFailed)
+	operation.CountWaiting(limiter.waiters[team])
+	if operation.Retry && limiter.prioritized {
+		operation.Waiting-- // the operation itself, for which one token is requested and not two
+	}
+	decision := limiter.buckets.Admit(team, operation, limiter.timers.Now())
+	if decision.TokensToRequest.Tokens > 0 {
+		limiter.requestTokens(team, decision, limiter.issuersOf(team))
 	}
 	if decision.Admitted {
 		return decision, nil
@@ -111,7 +136,7 @@
 }
 
 // grantTokens withdraws up to the requested number of tokens for another proxy and returns how many.
-func (limiter *limiter) grantTokens(from spool.VM, team spool.Team, requested float64) float64 {
+func (limiter *limiter) grantTokens(from spool.VM, team spool.Team, requested quota.Request) float64 {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	now, issuers := limiter.timers.Now(), limiter.issuersOf(team)
@@ -119,8 +144,8 @@
 		return limiter.buckets.TakeSurplus(team, requested, now)
 	}
 	given, decision := limiter.buckets.Issue(team, requested, now)
-	if decision.TokensToRequest > 0 {
-		limiter.requestTokens(team, decision.TokensToRequest, issuers, decision.LastRequestFailed)
+	if decision.TokensToRequest.Tokens > 0 {
+		limiter.requestTokens(team, decision, issuers)
 	}
 	return given
 }
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -21,11 +21,12 @@
 type statementObserver struct{ metrics *metric.Metrics }
 
 // Finished counts a finished statement.
-func (observer statementObserver) Finished(team spool.Team, refusal *spool.Refusal, took time.Duration) {
+func (observer statementObserver) Finished(team spool.Team, priority int, refusal *spool.Refusal, took time.Duration) {
 	verdict := spool.VerdictAnswered
 	if refusal != nil {
 		verdict = refusal.Verdict
 		observer.metrics.CountRefusal(refusal.Code)
+		observer.metrics.CountRefusedPriority(refusal.Code, priority)
 	}
 	observer.metrics.CountRequest(team, verdict, took)
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -193,7 +193,7 @@
 	case *wire.Envelope_CopyAnswer:
 		peers.applyDelta(body.CopyAnswer)
 	case *wire.Envelope_TokenRequest:
-		granted := peers.proxy.limiter.grantTokens(from, spool.Team(body.TokenRequest.Team), body.TokenRequest.Tokens)
+		granted := peers.proxy.limiter.grantTokens(from, spool.Team(body.TokenRequest.Team), decodeTokenRequest(body.TokenRequest))
 		if granted > 0 {
 			transfer := &wire.TokenTransfer{Team: body.TokenRequest.Team, Tokens: granted}
 			peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_TokenTransfer{TokenTransfer: transfer}})
@@ -293,10 +293,15 @@
 }
 
 // requestTokens requests tokens of a team: from some live proxies if all issue tokens, else from the team's issuers in the
-// region, which request tokens from the others if they have none. If the last request failed, all issuers are asked.
-func (peers *peers) requestTokens(team spool.Team, tokens float64, issuers []quota.Proxy, retry bool) {
-	request := &wire.TokenRequest{Team: string(team), Tokens: tokens}
-	for _, to := range peers.tokenSources(issuers, retry) {
+// region, which request tokens from the others if they have none. If the last request failed, all issuers or any one are asked.
+func (peers *peers) requestTokens(team spool.Team, decision quota.Decision, issuers []quota.Proxy) {
+	request := encodeTokenRequest(team, decision.TokensToRequest)
+	sources := peers.tokenSources(issuers, decision.LastRequestFailed)
+	if decision.AskOne && len(sources) > 0 {
+		one := rand.IntN(len(sources))
+		sources = sources[one : one+1]
+	}
+	for _, to := range sources {
 		peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_TokenRequest{TokenRequest: request}})
 	}
 }
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -89,7 +89,7 @@
 	proxy.reader = newReader(proxy)
 	kind := adapter.ServerKind()
 	proxy.servers = mirror.New(proxy.adapter, timers, kind, serverObserver{reachabilityObserver{proxy, kind}}, mirror.WithLeaderCheck(proxy.reader.readsForRegion))
-	proxy.limiter.requestTokens = proxy.peers.requestTokens
+	proxy.limiter.requestTokens, proxy.limiter.logger = proxy.peers.requestTokens, proxy.logger
 	tokens := super.NewFencingTokens(proxy.adapter, settings.VM, rand.Uint64)
 	proxy.supervisor = super.New(settings.VM, proxy.pool, proxy.adapter, tokens, proxy.adapter, proxy.peers, timers, proxy.logger)
 	return proxy
--- a/internal/metric/wait.go
+++ b/internal/metric/wait.go
@@ -20,6 +20,7 @@
 type waitMetrics struct {
 	outcomes *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	refusals *prometheus.CounterVec
 	length   func() map[int]int
 }
 
@@ -27,6 +28,7 @@
 
 func newWaitMetrics() *waitMetrics {
 	return &waitMetrics{
+		refusals: newCounterVec("priority_refusals_total", "Refusals of requests by the priority of their route.", "code", "priority"),
 		outcomes: newCounterVec("queue_waits_total", "Waits for a connection that ended, by outcome.", "priority", "side", "outcome"),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "queue_wait_seconds", Help: "Time that requests waited for a connection.",
@@ -51,6 +53,11 @@
 	metrics.waits.seconds.WithLabelValues(priorityLabel(priority), side).Observe(took.Seconds())
 }
 
+// CountRefusedPriority counts a refusal by its SQLSTATE and the priority of its route.
+func (metrics *Metrics) CountRefusedPriority(code string, priority int) {
+	metrics.waits.refusals.WithLabelValues(metrics.codes.label(code), priorityLabel(priority)).Inc()
+}
+
 func priorityLabel(priority int) string {
 	if priority < 0 || priority > maxPriorityLabel {
 		return otherLabel
@@ -61,6 +68,7 @@
 // Describe sends the descriptions of the metrics of waits.
 func (waitMetrics *waitMetrics) Describe(descs chan<- *prometheus.Desc) {
 	waitMetrics.outcomes.Describe(descs)
+	waitMetrics.refusals.Describe(descs)
 	waitMetrics.seconds.Describe(descs)
 	descs <- queueLengthDesc
 }
@@ -68,6 +76,7 @@
 // Collect sends the metrics of waits.
 func (waitMetrics *waitMetrics) Collect(metrics chan<- prometheus.Metric) {
 	waitMetrics.outcomes.Collect(metrics)
+	waitMetrics.refusals.Collect(metrics)
 	waitMetrics.seconds.Collect(metrics)
 	if waitMetrics.length == nil {
 		return
--- a/internal/metric/wait_test.go
+++ b/internal/metric/wait_test.go
@@ -19,6 +19,7 @@
 	metrics.CountWait(0, false, "granted", time.Millisecond)
 	metrics.CountWait(2, true, "refused", 0)
 	metrics.CountWait(40, true, "refused", 0)
+	metrics.CountRefusedPriority("53400", 1)
 	recorder := httptest.NewRecorder()
 	metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	for _, line := range []string{
@@ -27,6 +28,7 @@
 		`corianderspool_queue_waits_total{outcome="granted",priority="0",side="caller"} 1`,
 		`corianderspool_queue_waits_total{outcome="refused",priority="2",side="borrower"} 1`,
 		`corianderspool_queue_waits_total{outcome="refused",priority="other",side="borrower"} 1`,
+		`corianderspool_priority_refusals_total{code="53400",priority="1"} 1`,
 		`corianderspool_queue_wait_seconds_count{priority="0",side="caller"} 1`,
 	} {
 		c.Assert(strings.Contains(recorder.Body.String(), line+"\n"), qt.IsTrue, qt.Commentf("%s", line))
