Look for lenders of waiting requests only when a server changes

A dispatch ranked the fleet for each team that waits at a proxy which itself ranks first for a server, under the pool's mutex and at each release of a connection.

--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -98,6 +98,8 @@
 	pool  *Pool
 	group *group
 	now   spool.Instant
+	// lenders is whether connections of other proxies count.
+	lenders bool
 }
 
 // Free reports whether a request of a team can be served.
@@ -112,7 +114,7 @@
 			}
 			possible = possible || server.mayOpen() && (server.open < server.limit || len(server.idle) > 0)
 		}
-		if !possible && target.Server == "" && !target.Local {
+		if !possible && capacity.lenders && target.Server == "" && !target.Local {
 			possible = len(capacity.pool.lenders.PreferredLenders(server.spec.Server, server.spec.Domain, team)) > 0
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -159,7 +159,7 @@
 	event.Log(pool.logger, event.ServerRegistered, zap.String("Group", string(spec.Group)),
 		zap.String("Server", string(spec.Server)), zap.Bool("Leaving", registered.leavingSince != 0),
 		zap.Bool("Primary", spec.Primary), zap.String("Address", spec.Address))
-	pool.dispatch(group, now)
+	pool.dispatchAll(group, now)
 	pool.mutex.Unlock()
 	closeAll(closing)
 }
@@ -197,7 +197,7 @@
 		pool.divideConnections(group)
 		event.Log(pool.logger, event.PrimaryFound, zap.String("Group", string(name)),
 			zap.String("Server", string(server)), zap.Uint64("Term", uint64(group.term)))
-		pool.dispatch(group, now)
+		pool.dispatchAll(group, now)
 	}
 }
 
--- a/internal/pool/wait.go
+++ b/internal/pool/wait.go
@@ -205,9 +205,21 @@
 	})
 }
 
-// dispatch grants connections to waiting requests in the order of the queue; the caller holds the mutex.
+// dispatch grants connections to waiting requests in the order of the queue, after something was freed here; the caller holds
+// the mutex.
 func (pool *Pool) dispatch(group *group, now spool.Instant) {
-	group.waiters.Dispatch(now, capacity{pool, group, now}, func(item *queue.Item[*waiter]) bool {
+	pool.dispatchTo(group, capacity{pool: pool, group: group, now: now})
+}
+
+// dispatchAll is like dispatch, but also for requests that another proxy may now serve. It ranks the fleet for each waiting team,
+// so that it is not done at each release.
+func (pool *Pool) dispatchAll(group *group, now spool.Instant) {
+	pool.dispatchTo(group, capacity{pool: pool, group: group, now: now, lenders: true})
+}
+
+func (pool *Pool) dispatchTo(group *group, capacity capacity) {
+	now := capacity.now
+	group.waiters.Dispatch(now, capacity, func(item *queue.Item[*waiter]) bool {
 		granted, possible := pool.tryReserve(group, &item.Value.Request, now)
 		if possible {
 			pool.observe(item, WaitGranted, now)
@@ -237,7 +249,7 @@
 	stop = pool.timers.Every(dispatchPeriod, spool.TimerFunc(func(now spool.Instant) {
 		pool.mutex.Lock()
 		defer pool.mutex.Unlock()
-		pool.dispatch(group, now)
+		pool.dispatchAll(group, now)
 		pool.refuseHopeless(group, now)
 		if group.waiters.Len() == 0 && group.dispatchTimerRunning {
 			group.dispatchTimerRunning = false
@@ -260,7 +272,7 @@
 func (pool *Pool) expectedWait(group *group, target queue.Target, ahead int) time.Duration {
 	shortest := time.Duration(-1)
 	now := pool.timers.Now()
-	capacity := capacity{pool, group, now}
+	capacity := capacity{pool: pool, group: group, now: now}
 	for _, server := range group.servers {
 		if !capacity.accepts(server, target) {
 			continue
