Pass a released connection to the next request before closing it as surplus

A released connection beyond the share to keep (half of the limit, so one of a lender's two) was closed before the waiting requests were looked at, and the next one paid a handshake of 12 ms of a slot. Where routes differ in priority it is now closed only if nobody takes it.

--- a/internal/core/queue/account.go
+++ b/internal/core/queue/account.go
@@ -17,6 +17,8 @@
 	// holdTolerance is how many connections, each held once, a team may use beyond that. Where few connections are shared, one
 	// long statement changes the use of a team by much.
 	holdTolerance = 2
+	// maxToleratedHold bounds the hold time that counts for this, so that a team cannot raise its share by long transactions.
+	maxToleratedHold = 60 * time.Millisecond
 	// minUsage is the use, in connections, below which a team that runs and waits for nothing is forgotten.
 	minUsage     = 1e-3
 	shareRounds  = 8                     // of the max-min division; each raises the share by what smaller demands leave
@@ -114,7 +116,7 @@
 		share = raised
 	}
 	queue.inUse = total
-	queue.allowed = share*shareTolerance + holdTolerance*queue.MeanHold().Seconds()/usageWindow.Seconds()
+	queue.allowed = share*shareTolerance + holdTolerance*min(queue.MeanHold(), maxToleratedHold).Seconds()/usageWindow.Seconds()
 	for _, team := range queue.teams {
 		team.within = team.usage <= queue.allowed
 	}
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -272,19 +272,36 @@
 	server := conn.server
 	pool.endUse(conn)
 	server.busy--
-	closing := conn.broken || server.removed || server.open > server.retainLimit
+	group := pool.group(server.spec.Group)
+	surplus := server.open > server.retainLimit
+	closing := conn.broken || server.removed || surplus && !pool.prioritized
 	if closing {
 		server.open--
 	} else {
 		server.idle = append(server.idle, conn)
 	}
-	pool.dispatch(pool.group(server.spec.Group), now)
+	pool.dispatch(group, now)
+	if surplus && !closing {
+		closing = server.removeSurplus(conn)
+	}
 	pool.mutex.Unlock()
 	if closing {
 		_ = conn.Close() // the server rolls back an open transaction
 	}
 }
 
+// removeSurplus removes a connection that is still idle after a dispatch, and reports whether it did. Where requests wait, a
+// surplus connection serves the next one of its team without another handshake.
+func (server *server) removeSurplus(conn *Conn) bool {
+	index := slices.Index(server.idle, conn)
+	if index < 0 || server.open <= server.retainLimit {
+		return false
+	}
+	server.idle = slices.Delete(server.idle, index, index+1)
+	server.open--
+	return true
+}
+
 // RecordFailure records that a server did not answer, and marks the connection as broken.
 func (pool *Pool) RecordFailure(conn *Conn, cause error) {
 	pool.mutex.Lock()
