--- a/internal/core/quota/urgent_test.go
+++ b/internal/core/quota/urgent_test.go
@@ -302,3 +302,54 @@
 		assertWindows(t, admitted, rate, burst)
 	})
 }
+
+// TestUrgentTokensMoveFirst has a team ask for three times its rate at seven proxies that all issue tokens, as in a small fleet.
+func TestUrgentTokensMoveFirst(t *testing.T) {
+	c := qt.New(t)
+	const size, rate, demand = 7, 70.0, 210
+	play := func(prioritized bool) (shares [3]float64, total int) {
+		random := rand.New(rand.NewPCG(9, 1))
+		bucketSets := make([]*BucketSet, size)
+		for i := range bucketSets {
+			bucketSets[i] = newTestBucketSet(start, size, rate, rate)
+			bucketSets[i].SetPrioritized(prioritized)
+		}
+		var asked, admitted [3]int
+		now := start
+		for range demand * 20 {
+			now = now.Add(time.Second / demand)
+			priority, index := min(2, random.IntN(5)), random.IntN(size)
+			operation := Operation{}
+			if prioritized {
+				operation.Priority = priority
+			}
+			asked[priority]++
+			for attempt := range 3 {
+				operation.Retry = attempt > 0
+				decision := bucketSets[index].Admit(team, operation, now)
+				if decision.Admitted {
+					bucketSets[index].Settle(team, true, now)
+					admitted[priority]++
+					break
+				}
+				for range 3 {
+					donor := bucketSets[random.IntN(size)]
+					if decision.TokensToRequest.Tokens > 0 && donor != bucketSets[index] {
+						bucketSets[index].Credit(team, donor.TakeSurplus(team, decision.TokensToRequest, now), now)
+					}
+				}
+			}
+		}
+		for priority := range shares {
+			shares[priority] = float64(admitted[priority]) / float64(asked[priority])
+			total += admitted[priority]
+		}
+		return shares, total
+	}
+	alike, alikeTotal := play(false)
+	urgent, urgentTotal := play(true)
+	t.Logf("alike %.3f, %d admitted; urgent %.3f, %d admitted", alike, alikeTotal, urgent, urgentTotal)
+	c.Assert(urgent[0] > 0.7, qt.IsTrue) // no operation waits for a token here
+	c.Assert(urgent[0] > 1.5*alike[0], qt.IsTrue)
+	c.Assert(float64(urgentTotal) > 0.97*float64(alikeTotal), qt.IsTrue)
+}
--- a/internal/fleet/borrower.go
+++ b/internal/fleet/borrower.go
@@ -49,17 +49,22 @@
 	deadline, _ := ctx.Deadline()
 	stream, err := borrower.proxy.peers.transport.Open(ctx, from)
 	if err != nil {
-		if caller.Err() == nil {
-			borrower.suspect(from)
-		}
+		borrower.judge(caller, from, err)
 		return nil, err
 	}
 	loan, err := lend.Borrow(ctx, stream, request, deadline)
+	if err != nil {
+		borrower.judge(caller, from, err)
+	}
+	return loan, err
+}
+
+// judge suspects a proxy that gave no answer. One that refused has answered, and a caller that left did not wait for it.
+func (borrower *borrower) judge(caller context.Context, from spool.VM, err error) {
 	var refusal *pool.LoanRefusal
-	if err != nil && !errors.As(err, &refusal) && caller.Err() == nil {
+	if !errors.As(err, &refusal) && caller.Err() == nil {
 		borrower.suspect(from)
 	}
-	return loan, err
 }
 
 func (borrower *borrower) suspect(vm spool.VM) {
