--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -133,6 +133,26 @@
 	return text
 }
 
+// openTransactionAt opens a read transaction at a server through a proxy.
+func (cluster *cluster) openTransactionAt(index int, server spool.Server) caller {
+	client := cluster.connect(index, "session", "key-red")
+	cluster.waitUntil(func() bool {
+		client.execute("BEGIN READ")
+		client.execute("READ long")
+		at := spool.Server("")
+		for _, execution := range cluster.group.Executions() {
+			if execution.Text == "READ long" {
+				at = execution.Server
+			}
+		}
+		if at != server {
+			client.execute("ROLLBACK")
+		}
+		return at == server
+	})
+	return client
+}
+
 // TestEvacuationUnderLoad evacuates the failure domain of a replica while statements and transactions run, also over lent
 // connections: without it the replica is used on.
 func TestEvacuationUnderLoad(t *testing.T) {
@@ -143,7 +163,16 @@
 	time.Sleep(superviseDelay)
 	load := cluster.startLoad("READ item", "READ item", "TX", "WRITE")
 	time.Sleep(time.Second)
+	long := cluster.openTransactionAt(1, "b")
 	written := cluster.evacuate("z2")
+	code := ""
+	for ; !failed(code) && time.Since(written) < evacuationGoal; time.Sleep(20 * time.Millisecond) {
+		code = long.execute("READ long")
+	}
+	ended := time.Since(written)
+	t.Logf("open transaction ended by %s %v after the write", code, ended)
+	c.Assert(code, qt.Equals, "ABORTED")
+	c.Assert(ended > time.Second, qt.IsTrue)
 	cluster.assertQuiet("b", written)
 	before := load.answered.Load()
 	time.Sleep(time.Second)
--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -68,6 +68,9 @@
 			continue
 		}
 		changes, _, err := adapter.Watch(ctx, adapter.EvacuationKind(), after, evacuationWatch)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil && !errors.Is(err, spool.ErrCompacted) {
 			sleep(ctx, evacuationRetryDelay)
 		}
--- a/internal/lend/evacuation_test.go
+++ b/internal/lend/evacuation_test.go
@@ -53,7 +53,9 @@
 	arrived := fixture.group.Server("a").LastArrival()
 	answer = exchange(t, busy, read)
 	c.Assert(answer.Refusal.Code, qt.Equals, spool.CodeRolledBack)
+	began := time.Now()
 	fixture.lender.EndEvacuatedTransactions()
 	fixture.eventually(func() bool { return fixture.group.Server("a").OpenConnections() == 0 })
+	c.Assert(time.Since(began) < timeout, qt.IsTrue, qt.Commentf("%v", time.Since(began))) // the loan's own timeout is longer
 	c.Assert(fixture.group.Server("a").LastArrival(), qt.Equals, arrived)
 }
