Begin the last switchover of an evacuated primary early enough to resume replicas

A switchover that began near the end of the time for commands left replicas of the evacuated failure domain paused until the withdrawal, or for good if the supervisor ended meanwhile. None begins in the last 500 ms of that time now. A server whose failure domain is evacuated after it was chosen is not promoted.

--- a/internal/core/place/evacuation.go
+++ b/internal/core/place/evacuation.go
@@ -12,6 +12,9 @@
 	// TransactionTime is how long open transactions may continue at the servers of an evacuated failure domain, from when this
 	// proxy learned of the evacuation. With the time until it learns, nothing is sent 2 s after the operators' write.
 	TransactionTime = 1500 * time.Millisecond
+	// SwitchoverTime is when the last switchover of a primary in the failure domain may begin: it pauses replicas there and has to
+	// resume them while commands may still be sent. A switchover takes about 100 ms.
+	SwitchoverTime = TransactionTime - 500*time.Millisecond
 	// SettledTime is when every proxy in reach has ended its transactions in the failure domain: the others learn of the
 	// evacuation within 500 ms of this proxy.
 	SettledTime = TransactionTime + 500*time.Millisecond
@@ -53,6 +56,11 @@
 	return !evacuated || work != NewWork && now.Sub(since) < TransactionTime
 }
 
+// MaySwitchOver reports whether a switchover that sends commands to an evacuated failure domain may begin.
+func (evacuation *Evacuation) MaySwitchOver(domain spool.Domain, now spool.Instant) bool {
+	return evacuation.Closed(domain) && now.Sub(evacuation.since[domain]) < SwitchoverTime
+}
+
 // Settled reports whether every proxy in reach has ended its transactions in an evacuated failure domain.
 func (evacuation *Evacuation) Settled(domain spool.Domain, now spool.Instant) bool {
 	if evacuation == nil {
--- a/internal/core/place/evacuation_test.go
+++ b/internal/core/place/evacuation_test.go
@@ -36,6 +36,9 @@
 	qt.Check(t, none.Permits("z1", NewWork, start), qt.IsTrue)
 	qt.Check(t, none.Closed("z1"), qt.IsFalse)
 	qt.Check(t, none.Settled("z1", start), qt.IsFalse)
+	qt.Check(t, none.MaySwitchOver("z1", start), qt.IsFalse)
+	qt.Check(t, record.Current.MaySwitchOver("z1", start.Add(SwitchoverTime-1)), qt.IsTrue)
+	qt.Check(t, record.Current.MaySwitchOver("z1", start.Add(SwitchoverTime)), qt.IsFalse)
 	qt.Check(t, record.Current.Settled("z1", start.Add(SettledTime-1)), qt.IsFalse)
 	qt.Check(t, record.Current.Settled("z1", start.Add(SettledTime)), qt.IsTrue)
 }
--- a/internal/fleet/large_test.go
+++ b/internal/fleet/large_test.go
@@ -1,14 +1,18 @@
 package fleet_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/core/roster"
+	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/fake/kvsrv"
+	"corianderspool.example/spool/pkg/spool"
 )
 
 // TestLargeFleetDistributesConfigurationThroughRelays runs more proxies than a full mesh of heartbeats allows. All of them
@@ -58,3 +62,25 @@
 	c.Assert(time.Since(began) < within, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 	c.Assert(cluster.group.WrittenValues("item")[0], qt.Equals, "one")
 }
+
+// TestLargeFleetEvacuatesThroughRelays evacuates a failure domain in a fleet that forwards heartbeats through relays: every proxy
+// learns of it in time.
+func TestLargeFleetEvacuatesThroughRelays(t *testing.T) {
+	c := qt.New(t)
+	const proxies = roster.MeshLimit + 3
+	layout, logs := threeDomains()
+	for index := range proxies {
+		layout.proxyDomains = append(layout.proxyDomains[:index], spool.Domain(fmt.Sprintf("z%d", index%3+1)))
+	}
+	cluster := newPlacedCluster(t, proxies, layout)
+	time.Sleep(3 * time.Second) // until relays are in use
+	written := cluster.evacuate("z2")
+	started := logs.FilterField(zap.Int("Event", int(event.EvacuationStarted)))
+	cluster.waitUntil(func() bool {
+		started = logs.FilterField(zap.Int("Event", int(event.EvacuationStarted)))
+		return started.Len() == proxies
+	})
+	last := started.All()[proxies-1].Time.Sub(written)
+	t.Logf("the last of %d proxies learned of the evacuation %v after the write", proxies, last)
+	c.Assert(last < evacuationGoal, qt.IsTrue, qt.Commentf("%v", last))
+}
--- a/internal/super/evacuate.go
+++ b/internal/super/evacuate.go
@@ -17,12 +17,22 @@
 		supervisor.scheduleRetry(state)
 		return
 	}
-	if !supervisor.pool.Evacuation().Settled(primary.Domain, supervisor.timers.Now()) {
+	evacuation, now := supervisor.pool.Evacuation(), supervisor.timers.Now()
+	switch {
+	case evacuation.MaySwitchOver(primary.Domain, now):
 		supervisor.switchover(ctx, view, state)
-		return
+	case evacuation.Settled(primary.Domain, now):
+		state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
+		supervisor.failover(ctx, view, state)
+	default:
+		supervisor.scheduleRetry(state)
 	}
-	state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
-	supervisor.failover(ctx, view, state)
+}
+
+// evacuatedSince reports whether the failure domain of a server was evacuated after the view was taken.
+func (supervisor *Supervisor) evacuatedSince(view pool.GroupView, name spool.Server) bool {
+	server := findServer(view, name)
+	return server != nil && supervisor.pool.Evacuation().Closed(server.Domain)
 }
 
 // evacuatedAnswered reports whether all servers of evacuated failure domains answered. One that does not, usually because nothing
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -230,14 +230,14 @@
 	state.nextCheck = supervisor.timers.Now().Add(retryDelay)
 }
 
-// requestPromotion requests the promotion, unless a server joined the group or the token is older than maxTokenAge, and waits
-// until the chosen server acts as primary.
+// requestPromotion requests the promotion and waits until the chosen server acts as primary. It does not if a server joined the
+// group, the chosen one was evacuated, or the token is older than maxTokenAge.
 func (supervisor *Supervisor) requestPromotion(
 	ctx context.Context, view pool.GroupView, state *groupState, chosen spool.Server, token acquiredToken,
 ) {
-	if !supervisor.noServerJoined(view) {
+	if !supervisor.noServerJoined(view) || supervisor.evacuatedSince(view, chosen) {
 		supervisor.resumeReplicas(view, state)
-		return // a new replica confirms commits as well; the next check includes it
+		return // a new replica confirms commits as well; the next check includes it, or chooses another server
 	}
 	var err error
 	if age := supervisor.timers.Now().Sub(token.acquiredAt); age > maxTokenAge {
