Bound the wait of the tunnel test

With the end of tunnels turned off the test waited for the timeout of go test; it fails after 1 s now.

--- a/internal/fleet/evacuatedtunnel_test.go
+++ b/internal/fleet/evacuatedtunnel_test.go
@@ -54,7 +54,11 @@
 		timers.offset.Add(int64(place.TransactionTime / 2))
 		proxy.evacuations.tick(timers.Now())
 	}
-	<-ended
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		c.Fatal("the tunnel is still open")
+	}
 	exchange("QUERY 2 READ item")
 	c.Assert(server.LastArrival(), qt.Equals, arrived)
 	connections, _ := proxy.evacuations.counts("z1")
