--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -86,7 +86,8 @@
 	if refusal != nil {
 		return refusal
 	}
-	session.route, session.team = route, team
+	session.route = route
+	session.setTeam(team)
 	if team == "" {
 		return nil // an open route without a key has no rate limit
 	}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,8 +29,9 @@
 	routeName  string
 	callerKey  string
 	team       spool.Team
-	holdsToken bool        // a token is reserved for an operation that has not reached a server
-	route      spool.Route // as of the start of the operation
+	grant      atomic.Pointer[grant] // read by the engine when the configuration changes; nil before the opening message
+	holdsToken bool                  // a token is reserved for an operation that has not reached a server
+	route      spool.Route           // as of the start of the operation
 	values     map[string]string
 	prepared   map[string]spool.Command
 	stateBytes int // size of names, values and statement texts
@@ -38,6 +40,13 @@
 	lastCommit spool.LogPosition // position of the session's newest commit
 }
 
+// grant is what a session may use; it is replaced, never changed.
+type grant struct {
+	routeName string
+	key       string
+	team      spool.Team
+}
+
 // transaction is the state of a session's open transaction.
 type transaction struct {
 	conn     *pool.Conn // nil until the first statement
@@ -105,7 +114,11 @@
 	if refusal != nil {
 		return session.reject(refusal)
 	}
-	session.routeName, session.callerKey, session.team, session.route = message.Route, message.Key, team, route
+	session.routeName, session.callerKey, session.route = message.Route, message.Key, route
+	session.setTeam(team)
+	if !session.authorized(session.engine.config.Load()) { // a change that found no grant yet does not interrupt the session
+		return session.reject(withdrawn())
+	}
 	return session.caller.Accept() == nil
 }
 
@@ -134,13 +147,26 @@
 }
 
 // authorized reports whether a configuration still grants the session's route to its key and team; it returns true before
-// the caller's opening message.
+// the caller's opening message. It is safe for concurrent use.
 func (session *session) authorized(config *spool.FleetConfig) bool {
-	if session.routeName == "" {
+	grant := session.grant.Load()
+	if grant == nil {
 		return true
 	}
-	_, team, refusal := config.Login(session.callerKey, session.routeName)
-	return refusal == nil && team == session.team
+	_, team, refusal := config.Login(grant.key, grant.routeName)
+	return refusal == nil && team == grant.team
+}
+
+// setTeam records the team that the session's key stands for.
+func (session *session) setTeam(team spool.Team) {
+	session.team = team
+	if old := session.grant.Load(); old == nil || old.team != team {
+		session.grant.Store(&grant{routeName: session.routeName, key: session.callerKey, team: team})
+	}
+}
+
+func withdrawn() *spool.Refusal {
+	return spool.Refuse(spool.CodeBadKey, "the key or route was withdrawn")
 }
 
 // receiveDeadline returns the deadline of the next message, or zero; it bounds the idle time of a transaction at a server.
@@ -159,7 +185,7 @@
 	}
 	if session.state == spool.TxIdle {
 		if !session.authorized(session.engine.config.Load()) {
-			session.reject(spool.Refuse(spool.CodeBadKey, "the key or route was withdrawn"))
+			session.reject(withdrawn())
 			return true
 		}
 		return session.engine.draining.Load()
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -12,7 +12,8 @@
 // runInTx runs a statement of an open transaction.
 func (session *session) runInTx(ctx context.Context, statement *statement) spool.Answer {
 	if !session.authorized(session.engine.config.Load()) {
-		return session.refuse(spool.Refuse(spool.CodeRolledBack, "the key or route was withdrawn"))
+		refusal := spool.Refuse(spool.CodeRolledBack, "the key or route was withdrawn")
+		return session.failTxWith(statement, spool.Answer{Refusal: refusal})
 	}
 	command := statement.Command
 	refusal := session.checkCommitAllowed(statement)
