Set a term's fence before the term opens

Cause: the core emitted the opening of a term before the fence that lets its answers be forwarded. Requests that waited for the new primary started at once, and one whose answer came before the fence was answered with 08007, an unknown outcome, although the new primary had run it. A request without a token found no valid fence and waited for the next status. Trace: in 5 failed runs of TestLeavingPrimaryHandsOver each unknown outcome was logged within 12 ms of event 405 of the new term, as "the server answered, but it may have been replaced as primary before". Ruled out: requests left over from the old term; the drain of 500 ms had ended 20 ms before without a closed connection. Change: the fence is updated first. It names the new term only, in which no request can have started yet.

--- a/internal/core/cluster_test.go
+++ b/internal/core/cluster_test.go
@@ -46,8 +46,14 @@
 	watch    int // number of the running watch, or zero
 	snapshot *policy.Snapshot
 	versions []spool.Version // of manifests, in the order in which they were applied
+
+	fence       spool.Term // of the newest fence
+	openedTerms []openedTerm
 }
 
+// openedTerm is a term that a core opened, and the term of the fence at that moment.
+type openedTerm struct{ opened, fence spool.Term }
+
 func newCluster(seed uint64, size, domains int, options ...core.Option) *cluster {
 	cluster := &cluster{
 		random: rand.New(rand.NewPCG(seed, 7)), options: options,
@@ -136,6 +142,10 @@
 		vm.versions = append(vm.versions, effect.Change.Version)
 	case core.Trust:
 		vm.trusted = effect.Trusted
+	case core.SetFence:
+		vm.fence = effect.Fence.Term
+	case core.OpenGroup:
+		vm.openedTerms = append(vm.openedTerms, openedTerm{opened: effect.Open.Term, fence: vm.fence})
 	}
 }
 
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -97,6 +97,7 @@
 		role.holder.SetRecord(effect.Record)
 		core.requestVotes(role, now)
 	case terms.Open:
+		core.updateFence(group, now) // before requests start: an answer that comes before the fence counts as fenced
 		core.emit(OpenGroup{Group: group.name, Open: effect})
 		core.emit(Note{Topic: TopicTermOpened, Group: group.name, Term: effect.Term, Server: effect.Primary})
 	case terms.Drain:
@@ -201,14 +202,18 @@
 // updateFences emits every fence that changed.
 func (core *Core) updateFences(now spool.Instant) {
 	for _, group := range core.groups.sorted {
-		role := core.roles.get(lease.GroupRole(group.name))
-		fence := terms.Fence{}
-		if role.held && role.holder.Held(now) {
-			fence = terms.Fence{Until: role.holder.Until(), Term: group.leader.OpenTerm()}
-		}
-		if fence != group.fence {
-			group.fence = fence
-			core.emit(SetFence{Group: group.name, Fence: fence})
-		}
+		core.updateFence(group, now)
+	}
+}
+
+func (core *Core) updateFence(group *group, now spool.Instant) {
+	role := core.roles.get(lease.GroupRole(group.name))
+	fence := terms.Fence{}
+	if role.held && role.holder.Held(now) {
+		fence = terms.Fence{Until: role.holder.Until(), Term: group.leader.OpenTerm()}
+	}
+	if fence != group.fence {
+		group.fence = fence
+		core.emit(SetFence{Group: group.name, Fence: fence})
 	}
 }
