Read a server's name without its registration

Cause: connections read the server's name and group from its registration without the pool's mutex, while SetServer replaces the registration. Seen as data races (probe.go, conn.go against pool.go) in 2 of 12 runs of TestLargeFleetReplacesACrashedPrimary under load, at promotions. Ruled out: a wrong name; both registrations hold the same one. A torn read of a string could still crash the process. Change: name and group are fields of the server that never change, and opening a connection copies the registration under the mutex.

--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -229,7 +229,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
+	pool.mutex.Lock()
 	spec := granted.server.spec
+	pool.mutex.Unlock()
 	target := spool.ServerTarget{Group: spec.Group, Server: spec.Server, Address: spec.Address, Team: request.Team}
 	began := pool.timers.Now()
 	serverConn, position, err := pool.connect(ctx, granted.server, target)
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -13,6 +13,8 @@
 
 // server is a registered backend server and this proxy's connections to it.
 type server struct {
+	name            spool.Server // never changes, so it is read without the mutex, as is groupName
+	groupName       spool.Group
 	spec            spool.RegisteredServer
 	roundTrip       time.Duration
 	idle            []*Conn
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -106,10 +106,10 @@
 		return err
 	}
 	if answer.Refusal != nil {
-		pool.RecordNotPrimary(conn.server.spec.Group, conn.Server())
+		pool.RecordNotPrimary(conn.server.groupName, conn.Server())
 		return answer.Refusal
 	}
-	pool.RecordPrimary(conn.server.spec.Group, conn.Server(), fresh.Watermark{Position: answer.Position, SentAt: sent})
+	pool.RecordPrimary(conn.server.groupName, conn.Server(), fresh.Watermark{Position: answer.Position, SentAt: sent})
 	return pool.RollBack(conn)
 }
 
