Wait longer for the first tokens of a team at a proxy

Cause: in a large fleet only a team's issuers refill its tokens. A proxy that no issuer has answered yet refused the team's first operation after WaitTimeout (120 ms) as exceeding the rate, with no evidence that it does. Right after a fleet starts, proxies do not agree on the issuers yet and open the connections to them first; under load this takes longer. Ruled out: used-up tokens; the refused write was the team's first, at a rate of 100 per second. Change: an operation waits up to 1.5 s, and the request is repeated every 100 ms at least, until the first token of the team arrives at the proxy. From then on the wait is as before.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -22,7 +22,10 @@
 	// issuerRequestInterval replaces minRequestInterval where only issuers refill: each operation needs a request, first to the
 	// issuer of the region and then to all issuers, within WaitTimeout.
 	issuerRequestInterval = 20 * time.Millisecond
-	creditLifetime        = time.Second // after which a proxy whose bucket does not refill drops received tokens that it did not use
+	// firstTokenTimeout bounds the first wait for tokens of a team at a proxy that does not refill them: until the proxies agree on
+	// the issuers and are connected to them, no answer does not mean that the rate is exceeded.
+	firstTokenTimeout = 1500 * time.Millisecond // three heartbeats
+	creditLifetime    = time.Second             // after which a proxy whose bucket does not refill drops received tokens that it did not use
 )
 
 // Bucket is the token bucket of one team at one proxy.
@@ -38,6 +41,8 @@
 	creditedAt      spool.Instant // when tokens of another proxy last arrived
 	issuersOnly     bool          // only the buckets of issuers refill
 	teamRate        float64       // tokens a second in the whole fleet
+	supplied        bool          // an operation got a token, or another proxy sent some
+	awaitedSince    spool.Instant // when the first operation needed a token
 }
 
 // NewBucket returns an empty bucket, so that a restarted proxy does not spend a burst twice.
@@ -77,6 +82,18 @@
 func (bucket *Bucket) RecordDemand(now spool.Instant) {
 	bucket.refill(now)
 	bucket.demand += 1 / demandWindow.Seconds()
+	if bucket.awaitedSince == 0 {
+		bucket.awaitedSince = now
+	}
+}
+
+// awaitsFirst returns how much longer an operation may wait for the team's first tokens at this proxy, or zero if some arrived
+// or this proxy refills them itself.
+func (bucket *Bucket) awaitsFirst(now spool.Instant) time.Duration {
+	if bucket.supplied || bucket.rate > 0 || bucket.teamRate <= 0 || bucket.awaitedSince == 0 {
+		return 0
+	}
+	return max(0, firstTokenTimeout-now.Sub(bucket.awaitedSince))
 }
 
 // Reserve reserves a token for an operation and returns false if there is none; Settle ends the reservation.
@@ -87,6 +104,7 @@
 	}
 	bucket.level--
 	bucket.reserved++
+	bucket.supplied = true
 	return true
 }
 
@@ -101,6 +119,9 @@
 	bucket.requestedAt = now
 	lastFailed = bucket.requestInterval > bucket.minInterval()
 	bucket.requestInterval = min(2*bucket.requestInterval, maxRequestInterval)
+	if bucket.awaitsFirst(now) > 0 {
+		bucket.requestInterval = min(bucket.requestInterval, 2*minRequestInterval)
+	}
 	if bucket.issuersOnly {
 		return math.Ceil(max(float64(waiting), bucket.demand*requestWindow.Seconds())), lastFailed
 	}
@@ -112,6 +133,7 @@
 	bucket.refill(now)
 	bucket.level += tokens
 	bucket.creditedAt = now
+	bucket.supplied = true
 	bucket.requestInterval = bucket.minInterval()
 }
 
@@ -164,6 +186,9 @@
 	if bucket.teamRate <= 0 {
 		return maxRetryAfter
 	}
+	if bucket.awaitsFirst(now) > 0 {
+		return bucket.requestInterval
+	}
 	if bucket.rate <= 0 {
 		return min(maxRetryAfter, max(bucket.requestInterval, time.Duration(float64(time.Second)/bucket.teamRate)))
 	}
--- a/internal/core/quota/bucketset.go
+++ b/internal/core/quota/bucketset.go
@@ -63,6 +63,7 @@
 type Decision struct {
 	Admitted          bool
 	Wait              time.Duration // until this proxy's bucket refills to the next token, if not admitted
+	AwaitFirst        time.Duration // the wait for the team's first tokens at this proxy, if it may exceed WaitTimeout
 	Exhausted         bool          // waiting is useless: neither refilling nor other proxies bring a token in time
 	TokensToRequest   float64       // tokens to request from other proxies now, or zero
 	LastRequestFailed bool          // the last request to other proxies brought no tokens
@@ -79,7 +80,8 @@
 		bucket.RecordDemand(now)
 	}
 	decision := Decision{Admitted: bucket.Reserve(now), Wait: bucket.TimeToNextToken(now)}
-	decision.Exhausted = (bucketSet.single || bucket.requestInterval >= exhaustedInterval) && !bucket.availableWithin(waiting+1, WaitTimeout)
+	decision.AwaitFirst = bucket.awaitsFirst(now)
+	decision.Exhausted = decision.AwaitFirst == 0 && (bucketSet.single || bucket.requestInterval >= exhaustedInterval) && !bucket.availableWithin(waiting+1, WaitTimeout)
 	if !bucketSet.single {
 		decision.TokensToRequest, decision.LastRequestFailed = bucket.TokensToRequest(waiting+1, now)
 	}
--- /dev/null
+++ b/internal/core/quota/first_test.go
@@ -0,0 +1,50 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// newNonIssuer returns the buckets of a proxy that never refills the team's tokens.
+func newNonIssuer(rate float64) *BucketSet {
+	bucketSet := NewBucketSet()
+	bucketSet.SetIssuerShare(func(spool.Team) float64 { return 0 }, start)
+	bucketSet.SetTeams(map[spool.Team]spool.TeamSpec{team: {Name: team, RatePerSecond: rate, Burst: rate}}, start)
+	return bucketSet
+}
+
+// TestFirstOperationAwaitsIssuers guards against a refusal as exceeding the rate at a new proxy that no issuer has answered yet.
+// It keeps requesting tokens for firstTokenTimeout, and no longer once some arrived.
+func TestFirstOperationAwaitsIssuers(t *testing.T) {
+	for _, rate := range []float64{1, 100} {
+		c := qt.New(t)
+		bucketSet := newNonIssuer(rate)
+		decision := bucketSet.Admit(team, false, 0, start)
+		requests, now := 0, start
+		for ; decision.AwaitFirst > 0; now = now.Add(decision.Wait) {
+			c.Assert(decision.Exhausted, qt.IsFalse)
+			if decision.TokensToRequest > 0 {
+				requests++
+			}
+			decision = bucketSet.Admit(team, true, 0, now)
+		}
+		c.Assert(now.Sub(start) >= firstTokenTimeout, qt.IsTrue, qt.Commentf("%v", now.Sub(start)))
+		c.Assert(requests >= int(firstTokenTimeout/(2*minRequestInterval)), qt.IsTrue, qt.Commentf("%d", requests))
+	}
+}
+
+// TestOperationsAfterTheFirstTokenWaitBriefly guards against long waits for a team that exceeds its rate.
+func TestOperationsAfterTheFirstTokenWaitBriefly(t *testing.T) {
+	c := qt.New(t)
+	bucketSet := newNonIssuer(100)
+	c.Assert(bucketSet.Admit(team, false, 0, start).AwaitFirst, qt.Equals, firstTokenTimeout)
+	bucketSet.Credit(team, 1, start.Add(time.Millisecond))
+	c.Assert(bucketSet.Admit(team, true, 0, start.Add(time.Millisecond)).Admitted, qt.IsTrue)
+	c.Assert(bucketSet.Admit(team, false, 0, start.Add(2*time.Millisecond)).AwaitFirst, qt.Equals, time.Duration(0))
+	own := newTestBucketSet(start, 2, 1, 1)
+	c.Assert(own.Admit(team, false, 0, start).AwaitFirst, qt.Equals, time.Duration(0))
+}
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -42,7 +42,7 @@
 	}
 	limiter.adjustWaiters(team, 1)
 	defer limiter.adjustWaiters(team, -1)
-	deadline := time.Now().Add(quota.WaitTimeout)
+	deadline := time.Now().Add(max(quota.WaitTimeout, decision.AwaitFirst))
 	for !decision.Exhausted && time.Now().Before(deadline) {
 		timer := time.NewTimer(min(decision.Wait, time.Until(deadline)) + time.Millisecond)
 		select {
