End only the session, message or stream in which a panic occurs

Cause: a panic in the goroutine of one session, message or stream ended the process and all its sessions. One message was enough: a lender passed a command with an unknown verb, as of a newer version, to the codec of the server's connection, which panics on it. A session's or loan's connection is closed after a panic, since it may hold unread answers or an open transaction. A lender ends a loan at an unknown verb. Ruled out: recovering in the core of the node; its state has to be consistent, and a panic there still ends the process.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/guard"
 	"corianderspool.example/spool/internal/pool"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -131,11 +132,14 @@
 	engine.sessions[session] = struct{}{}
 	engine.mutex.Unlock()
 	defer func() {
-		session.releaseTx()
 		engine.mutex.Lock()
 		delete(engine.sessions, session)
 		engine.mutex.Unlock()
 		_ = caller.Close() // the session has ended, so there is nothing left to send
 	}()
-	session.run(ctx)
+	part := zap.String("Part", "session")
+	if guard.Run(engine.logger, func() { session.run(ctx) }, part) {
+		session.breakConns()
+	}
+	guard.Run(engine.logger, session.releaseTx, part)
 }
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -35,6 +35,7 @@
 			break
 		}
 		answer, retry := session.runOn(statement, conn, primary)
+		session.release(conn)
 		if !retry {
 			return answer
 		}
@@ -51,7 +52,6 @@
 // runOn runs a single statement on a connection; retry is true if it did not run, or only read, and may run again.
 func (session *session) runOn(statement *statement, conn *pool.Conn, primary bool) (answer spool.Answer, retry bool) {
 	engine := session.engine
-	defer engine.pool.Release(conn)
 	verifyPrimary := primary && !statement.Writes
 	var begin []spool.Command
 	if verifyPrimary {
@@ -121,11 +121,13 @@
 	if statement.deadline.Before(deadline) {
 		deadline = statement.deadline
 	}
-	return session.engine.pool.Acquire(ctx, pool.Request{
+	conn, refusal := session.engine.pool.Acquire(ctx, pool.Request{
 		Group: session.route.Group, Team: session.team, Values: session.values,
 		Primary: primary, Avoid: avoid, MinPosition: statement.MinPosition, Priority: session.route.Priority, Deadline: deadline,
 		IdleTimeout: max(session.route.Timeout, session.engine.config.Load().TxIdle),
 	})
+	session.inUse = conn
+	return conn, refusal
 }
 
 // needsPrimary sets the position that a replica must have applied; it returns true if none is known, so that only the
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -37,6 +37,7 @@
 	stateBytes int // size of names, values and statement texts
 	state      spool.TxState
 	tx         transaction
+	inUse      *pool.Conn        // a connection that is not the transaction's, from acquire to release
 	lastCommit spool.LogPosition // position of the session's newest commit
 }
 
@@ -204,6 +205,23 @@
 	session.state = spool.TxFailed
 }
 
+// release returns the connection that is in use outside of the transaction.
+func (session *session) release(conn *pool.Conn) {
+	session.inUse = nil
+	session.engine.pool.Release(conn)
+}
+
+// breakConns closes the session's connections after a panic, since they may hold unread answers.
+func (session *session) breakConns() {
+	if session.tx.conn != nil {
+		session.tx.conn.MarkBroken()
+	}
+	if conn := session.inUse; conn != nil {
+		conn.MarkBroken()
+		session.release(conn)
+	}
+}
+
 // releaseTx rolls back the transaction, if one is open, and releases its connection.
 func (session *session) releaseTx() {
 	session.finishToken(false)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -110,14 +110,14 @@
 		}
 		command, refusal := session.setUp(statement, conn, []spool.Command{begin}, false)
 		if refusal == nil {
-			session.tx.conn = conn
+			session.tx.conn, session.inUse = conn, nil
 			return command, nil
 		}
 		last = refusal
 		if !primary {
 			avoid = append(avoid, conn.Server())
 		}
-		session.engine.pool.Release(conn)
+		session.release(conn)
 	}
 	return statement.Command, last
 }
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -17,10 +17,12 @@
 	peerLimit    = 20
 	serverLimit  = 20
 	requestLimit = 200
+	panicLimit   = 5 // an entry holds a stack
 )
 
 // Event numbers: 1xx proxy lifecycle, 2xx callers, 3xx backend servers, 4xx leases, terms and failover, 5xx
-// manifests and keys, 6xx rates and slots (none at present), 7xx the platform and other proxies.
+// manifests and keys, 6xx rates and slots (none at present), 7xx the platform and other proxies, 8xx faults of
+// the program.
 const (
 	ProxyStarted     Number = 101
 	ProxyDraining    Number = 102
@@ -90,6 +92,8 @@
 	TunnelRefused       Number = 711
 	StoreReadFailed     Number = 712
 	LendRefused         Number = 713
+
+	PanicRecovered Number = 800
 )
 
 var kinds = map[Number]Kind{
@@ -156,4 +160,5 @@
 	TunnelRefused:              {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
 	StoreReadFailed:            {Level: zapcore.WarnLevel, Text: "reading the store failed", PerSecond: serverLimit},
 	LendRefused:                {Level: zapcore.InfoLevel, Text: "connection not lent", PerSecond: serverLimit},
+	PanicRecovered:             {Level: zapcore.ErrorLevel, Text: "panic recovered", PerSecond: panicLimit},
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -62,7 +62,7 @@
 
 // run accepts connections from other proxies and sends heartbeats until the context ends.
 func (peers *peers) run(ctx context.Context, listener net.Listener) {
-	peers.transport.Listen(listener, peers)
+	peers.transport.Listen(listener, guardedHandler{peers, peers.proxy.logger})
 	go peers.identifySeeds(ctx)
 	stop := peers.proxy.timers.Every(roster.RoundInterval, spool.TimerFunc(func(spool.Instant) { peers.sendHeartbeats() }))
 	<-ctx.Done()
@@ -201,11 +201,13 @@
 	case *wire.Envelope_TokenTransfer:
 		peers.proxy.limiter.addTokens(spool.Team(body.TokenTransfer.Team), body.TokenTransfer.Tokens)
 	case *wire.Envelope_MarkRequest:
-		go peers.proxy.watermarks.sendAnswer(from, body.MarkRequest)
+		go guardPeer(peers.proxy.logger, "message", from, func() {
+			peers.proxy.watermarks.sendAnswer(from, body.MarkRequest)
+		})
 	case *wire.Envelope_MarkAnswer:
 		peers.proxy.watermarks.applyAnswer(body.MarkAnswer)
 	case *wire.Envelope_ProbeRequest:
-		go peers.answerProbe(from, body.ProbeRequest)
+		go guardPeer(peers.proxy.logger, "message", from, func() { peers.answerProbe(from, body.ProbeRequest) })
 	case *wire.Envelope_ProbeAnswer:
 		peers.deliverProbeAnswer(body.ProbeAnswer)
 	}
--- a/internal/lend/codec.go
+++ b/internal/lend/codec.go
@@ -49,15 +49,20 @@
 	return &wire.StreamFrame{Body: &wire.StreamFrame_LoanCommands{LoanCommands: &wire.LoanCommands{Commands: encoded}}}
 }
 
-func decodeCommands(body *wire.LoanCommands) []spool.Command {
-	commands := make([]spool.Command, 0, len(body.Commands))
+// decodeCommands returns the commands; valid is false if there is one that cannot be sent to a server, such as a command of
+// a newer version, since a connection's codec panics on it.
+func decodeCommands(body *wire.LoanCommands) (commands []spool.Command, valid bool) {
+	commands = make([]spool.Command, 0, len(body.Commands))
 	for _, command := range body.Commands {
+		if verb := spool.Verb(command.Verb); verb <= spool.VerbUnknown || verb > spool.VerbResume {
+			return nil, false
+		}
 		commands = append(commands, spool.Command{
 			ID: command.ID, Verb: spool.Verb(command.Verb), Name: command.Name, Text: command.Text, Writes: command.Writes,
 			MinPosition: spool.LogPosition{Term: spool.Term(command.AfterTerm), Number: spool.Position(command.AfterNumber)},
 		})
 	}
-	return commands
+	return commands, true
 }
 
 func encodeAnswer(answer spool.Answer) *wire.StreamFrame {
--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -68,7 +68,13 @@
 		_ = sendLoanAnswer(stream, &wire.LoanAnswer{Reason: err.Error()}) // without an answer the borrower also tries elsewhere
 		return
 	}
-	defer lender.pool.Release(conn)
+	reusable := true // until a loan began
+	defer func() {
+		if !reusable { // also after a panic
+			conn.MarkBroken()
+		}
+		lender.pool.Release(conn)
+	}()
 	state := conn.State()
 	answer := &wire.LoanAnswer{
 		Granted: true, Term: uint64(term), Values: state.Values, Prepared: state.Prepared, Names: int64(state.StatementCount),
@@ -77,9 +83,8 @@
 		return // nothing was sent to the server
 	}
 	loan := &loan{lender: lender, conn: conn, group: request.Group, stream: stream, idleTimeout: request.IdleTimeout}
-	if !loan.run() {
-		conn.MarkBroken()
-	}
+	reusable = false
+	reusable = loan.run()
 }
 
 func (lender *Lender) reserve(request pool.LoanRequest) (*pool.Conn, spool.Term, error) {
@@ -118,7 +123,8 @@
 		case *wire.StreamFrame_LoanReturn:
 			return loan.state == spool.TxIdle || loan.state == 0
 		case *wire.StreamFrame_LoanCommands:
-			if !loan.forward(decodeCommands(body.LoanCommands)) {
+			commands, valid := decodeCommands(body.LoanCommands)
+			if !valid || !loan.forward(commands) {
 				return false
 			}
 		default:
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/guard"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -127,7 +128,7 @@
 			time.Sleep(shortestBackoff)
 			continue
 		}
-		go transport.accept(conn)
+		go guard.Run(transport.logger, func() { transport.accept(conn) }, zap.String("Part", "connection"))
 	}
 }
 
