Ignore numbers of tokens that are not positive and finite

Cause: a request of another proxy for NaN tokens made the level of the team's bucket NaN, which admits every operation; an infinite transfer did the same for a burst. Ruled out: zero and negative numbers, which were ignored already.

--- a/internal/core/quota/bucketset.go
+++ b/internal/core/quota/bucketset.go
@@ -90,11 +90,15 @@
 
 // Credit adds tokens that another proxy sent.
 func (bucketSet *BucketSet) Credit(team spool.Team, tokens float64, now spool.Instant) {
-	if bucket := bucketSet.buckets[team]; bucket != nil && tokens > 0 {
+	if bucket := bucketSet.buckets[team]; bucket != nil && validTokens(tokens) {
 		bucket.Credit(tokens, now)
 	}
 }
 
+// validTokens reports whether another proxy sent a usable number of tokens. A bucket whose level is not a number would admit
+// every operation.
+func validTokens(tokens float64) bool { return tokens > 0 && !math.IsInf(tokens, 1) }
+
 // Settle ends the reservation of an admitted operation's token, which is returned if the operation reached no server.
 func (bucketSet *BucketSet) Settle(team spool.Team, reached bool, now spool.Instant) {
 	if bucket := bucketSet.buckets[team]; bucket != nil {
@@ -106,7 +110,7 @@
 // requests from other issuers now.
 func (bucketSet *BucketSet) Issue(team spool.Team, want float64, now spool.Instant) (issued float64, request Decision) {
 	bucket := bucketSet.buckets[team]
-	if bucket == nil {
+	if bucket == nil || !validTokens(want) {
 		return 0, Decision{}
 	}
 	issued = bucket.Issue(want, now)
@@ -117,7 +121,7 @@
 // TakeSurplus removes up to want tokens for another proxy and returns how many; it keeps those that this proxy needs soon.
 func (bucketSet *BucketSet) TakeSurplus(team spool.Team, want float64, now spool.Instant) float64 {
 	bucket := bucketSet.buckets[team]
-	if bucket == nil {
+	if bucket == nil || !validTokens(want) {
 		return 0
 	}
 	return bucket.TakeSurplus(want, now)
