Do not count a pause of the proxy as time to drain

Cause: the drain of a leaving primary ended 500 ms after its start by the clock, also when the proxy itself was held up for that long. Requests that were held up too were then fenced, and their outcomes unknown. Ruled out: an endless drain; pauses extend it to 2 s at most. Change: the drain counts from the end of the last pause (PauseThreshold).

--- a/internal/core/terms/switchover.go
+++ b/internal/core/terms/switchover.go
@@ -2,6 +2,9 @@
 
 import "corianderspool.example/spool/pkg/spool"
 
+// maxDrainTimeouts bounds the time without a primary at a proxy that is paused again and again.
+const maxDrainTimeouts = 4
+
 // switchover is the state of a planned move of the primary away from a leaving server.
 type switchover struct {
 	draining bool          // no new requests start on the primary
@@ -24,12 +27,19 @@
 		}
 		return
 	}
-	if now.Sub(switchover.since) >= leader.config.DrainTimeout {
+	if leader.drained(now) {
 		leader.replacePrimary(ReasonPrimaryLeaving, now)
 		leader.switchover = newSwitchover(now)
 	}
 }
 
+// drained reports whether running requests had the time to finish. A pause of this proxy does not count, since none of them
+// could, but pauses extend the time to at most maxDrainTimeouts times DrainTimeout.
+func (leader *Leader) drained(now spool.Instant) bool {
+	timeout, since := leader.config.DrainTimeout, leader.switchover.since
+	return now.Sub(max(since, leader.pauseEndedAt)) >= timeout || now.Sub(since) >= maxDrainTimeouts*timeout
+}
+
 func newSwitchover(now spool.Instant) switchover { return switchover{active: true, since: now} }
 
 // completeSwitchover reports whether to promote the candidate although the primary of the recorded term answers. If
