Answer statements and results with text that a loan's frames cannot carry

Cause: a frame between proxies carries text as UTF-8 only. A statement with other bytes failed to encode on a lent connection and counted as sent: a WRITE was answered INDOUBT though nothing had run. An error message of a server with such bytes never reached the borrower, whose caller then got an unknown outcome at its deadline. Ruled out: a change of the messages; older proxies read them as well. Rows are bytes already. The refusal by the engine is not covered by a test of its own.

--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -205,6 +205,9 @@
 	began := engine.timers.Now()
 	session.finishToken(true)
 	err := conn.Send(command)
+	if errors.Is(err, pool.ErrUnsendable) {
+		return spool.Answer{Refusal: spool.Refuse(spool.CodeProtocol, err.Error())}, nil
+	}
 	var answer spool.Answer
 	if err == nil {
 		answer, err = conn.Receive(statement.deadline)
--- a/internal/lend/borrow.go
+++ b/internal/lend/borrow.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 
@@ -69,8 +70,13 @@
 	return values
 }
 
-// Send sends commands to the lender, which forwards them to the server.
+// Send sends commands to the lender, which forwards them to the server; pool.ErrUnsendable means that it sent nothing.
 func (borrowedConn *borrowedConn) Send(commands ...spool.Command) error {
+	for _, command := range commands {
+		if !utf8.ValidString(command.ID) || !utf8.ValidString(command.Name) || !utf8.ValidString(command.Text) {
+			return pool.ErrUnsendable
+		}
+	}
 	return borrowedConn.stream.Write(encodeCommands(commands))
 }
 
--- a/internal/lend/codec.go
+++ b/internal/lend/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"time"
 
 	"corianderspool.example/spool/internal/peer"
@@ -65,13 +66,16 @@
 	return commands, true
 }
 
+// invalidText replaces bytes that a frame cannot carry: without the replacement the borrower would get no answer.
+const invalidText = "?"
+
 func encodeAnswer(answer spool.Answer) *wire.StreamFrame {
 	result := &wire.LoanResult{
-		Rows: answer.Rows, Digest: answer.Digest, State: uint32(answer.State),
+		Rows: answer.Rows, Digest: strings.ToValidUTF8(answer.Digest, invalidText), State: uint32(answer.State),
 		Term: uint64(answer.Position.Term), Number: uint64(answer.Position.Number),
 	}
 	if refusal := answer.Refusal; refusal != nil {
-		result.Code, result.Message = refusal.Code, refusal.Message
+		result.Code, result.Message = refusal.Code, strings.ToValidUTF8(refusal.Message, invalidText)
 		result.Verdict, result.RetryNanos = int32(refusal.Verdict), int64(refusal.RetryAfter)
 	}
 	return &wire.StreamFrame{Body: &wire.StreamFrame_LoanResult{LoanResult: result}}
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -16,6 +16,9 @@
 // ErrServerLost reports that a lender lost its connection to the server.
 var ErrServerLost = eris.New("lender lost its connection to the server")
 
+// ErrUnsendable reports that commands were not sent, since a lender's stream cannot carry their text.
+var ErrUnsendable = eris.New("the text is not valid UTF-8")
+
 // ConnState is the session state of a connection at its server.
 type ConnState struct {
 	Values         map[string]string
