Await first tokens also where each proxy refills a share

Cause: a proxy that does not know yet that the fleet is large counts itself as one of a small one. Its share brings a token only after WaitTimeout, and the proxies that it asks refill none, so the first operation of a team was refused within its rate. Ruled out: a fleet of one proxy, which knows whether tokens are used up. Change: the longer first wait applies to these proxies too, and they retry after each request interval.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -22,8 +22,8 @@
 	// issuerRequestInterval replaces minRequestInterval where only issuers refill: each operation needs a request, first to the
 	// issuer of the region and then to all issuers, within WaitTimeout.
 	issuerRequestInterval = 20 * time.Millisecond
-	// firstTokenTimeout bounds the first wait for tokens of a team at a proxy that does not refill them: until the proxies agree on
-	// the issuers and are connected to them, no answer does not mean that the rate is exceeded.
+	// firstTokenTimeout bounds the first wait for tokens of a team at a proxy: until the proxies agree on the size of the
+	// fleet and on the issuers, and are connected, no answer does not mean that the rate is exceeded.
 	firstTokenTimeout = 1500 * time.Millisecond // three heartbeats
 	creditLifetime    = time.Second             // after which a proxy whose bucket does not refill drops received tokens that it did not use
 )
@@ -87,10 +87,9 @@
 	}
 }
 
-// awaitsFirst returns how much longer an operation may wait for the team's first tokens at this proxy, or zero if some arrived
-// or this proxy refills them itself.
+// awaitsFirst returns how much longer an operation may wait for the team's first tokens at this proxy, or zero if some arrived.
 func (bucket *Bucket) awaitsFirst(now spool.Instant) time.Duration {
-	if bucket.supplied || bucket.rate > 0 || bucket.teamRate <= 0 || bucket.awaitedSince == 0 {
+	if bucket.supplied || bucket.teamRate <= 0 || bucket.awaitedSince == 0 {
 		return 0
 	}
 	return max(0, firstTokenTimeout-now.Sub(bucket.awaitedSince))
@@ -186,9 +185,6 @@
 	if bucket.teamRate <= 0 {
 		return maxRetryAfter
 	}
-	if bucket.awaitsFirst(now) > 0 {
-		return bucket.requestInterval
-	}
 	if bucket.rate <= 0 {
 		return min(maxRetryAfter, max(bucket.requestInterval, time.Duration(float64(time.Second)/bucket.teamRate)))
 	}
--- a/internal/core/quota/bucketset.go
+++ b/internal/core/quota/bucketset.go
@@ -80,7 +80,12 @@
 		bucket.RecordDemand(now)
 	}
 	decision := Decision{Admitted: bucket.Reserve(now), Wait: bucket.TimeToNextToken(now)}
-	decision.AwaitFirst = bucket.awaitsFirst(now)
+	if !bucketSet.single {
+		decision.AwaitFirst = bucket.awaitsFirst(now)
+	}
+	if decision.AwaitFirst > 0 {
+		decision.Wait = min(decision.Wait, bucket.requestInterval)
+	}
 	decision.Exhausted = decision.AwaitFirst == 0 && (bucketSet.single || bucket.requestInterval >= exhaustedInterval) && !bucket.availableWithin(waiting+1, WaitTimeout)
 	if !bucketSet.single {
 		decision.TokensToRequest, decision.LastRequestFailed = bucket.TokensToRequest(waiting+1, now)
