--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -22,7 +22,10 @@
 	// issuerRequestInterval replaces minRequestInterval where only issuers refill: each operation needs a request, first to the
 	// issuer of the region and then to all issuers, within WaitTimeout.
 	issuerRequestInterval = 20 * time.Millisecond
-	creditLifetime        = time.Second // after which a proxy whose bucket does not refill drops received tokens that it did not use
+	// firstTokenTimeout bounds the first wait for tokens of a team at a proxy: until the proxies agree on the size of the
+	// fleet and on the issuers, and are connected, no answer does not mean that the rate is exceeded.
+	firstTokenTimeout = 1500 * time.Millisecond // three heartbeats
+	creditLifetime    = time.Second             // after which a proxy whose bucket does not refill drops received tokens that it did not use
 )
 
 // Bucket is the token bucket of one team at one proxy.
@@ -42,6 +45,8 @@
 	creditedAt        spool.Instant // when tokens of another proxy last arrived
 	issuersOnly       bool          // only the buckets of issuers refill
 	teamRate          float64       // tokens a second in the whole fleet
+	supplied          bool          // an operation got a token, or another proxy sent some
+	awaitedSince      spool.Instant // when the first operation needed a token
 }
 
 // NewBucket returns an empty bucket, so that a restarted proxy does not spend a burst twice.
@@ -90,6 +95,17 @@
 	bucket.refill(now)
 	bucket.demand += 1 / demandWindow.Seconds()
 	bucket.urgent.record(priority, 1, now)
+	if bucket.awaitedSince == 0 {
+		bucket.awaitedSince = now
+	}
+}
+
+// awaitsFirst returns how much longer an operation may wait for the team's first tokens at this proxy, or zero if some arrived.
+func (bucket *Bucket) awaitsFirst(now spool.Instant) time.Duration {
+	if bucket.supplied || bucket.teamRate <= 0 || bucket.awaitedSince == 0 {
+		return 0
+	}
+	return max(0, firstTokenTimeout-now.Sub(bucket.awaitedSince))
 }
 
 // Reserve reserves a token for an operation and returns false if there is none; Settle ends the reservation.
@@ -100,6 +116,7 @@
 	}
 	bucket.level--
 	bucket.reserved++
+	bucket.supplied = true
 	return true
 }
 
@@ -118,6 +135,9 @@
 	bucket.requestedAt, bucket.requestedPriority = now, need.priority
 	lastFailed = interval > bucket.minInterval()
 	bucket.requestInterval = min(2*interval, maxRequestInterval)
+	if bucket.awaitsFirst(now) > 0 {
+		bucket.requestInterval = min(bucket.requestInterval, 2*minRequestInterval)
+	}
 	return bucket.request(need), lastFailed
 }
 
@@ -126,6 +146,7 @@
 	bucket.refill(now)
 	bucket.level += tokens
 	bucket.creditedAt = now
+	bucket.supplied = true
 	bucket.requestInterval = bucket.minInterval()
 }
 
--- a/internal/core/quota/bucketset.go
+++ b/internal/core/quota/bucketset.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"corianderspool.example/spool/pkg/spool"
@@ -80,6 +81,7 @@
 type Decision struct {
 	Admitted          bool
 	Wait              time.Duration // until this proxy's bucket refills to the next token, if not admitted
+	AwaitFirst        time.Duration // the wait for the team's first tokens at this proxy, if it may exceed WaitTimeout
 	Exhausted         bool          // waiting is useless: neither refilling nor other proxies bring a token in time
 	TokensToRequest   Request       // tokens to request from other proxies now, if any
 	LastRequestFailed bool          // the last request to other proxies brought no tokens
@@ -96,8 +98,14 @@
 		bucket.RecordDemand(operation.Priority, now)
 	}
 	decision := Decision{Admitted: bucket.Reserve(operation, now), Wait: bucket.TimeToNextToken(now)}
+	if !bucketSet.single {
+		decision.AwaitFirst = bucket.awaitsFirst(now)
+	}
+	if decision.AwaitFirst > 0 {
+		decision.Wait = min(decision.Wait, bucket.requestInterval)
+	}
 	ahead := operation.Waiting - operation.LessUrgent
-	failing := bucketSet.single || bucket.requestInterval >= exhaustedInterval
+	failing := decision.AwaitFirst == 0 && (bucketSet.single || bucket.requestInterval >= exhaustedInterval)
 	if !bucketSet.single {
 		decision.TokensToRequest, decision.LastRequestFailed = bucket.TokensToRequest(operation.need(), now)
 		decision.AskOne = decision.LastRequestFailed && bucketSet.asksOne(bucket)
@@ -110,11 +118,20 @@
 
 // Credit adds tokens that another proxy sent.
 func (bucketSet *BucketSet) Credit(team spool.Team, tokens float64, now spool.Instant) {
-	if bucket := bucketSet.buckets[team]; bucket != nil && tokens > 0 {
+	if bucket := bucketSet.buckets[team]; bucket != nil && validTokens(tokens) {
 		bucket.Credit(tokens, now)
 	}
 }
 
+// valid reports whether another proxy sent a usable request.
+func (request Request) valid() bool {
+	return validTokens(request.Tokens) && !math.IsNaN(request.UrgentTokens) && !math.IsInf(request.UrgentTokens, 0)
+}
+
+// validTokens reports whether another proxy sent a usable number of tokens. A bucket whose level is not a number would admit
+// every operation.
+func validTokens(tokens float64) bool { return tokens > 0 && !math.IsInf(tokens, 1) }
+
 // Settle ends the reservation of an admitted operation's token, which is returned if the operation reached no server.
 func (bucketSet *BucketSet) Settle(team spool.Team, reached bool, now spool.Instant) {
 	if bucket := bucketSet.buckets[team]; bucket != nil {
@@ -126,7 +143,7 @@
 // IssuePending. It returns how many, and the tokens that this proxy requests from other issuers now.
 func (bucketSet *BucketSet) Issue(from spool.VM, team spool.Team, wanted Request, now spool.Instant) (issued float64, request Decision) {
 	bucket := bucketSet.buckets[team]
-	if bucket == nil {
+	if bucket == nil || !wanted.valid() {
 		return 0, Decision{}
 	}
 	issued = bucket.Issue(wanted, now)
@@ -139,7 +156,7 @@
 // soon.
 func (bucketSet *BucketSet) TakeSurplus(team spool.Team, wanted Request, now spool.Instant) float64 {
 	bucket := bucketSet.buckets[team]
-	if bucket == nil {
+	if bucket == nil || !wanted.valid() {
 		return 0
 	}
 	return bucket.TakeSurplus(wanted, now)
--- a/internal/core/quota/unused.go
+++ b/internal/core/quota/unused.go
@@ -27,7 +27,7 @@
 // CreditReturned adds tokens that another proxy returned, as far as they do not stack on a full burst.
 func (bucketSet *BucketSet) CreditReturned(team spool.Team, tokens float64, now spool.Instant) {
 	bucket := bucketSet.buckets[team]
-	if bucket == nil || tokens <= 0 {
+	if bucket == nil || !validTokens(tokens) {
 		return
 	}
 	bucket.refill(now)
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -36,6 +36,7 @@
 			break
 		}
 		answer, retry := session.runOn(statement, conn, primary)
+		session.release(conn)
 		if !retry {
 			return answer
 		}
@@ -52,7 +53,6 @@
 // runOn runs a single statement on a connection; retry is true if it did not run, or only read, and may run again.
 func (session *session) runOn(statement *statement, conn *pool.Conn, primary bool) (answer spool.Answer, retry bool) {
 	engine := session.engine
-	defer engine.pool.Release(conn)
 	verifyPrimary := primary && !statement.Writes
 	var begin []spool.Command
 	if verifyPrimary {
@@ -133,6 +133,7 @@
 		Primary: primary, Avoid: avoid, MinPosition: statement.MinPosition, Priority: session.route.Priority, Deadline: deadline,
 		IdleTimeout: max(session.route.Timeout, session.engine.config.Load().TxIdle), Allowed: session.allowed(),
 	})
+	session.inUse = conn
 	return conn, session.explainHome(refusal)
 }
 
@@ -223,6 +224,9 @@
 	statement.server, statement.lender = conn.Server(), conn.Lender()
 	session.finishToken(true)
 	err = conn.Send(command)
+	if errors.Is(err, pool.ErrUnsendable) {
+		return spool.Answer{Refusal: spool.Refuse(spool.CodeProtocol, err.Error())}, nil
+	}
 	var answer spool.Answer
 	if err == nil {
 		answer, err = conn.Receive(statement.deadline)
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -29,18 +29,27 @@
 	routeName  string
 	callerKey  string
 	team       spool.Team
-	holdsToken bool        // a token is reserved for an operation that has not reached a server
-	route      spool.Route // as of the start of the operation
+	grant      atomic.Pointer[grant] // read by the engine when the configuration changes; nil before the opening message
+	holdsToken bool                  // a token is reserved for an operation that has not reached a server
+	route      spool.Route           // as of the start of the operation
 	values     map[string]string
 	prepared   map[string]spool.Command
 	stateBytes int // size of names, values and statement texts
 	state      spool.TxState
 	tx         transaction
+	inUse      *pool.Conn                // a connection that is not the transaction's, from acquire to release
 	lastCommit spool.LogPosition         // position of the session's newest commit
 	txConn     atomic.Pointer[pool.Conn] // as tx.conn, for other goroutines
 	txRefusal  *spool.Refusal            // answers the next statement of a transaction that the proxy rolled back; may be nil
 }
 
+// grant is what a session may use; it is replaced, never changed.
+type grant struct {
+	routeName string
+	key       string
+	team      spool.Team
+}
+
 // transaction is the state of a session's open transaction.
 type transaction struct {
 	conn     *pool.Conn // nil until the first statement
@@ -110,7 +119,11 @@
 	if refusal != nil {
 		return session.reject(refusal)
 	}
-	session.routeName, session.callerKey, session.team, session.route = message.Route, message.Key, team, route
+	session.routeName, session.callerKey, session.route = message.Route, message.Key, route
+	session.setTeam(team)
+	if !session.authorized(session.engine.config.Load()) { // a change that found no grant yet does not interrupt the session
+		return session.reject(withdrawn())
+	}
 	return session.caller.Accept() == nil
 }
 
@@ -139,13 +152,26 @@
 }
 
 // authorized reports whether a configuration still grants the session's route to its key and team; it returns true before
-// the caller's opening message.
+// the caller's opening message. It is safe for concurrent use.
 func (session *session) authorized(config *spool.FleetConfig) bool {
-	if session.routeName == "" {
+	grant := session.grant.Load()
+	if grant == nil {
 		return true
 	}
-	_, team, refusal := config.Login(session.callerKey, session.routeName)
-	return refusal == nil && team == session.team
+	_, team, refusal := config.Login(grant.key, grant.routeName)
+	return refusal == nil && team == grant.team
+}
+
+// setTeam records the team that the session's key stands for.
+func (session *session) setTeam(team spool.Team) {
+	session.team = team
+	if old := session.grant.Load(); old == nil || old.team != team {
+		session.grant.Store(&grant{routeName: session.routeName, key: session.callerKey, team: team})
+	}
+}
+
+func withdrawn() *spool.Refusal {
+	return spool.Refuse(spool.CodeBadKey, "the key or route was withdrawn")
 }
 
 // receiveDeadline returns the deadline of the next message, or zero; it bounds the idle time of a transaction at a server.
@@ -164,7 +190,7 @@
 	}
 	if session.state == spool.TxIdle {
 		if !session.authorized(session.engine.config.Load()) {
-			session.reject(spool.Refuse(spool.CodeBadKey, "the key or route was withdrawn"))
+			session.reject(withdrawn())
 			return true
 		}
 		return session.engine.draining.Load()
@@ -187,6 +213,23 @@
 	session.state = spool.TxFailed
 }
 
+// release returns the connection that is in use outside of the transaction.
+func (session *session) release(conn *pool.Conn) {
+	session.inUse = nil
+	session.engine.pool.Release(conn)
+}
+
+// breakConns closes the session's connections after a panic, since they may hold unread answers.
+func (session *session) breakConns() {
+	if session.tx.conn != nil {
+		session.tx.conn.MarkBroken()
+	}
+	if conn := session.inUse; conn != nil {
+		conn.MarkBroken()
+		session.release(conn)
+	}
+}
+
 // releaseTx rolls back the transaction, if one is open, and releases its connection.
 func (session *session) releaseTx() {
 	session.finishToken(false)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -13,7 +13,8 @@
 // runInTx runs a statement of an open transaction.
 func (session *session) runInTx(ctx context.Context, statement *statement) spool.Answer {
 	if !session.authorized(session.engine.config.Load()) {
-		return session.refuse(spool.Refuse(spool.CodeRolledBack, "the key or route was withdrawn"))
+		refusal := spool.Refuse(spool.CodeRolledBack, "the key or route was withdrawn")
+		return session.failTxWith(statement, spool.Answer{Refusal: refusal})
 	}
 	command := statement.Command
 	refusal := session.checkCommitAllowed(statement)
@@ -120,7 +121,7 @@
 			command, refusal = session.setUp(statement, conn, []spool.Command{begin}, false)
 		}
 		if refusal == nil {
-			session.tx.conn = conn
+			session.tx.conn, session.inUse = conn, nil
 			session.txConn.Store(conn)
 			return command, nil
 		}
@@ -128,7 +129,7 @@
 		if !primary {
 			avoid = append(avoid, conn.Server())
 		}
-		session.engine.pool.Release(conn)
+		session.release(conn)
 	}
 	return statement.Command, last
 }
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -17,10 +17,12 @@
 	peerLimit    = 20
 	serverLimit  = 20
 	requestLimit = 200
+	panicLimit   = 5 // an entry holds a stack
 )
 
 // Event numbers: 1xx proxy lifecycle, 2xx callers, 3xx backend servers, 4xx leases, terms and failover, 5xx
-// manifests and keys, 6xx rates and slots (none at present), 7xx the platform and other proxies.
+// manifests and keys, 6xx rates and slots (none at present), 7xx the platform and other proxies, 8xx faults of
+// the program.
 const (
 	ProxyStarted     Number = 101
 	ProxyDraining    Number = 102
@@ -105,6 +107,8 @@
 	LoanWithdrawn Number = 791
 
 	RateRefused Number = 792
+
+	PanicRecovered Number = 800
 )
 
 var kinds = map[Number]Kind{
@@ -182,4 +186,5 @@
 	WaitRefused:                    {Level: zapcore.InfoLevel, Text: "request refused in the queue for connections", PerSecond: requestLimit},
 	LoanWithdrawn:                  {Level: zapcore.InfoLevel, Text: "waiting loan withdrawn", PerSecond: serverLimit},
 	RateRefused:                    {Level: zapcore.InfoLevel, Text: "no token of the team's rate", PerSecond: requestLimit},
+	PanicRecovered:                 {Level: zapcore.ErrorLevel, Text: "panic recovered", PerSecond: panicLimit},
 }
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -49,7 +49,7 @@
 	}
 	limiter.adjustWaiters(team, priority, 1)
 	defer limiter.adjustWaiters(team, priority, -1)
-	deadline := time.Now().Add(quota.WaitTimeout)
+	deadline := time.Now().Add(max(quota.WaitTimeout, decision.AwaitFirst))
 	for !decision.Exhausted && time.Now().Before(deadline) {
 		timer := time.NewTimer(min(decision.Wait, time.Until(deadline)) + time.Millisecond)
 		select {
--- a/internal/lend/codec.go
+++ b/internal/lend/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"time"
 
 	"corianderspool.example/spool/internal/peer"
@@ -49,24 +50,32 @@
 	return &wire.StreamFrame{Body: &wire.StreamFrame_LoanCommands{LoanCommands: &wire.LoanCommands{Commands: encoded}}}
 }
 
-func decodeCommands(body *wire.LoanCommands) []spool.Command {
-	commands := make([]spool.Command, 0, len(body.Commands))
+// decodeCommands returns the commands; valid is false if there is one that cannot be sent to a server, such as a command of
+// a newer version, since a connection's codec panics on it.
+func decodeCommands(body *wire.LoanCommands) (commands []spool.Command, valid bool) {
+	commands = make([]spool.Command, 0, len(body.Commands))
 	for _, command := range body.Commands {
+		if verb := spool.Verb(command.Verb); verb <= spool.VerbUnknown || verb > spool.VerbResume {
+			return nil, false
+		}
 		commands = append(commands, spool.Command{
 			ID: command.ID, Verb: spool.Verb(command.Verb), Name: command.Name, Text: command.Text, Writes: command.Writes,
 			MinPosition: spool.LogPosition{Term: spool.Term(command.AfterTerm), Number: spool.Position(command.AfterNumber)},
 		})
 	}
-	return commands
+	return commands, true
 }
 
+// invalidText replaces bytes that a frame cannot carry: without the replacement the borrower would get no answer.
+const invalidText = "?"
+
 func encodeAnswer(answer spool.Answer) *wire.StreamFrame {
 	result := &wire.LoanResult{
-		Rows: answer.Rows, Digest: answer.Digest, State: uint32(answer.State),
+		Rows: answer.Rows, Digest: strings.ToValidUTF8(answer.Digest, invalidText), State: uint32(answer.State),
 		Term: uint64(answer.Position.Term), Number: uint64(answer.Position.Number),
 	}
 	if refusal := answer.Refusal; refusal != nil {
-		result.Code, result.Message = refusal.Code, refusal.Message
+		result.Code, result.Message = refusal.Code, strings.ToValidUTF8(refusal.Message, invalidText)
 		result.Verdict, result.RetryNanos = int32(refusal.Verdict), int64(refusal.RetryAfter)
 	}
 	return &wire.StreamFrame{Body: &wire.StreamFrame_LoanResult{LoanResult: result}}
--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -74,7 +74,13 @@
 		lender.refuse(from, request, stream, err)
 		return
 	}
-	defer lender.pool.Release(conn)
+	reusable := true // until a loan began
+	defer func() {
+		if !reusable { // also after a panic
+			conn.MarkBroken()
+		}
+		lender.pool.Release(conn)
+	}()
 	state := conn.State()
 	answer := &wire.LoanAnswer{
 		Granted: true, Term: uint64(term), Values: state.Values, Prepared: state.Prepared, Names: int64(state.StatementCount),
@@ -85,9 +91,8 @@
 	loan := &loan{lender: lender, conn: conn, group: request.Group, borrower: borrower, stream: stream, idleTimeout: request.IdleTimeout}
 	lender.loans.Store(loan, nil)
 	defer lender.loans.Delete(loan)
-	if !loan.run() {
-		conn.MarkBroken()
-	}
+	reusable = false
+	reusable = loan.run()
 }
 
 func sendLoanAnswer(stream *Stream, answer *wire.LoanAnswer) error {
@@ -118,7 +123,8 @@
 		case *wire.StreamFrame_LoanReturn:
 			return loan.state == spool.TxIdle || loan.state == 0
 		case *wire.StreamFrame_LoanCommands:
-			if !loan.forward(decodeCommands(body.LoanCommands)) {
+			commands, valid := decodeCommands(body.LoanCommands)
+			if !valid || !loan.forward(commands) {
 				return false
 			}
 		default:
