Order the store's versions by era in the platform's client

Cause: a store that comes back from an older copy assigns revisions again. A version from before could match other content in a conditional write, a watch could follow a history that is gone, and lower revisions counted as older.

Change: spool.Version holds the era in its upper 16 bits and the revision in the lower 48. The client reads Store-Era from each answer of the store, errors included, and keeps the newest one. Answers that are older, without the header once an era is known, or with a malformed one are not accepted (spool.EraError). Conditional calls of another era are not sent; a conditional write answered in a newer era has an unknown outcome (spool.ErrEraChanged); a watch across eras returns ErrCompacted. spool.Store gets Era and ObserveEra. A store without the header is served as before, with revisions of any size.

--- a/internal/fake/kvsrv/server.go
+++ b/internal/fake/kvsrv/server.go
@@ -19,6 +19,7 @@
 	Latency          time.Duration // before every answer
 	LoseWriteAnswers int           // number of next writes that take effect and get no answer
 	DropEvents       bool          // watches report neither changes nor a compacted history
+	EraHeader        string        // replaces the era that answers announce; empty for none
 }
 
 // Object is one object of the store.
@@ -52,7 +53,10 @@
 	compacted     uint64 // newest revision that is no longer in history
 	faults        Faults
 	calls         map[string]int
+	era           uint64 // announced in every answer; zero for none
 	fencingTokens map[string]uint64
+	tokenHolders  map[tokenUse]string
+	sharedTokens  int // promotion requests whose token another holder had used
 	changed       chan struct{}
 }
 
@@ -61,6 +65,7 @@
 	server := &Server{
 		promote: promote, objects: map[string]map[string]Object{}, revision: 100,
 		calls: map[string]int{}, fencingTokens: map[string]uint64{}, changed: make(chan struct{}),
+		tokenHolders: map[tokenUse]string{},
 	}
 	server.http = httptest.NewServer(server)
 	return server
@@ -174,6 +179,9 @@
 		return
 	}
 	if faults.Status != 0 {
+		server.mutex.Lock()
+		server.setEraHeader(writer.Header())
+		server.mutex.Unlock()
 		writer.WriteHeader(faults.Status)
 		return
 	}
@@ -213,6 +221,7 @@
 	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	server.setEraHeader(writer.Header())
 	switch request.Method {
 	case http.MethodGet:
 		server.handleGet(writer, kind, name)
@@ -281,7 +290,7 @@
 	for {
 		server.mutex.Lock()
 		changed, dropEvents := server.changed, server.faults.DropEvents
-		compacted := after < server.compacted
+		compacted := after < server.compacted || after > server.revision
 		events := []event{}
 		for _, event := range server.history {
 			if event.kind == kind && event.revision > after {
@@ -289,6 +298,7 @@
 			}
 		}
 		revision := server.revision
+		server.setEraHeader(writer.Header())
 		server.mutex.Unlock()
 		if compacted && !dropEvents {
 			writer.WriteHeader(http.StatusGone)
@@ -322,6 +332,7 @@
 	server.mutex.Lock()
 	stale := token < server.fencingTokens[promotion.Service]
 	server.fencingTokens[promotion.Service] = max(token, server.fencingTokens[promotion.Service])
+	server.recordToken(tokenUse{promotion.Service, token}, request.Header.Get("X-Duty-Holder"))
 	server.mutex.Unlock()
 	if stale || !server.promote(promotion.Service, promotion.ID) {
 		writer.WriteHeader(http.StatusConflict)
--- a/internal/super/supervisor_test.go
+++ b/internal/super/supervisor_test.go
@@ -237,6 +237,8 @@
 	lostAnswers int
 }
 
+func (memoryStore *memoryStore) Era() spool.Era { return 0 }
+
 var errNoAnswer = errors.New("no answer")
 
 func (memoryStore *memoryStore) Get(context.Context, string, string) (spool.Object, error) {
--- a/pkg/spool/platform.go
+++ b/pkg/spool/platform.go
@@ -6,7 +6,8 @@
 	"errors"
 )
 
-// Version numbers the changes of all platform objects in one sequence; zero means that an object does not exist.
+// Version numbers the changes of all platform objects in one sequence; zero means that an object does not exist. For a store
+// that announces eras it is composed of era and revision, see NewVersion.
 type Version uint64
 
 // Object is a versioned value of the platform's object API.
--- a/pkg/spool/store.go
+++ b/pkg/spool/store.go
@@ -17,7 +17,8 @@
 
 // Store is the object API of a platform whose watches cover one kind each.
 //
-// After an error other than ErrConflict, ErrNotFound and ErrCompacted it is unknown whether a change took effect.
+// After an error other than ErrConflict, ErrNotFound and ErrCompacted it is unknown whether a change took effect. A change
+// whose version is of an older era than the newest one known is not sent and returns ErrConflict.
 type Store interface {
 	// Get returns the object or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
@@ -33,6 +34,10 @@
 	Delete(ctx context.Context, object Object) error
 	// Watch waits for changes of a kind after a version; on timeout it returns none.
 	Watch(ctx context.Context, kind string, after Version, wait time.Duration) ([]Change, Version, error)
+	// Era returns the newest era known; zero if the store announces none.
+	Era() Era
+	// ObserveEra announces an era that another client of the store has seen; it is ignored unless it is newer.
+	ObserveEra(era Era)
 }
 
 // Promoter requests promotions from the platform.
