Keep fencing tokens and copies of the store right across a fall-back

Cause: after a fall-back the stored counter of a group's fencing token is lower, so a token could be issued twice, and the record of another holder's promotion in progress may be gone. The mirror removed servers whose entries were lost at once, and a watch that hung across the fall-back was not ended.

Change: the next token is the greater of the stored one and era << 32, plus one. A token of an older era than the newest one known is not returned, is not taken for the own lost update, and is not used for a promotion request. For 20 s after an era is learned the previous holder counts as recent until a token of the era exists. The mirror counts a change of era as an outage and has EraChanged, which ends its watch.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -74,6 +74,7 @@
 	if version == 0 || delta.After > version || delta.Version <= version {
 		return
 	}
+	mirror.noteEra(delta.Version)
 	changed := false
 	for _, object := range delta.Objects {
 		changed = mirror.putObject(object) || changed
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -105,6 +105,7 @@
 		return err
 	}
 	mirror.recordSuccess()
+	mirror.noteEra(version)
 	mirror.replaceAll(objects, version)
 	return nil
 }
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -21,6 +21,9 @@
 // nearRTT is the limit of round-trip times within a region; a server below it counts as near.
 const nearRTT = 10 * time.Millisecond
 
+// errTokenOfOlderEra means that the store began a new era after the token was acquired.
+var errTokenOfOlderEra = errors.New("fencing token not used: the store began a new era")
+
 // failover promotes a replica to replace a failed primary.
 func (supervisor *Supervisor) failover(ctx context.Context, view pool.GroupView, state *groupState) {
 	if supervisor.chooseCandidate(view, state, "") == "" {
@@ -224,8 +227,8 @@
 	state.nextCheck = supervisor.timers.Now().Add(retryDelay)
 }
 
-// requestPromotion requests the promotion, unless a server joined the group or the token is older than maxTokenAge, and waits
-// until the chosen server acts as primary.
+// requestPromotion requests the promotion, unless a server joined the group or the token is older than maxTokenAge or of an
+// older era of the store, and waits until the chosen server acts as primary.
 func (supervisor *Supervisor) requestPromotion(
 	ctx context.Context, view pool.GroupView, state *groupState, chosen spool.Server, token acquiredToken,
 ) {
@@ -236,6 +239,8 @@
 	var err error
 	if age := supervisor.timers.Now().Sub(token.acquiredAt); age > maxTokenAge {
 		err = eris.Errorf("fencing token too old: acquired %v ago", age)
+	} else if !supervisor.tokens.IsCurrent(token.value) {
+		err = errTokenOfOlderEra
 	} else {
 		state.promotionRequestedAt = supervisor.timers.Now()
 		err = supervisor.promoter.Promote(ctx, spool.Promotion{
@@ -245,7 +250,7 @@
 	event.Log(supervisor.logger, event.PlatformPromotionRequested, zap.String("Group", string(view.Group)),
 		zap.String("Server", string(chosen)), zap.String("Replaced", string(view.Primary)),
 		zap.Uint64("Token", token.value), event.Cause(err))
-	if errors.Is(err, spool.ErrFenced) {
+	if errors.Is(err, spool.ErrFenced) || errors.Is(err, errTokenOfOlderEra) {
 		supervisor.resumeReplicas(view, state)
 		supervisor.scheduleRetry(state)
 		return
--- a/internal/super/fencing.go
+++ b/internal/super/fencing.go
@@ -38,6 +38,8 @@
 	store spool.Store
 	vm    spool.VM
 	nonce func() uint64
+
+	eraStart eraStart
 }
 
 // NewFencingTokens returns an issuer whose tokens are kept in a store.
@@ -46,7 +48,8 @@
 }
 
 // Next acquires the next token of a group, which no other holder ever receives; recent means that another holder acquired
-// the previous one within recentTokenAge, or may have if an answer of the store was lost.
+// the previous one within recentTokenAge, or may have if an answer of the store was lost or the store fell back. A token holds
+// the era of the store in its upper half, so that it exceeds all tokens of earlier eras, also those that the store lost.
 func (fencingTokens *FencingTokens) Next(ctx context.Context, group spool.Group) (token uint64, recent bool, err error) {
 	nonce := fencingTokens.nonce()
 	var lastErr error
@@ -73,13 +76,18 @@
 		if err := json.Unmarshal(object.Body, &body); err != nil {
 			return 0, false, eris.Wrap(err, "decode the fencing token")
 		}
-		if body.Nonce == nonce && body.Holder == fencingTokens.vm {
+		if body.Nonce == nonce && body.Holder == fencingTokens.vm && fencingTokens.IsCurrent(body.Token) {
 			return body.Token, true, nil // the own update, whose answer was lost; it overwrote the previous holder
 		}
 	}
 	now := time.Now()
 	recent := !missing && body.Holder != fencingTokens.vm && now.Sub(time.UnixMilli(body.Taken)).Abs() < recentTokenAge
-	next := tokenBody{Holder: fencingTokens.vm, Token: body.Token + 1, Taken: now.UnixMilli(), Nonce: nonce}
+	era := fencingTokens.store.Era()
+	eraRecent := fencingTokens.eraStart.observe(era, now)
+	recent = recent || eraRecent && eraOfToken(body.Token) < era // a fall-back may have removed another holder's token
+	next := tokenBody{
+		Holder: fencingTokens.vm, Token: max(body.Token, firstToken(era)) + 1, Taken: now.UnixMilli(), Nonce: nonce,
+	}
 	text, err := json.Marshal(next)
 	if err != nil {
 		return 0, false, eris.Wrap(err, "encode the fencing token")
@@ -93,5 +101,8 @@
 	if err != nil {
 		return 0, false, err // the next attempt reads again, since the update may have taken effect
 	}
+	if !fencingTokens.IsCurrent(next.Token) {
+		return 0, false, spool.ErrEraChanged
+	}
 	return next.Token, recent, nil
 }
