Read a server's name and group without its registry entry

Cause: go test -race reported a data race between Conn.Server, which a lender calls without the pool's lock, and SetServer, which replaces the server's entry.

Change: a server of the pool keeps its name and group in fields that never change, and code without the lock reads those.

--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -248,7 +248,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	server.handshakes--
-	group := pool.group(server.spec.Group)
+	group := pool.group(server.group)
 	group.term = max(group.term, position.Term)
 	pool.dispatch(group, pool.timers.Now())
 }
@@ -261,10 +261,10 @@
 	server.busy--
 	server.handshakes--
 	server.health.RecordFailure(now)
-	event.Log(pool.logger, event.ServerConnectFailed, zap.String("Group", string(server.spec.Group)),
-		zap.String("Server", string(server.spec.Server)), zap.Duration("Took", now.Sub(began)),
+	event.Log(pool.logger, event.ServerConnectFailed, zap.String("Group", string(server.group)),
+		zap.String("Server", string(server.name)), zap.Duration("Took", now.Sub(began)),
 		zap.Int("Failures", server.health.ConsecutiveFailures()), event.Cause(cause))
-	pool.dispatch(pool.group(server.spec.Group), now)
+	pool.dispatch(pool.group(server.group), now)
 }
 
 // Release returns a connection to the pool or its lender, and closes it if it is broken or surplus.
@@ -288,7 +288,7 @@
 	} else {
 		server.idle = append(server.idle, conn)
 	}
-	pool.dispatch(pool.group(server.spec.Group), now)
+	pool.dispatch(pool.group(server.group), now)
 	pool.mutex.Unlock()
 	if closing {
 		_ = conn.Close() // the server rolls back an open transaction
@@ -307,8 +307,8 @@
 		server.health.RecordFailure(now)
 		closing = server.removeIdle()
 	}
-	event.Log(pool.logger, event.ServerNotAnswering, zap.String("Group", string(server.spec.Group)),
-		zap.String("Server", string(server.spec.Server)), zap.Int("Failures", server.health.ConsecutiveFailures()), event.Cause(cause))
+	event.Log(pool.logger, event.ServerNotAnswering, zap.String("Group", string(server.group)),
+		zap.String("Server", string(server.name)), zap.Int("Failures", server.health.ConsecutiveFailures()), event.Cause(cause))
 	go closeAll(closing)
 }
 
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -36,7 +36,7 @@
 func (conn *Conn) Lender() spool.VM { return conn.lender }
 
 // Server returns the name of the connection's server.
-func (conn *Conn) Server() spool.Server { return conn.server.spec.Server }
+func (conn *Conn) Server() spool.Server { return conn.server.name }
 
 // valueFit returns how well the connection's session values match those of a session.
 func (conn *Conn) valueFit(values map[string]string) int {
@@ -119,7 +119,7 @@
 	conn.server.health.RecordTimeout(now)
 	pool.shrinkWindow(conn, now)
 	pool.mutex.Unlock()
-	event.Log(pool.logger, event.AnswerLate, zap.String("Group", string(conn.server.spec.Group)),
+	event.Log(pool.logger, event.AnswerLate, zap.String("Group", string(conn.server.group)),
 		zap.String("Server", string(conn.Server())))
 }
 
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -13,6 +13,8 @@
 
 // server is a registered backend server and this proxy's connections to it.
 type server struct {
+	name            spool.Server // as in spec, but readable without the pool's lock
+	group           spool.Group
 	spec            spool.RegisteredServer
 	roundTrip       time.Duration
 	idle            []*Conn
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -26,7 +26,7 @@
 	defer pool.mutex.Unlock()
 	conn.idleInTx = true
 	conn.server.idleInTx++
-	pool.dispatch(pool.group(conn.server.spec.Group), pool.timers.Now())
+	pool.dispatch(pool.group(conn.server.group), pool.timers.Now())
 }
 
 // MarkActive records that a transaction that waited for its caller continues.
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -69,7 +69,7 @@
 
 // chooseLender returns the proxy to borrow a connection from, or an empty VM if this proxy is to open one.
 func (pool *Pool) chooseLender(server *server, request *Request) spool.VM {
-	for _, vm := range pool.lenders.PreferredLenders(server.spec.Server, server.spec.Domain, request.Team) {
+	for _, vm := range pool.lenders.PreferredLenders(server.name, server.spec.Domain, request.Team) {
 		if !slices.Contains(request.refusedBy, vm) {
 			return vm
 		}
@@ -80,7 +80,7 @@
 // borrow borrows the connection that a grant allows, or returns nil if the proxy lends none.
 func (pool *Pool) borrow(ctx context.Context, request Request, granted grant) *Conn {
 	loanRequest := LoanRequest{
-		ServerTarget: spool.ServerTarget{Group: request.Group, Server: granted.server.spec.Server, Team: request.Team},
+		ServerTarget: spool.ServerTarget{Group: request.Group, Server: granted.server.name, Team: request.Team},
 		Values:       request.Values, IdleTimeout: request.IdleTimeout + loanMargin,
 	}
 	loan, err := pool.lenders.Borrow(ctx, granted.lender, loanRequest)
@@ -89,7 +89,7 @@
 	if err != nil {
 		granted.server.borrowed--
 		event.Log(pool.logger, event.BorrowFailed, zap.String("Lender", string(granted.lender)),
-			zap.String("Group", string(request.Group)), zap.String("Server", string(granted.server.spec.Server)),
+			zap.String("Group", string(request.Group)), zap.String("Server", string(granted.server.name)),
 			zap.String("Team", string(request.Team)), event.Cause(err))
 		return nil
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -131,7 +131,7 @@
 	registered := group.servers[spec.Server]
 	var closing []*Conn
 	if registered == nil {
-		registered = &server{roundTrip: pool.roundTrip(spec.Domain)}
+		registered = &server{name: spec.Server, group: spec.Group, roundTrip: pool.roundTrip(spec.Domain)}
 		group.servers[spec.Server] = registered
 	}
 	if registered.spec.StartMillis != 0 && registered.spec.StartMillis != spec.StartMillis {
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -72,7 +72,7 @@
 // connTo returns a connection to one server without waiting; it may exceed this proxy's share.
 func (pool *Pool) connTo(server *server, team spool.Team, timeout time.Duration) (*Conn, error) {
 	pool.mutex.Lock()
-	group := pool.group(server.spec.Group)
+	group := pool.group(server.group)
 	request := Request{Group: group.name, Team: team}
 	granted, possible := pool.reserveLocal(server, &request)
 	if !possible {
@@ -106,10 +106,10 @@
 		return err
 	}
 	if answer.Refusal != nil {
-		pool.RecordNotPrimary(conn.server.spec.Group, conn.Server())
+		pool.RecordNotPrimary(conn.server.group, conn.Server())
 		return answer.Refusal
 	}
-	pool.RecordPrimary(conn.server.spec.Group, conn.Server(), fresh.Watermark{Position: answer.Position, SentAt: sent})
+	pool.RecordPrimary(conn.server.group, conn.Server(), fresh.Watermark{Position: answer.Position, SentAt: sent})
 	return pool.RollBack(conn)
 }
 
