Restore what a fall-back of the store lost, and announce its era in heartbeats

Cause: proxies stayed unregistered after a fall-back, a configuration could not be told newer by its version, a proxy that restarted took the store's older configuration with a withdrawn key, and one cut off from the store learned nothing.

Change: heartbeats carry the newest era known. Between eras the operators' version number alone decides which configuration is newer.

--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -90,6 +90,12 @@
 	TunnelRefused       Number = 711
 	StoreReadFailed     Number = 712
 	LendRefused         Number = 713
+
+	StoreEraFirstSeen    Number = 785
+	StoreFellBack        Number = 786
+	StoreAnswerRejected  Number = 787
+	RegistrationRestored Number = 788
+	OlderConfigIgnored   Number = 789
 )
 
 var kinds = map[Number]Kind{
@@ -156,4 +162,9 @@
 	TunnelRefused:              {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
 	StoreReadFailed:            {Level: zapcore.WarnLevel, Text: "reading the store failed", PerSecond: serverLimit},
 	LendRefused:                {Level: zapcore.InfoLevel, Text: "connection not lent", PerSecond: serverLimit},
+	StoreEraFirstSeen:          {Level: zapcore.InfoLevel, Text: "era of the store first seen"},
+	StoreFellBack:              {Level: zapcore.WarnLevel, Text: "store fell back to an older copy"},
+	StoreAnswerRejected:        {Level: zapcore.WarnLevel, Text: "answer of the store with an older or malformed era not accepted", PerSecond: serverLimit},
+	RegistrationRestored:       {Level: zapcore.InfoLevel, Text: "registration of this proxy written again"},
+	OlderConfigIgnored:         {Level: zapcore.WarnLevel, Text: "older configuration of the store ignored", PerSecond: serverLimit},
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -10,7 +10,7 @@
 // applyConfig puts a configuration in force and reports whether it did; it rejects a malformed one and one that is not newer
 // than the current one.
 func (proxy *Proxy) applyConfig(object spool.Object) bool {
-	if current, known := proxy.configCopy(); known && object.Version <= current.Version {
+	if current, known := proxy.configCopy(); known && !proxy.eras.mayBeNewer(object.Version, current.Version) {
 		return false
 	}
 	config, err := proxy.adapter.ParseConfig(object)
@@ -21,6 +21,7 @@
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	if config.Revision <= proxy.revision {
+		proxy.eras.ignoreConfig(object.Version, config.Revision, proxy.revision)
 		return false
 	}
 	proxy.revision = config.Revision
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -68,18 +68,16 @@
 
 // register writes this VM's entry. The entry stays the same until the VM is replaced, so register is idempotent.
 func (members *members) register(ctx context.Context) error {
-	settings := &members.proxy.settings
-	body, err := json.Marshal(memberBody{Address: settings.Peers, Domain: settings.Domain})
+	object, err := members.ownEntry()
 	if err != nil {
 		return err
 	}
-	object := spool.Object{Kind: kindMember, Name: string(settings.VM), Body: body}
 	_, err = members.proxy.adapter.Create(ctx, object)
 	if !errors.Is(err, spool.ErrConflict) {
 		return err
 	}
 	stored, err := members.proxy.adapter.Get(ctx, kindMember, object.Name)
-	if err != nil || sameMember(stored.Body, body) {
+	if err != nil || sameMember(stored.Body, object.Body) {
 		return err
 	}
 	object.Version = stored.Version
@@ -113,11 +111,16 @@
 		registered[vm] = true
 		listed = append(listed, spool.Member{VM: vm, Domain: body.Domain, Address: body.Address})
 	}
+	retained := members.proxy.eras.retainsMembers(now)
 	members.mutex.Lock()
 	for _, member := range listed {
-		members.roster.Add(member, now)
+		if !retained || members.roster.Get(member.VM) == nil {
+			members.roster.Add(member, now)
+		}
+	}
+	if !retained {
+		members.roster.RemoveUnregistered(registered, now)
 	}
-	members.roster.RemoveUnregistered(registered, now)
 	members.registryKnown = true
 	size := members.roster.Size()
 	members.mutex.Unlock()
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -46,10 +46,10 @@
 // setUpMetrics creates the metrics and wraps the logger and the adapter, so that log events and store calls are counted.
 func (proxy *Proxy) setUpMetrics() {
 	proxy.metrics = metric.New(metric.WithSample(func() metric.Sample {
-		return metric.Sample{Sessions: proxy.engine.SessionCount()}
+		return metric.Sample{Sessions: proxy.engine.SessionCount(), StoreEra: proxy.adapter.Era()}
 	}))
 	proxy.logger = event.RateLimit(proxy.logger, func(number event.Number) { proxy.metrics.CountEvent(int(number)) })
-	proxy.adapter = countingAdapter{storelessAdapter: proxy.adapter, Store: proxy.metrics.InstrumentStore(proxy.adapter)}
+	proxy.adapter = countingAdapter{storelessAdapter: proxy.adapter, Store: proxy.metrics.InstrumentStore(proxy.adapter, proxy.eras.checkAnswer)}
 }
 
 // serveMetrics serves the metrics until the context ends.
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -154,6 +154,7 @@
 	heartbeat := &wire.Pulse{
 		Leaving: proxy.draining, SentNanos: int64(now), Revision: proxy.revision, StoreReached: proxy.storeReached,
 		CopyVersion: uint64(proxy.servers.ContentVersion()), ConfirmedAgeNanos: int64(now.Sub(confirmed)),
+		StoreEra: uint64(proxy.adapter.Era()),
 	}
 	proxy.mutex.Unlock()
 	heartbeat.Fleet = uint32(proxy.members.setSelf(heartbeat.Leaving, heartbeat.StoreReached))
@@ -233,6 +234,7 @@
 func (peers *peers) receiveHeartbeat(from spool.VM, heartbeat *wire.Pulse) {
 	proxy := peers.proxy
 	now := proxy.timers.Now()
+	proxy.eras.observeHeartbeat(from, heartbeat)
 	sent := earliestSend(heartbeat, now)
 	aliveAt := now
 	if sent != 0 {
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -55,10 +55,13 @@
 	watermarks *watermarks
 	supervisor *super.Supervisor
 	reader     *reader
+	eras       *eras
 	servers    *mirror.Mirror
 	dial       spool.DialFunc
 	started    spool.Instant
 
+	fencingTokens *super.FencingTokens
+
 	mutex        sync.Mutex
 	revision     uint64              // of the configuration in force
 	config       spool.Object        // the configuration in force
@@ -74,6 +77,7 @@
 	proxy.started = timers.Now()
 	proxy.dial = sock.Dialer(sock.DefaultUserTimeout)
 	proxy.storeReached, proxy.lastReloaded = true, settings
+	proxy.eras = newEras(proxy)
 	proxy.setUpMetrics()
 	proxy.borrower, proxy.watermarks = newBorrower(proxy), newWatermarks(proxy)
 	proxy.pool = pool.New(proxy.adapter, proxy.dial, timers,
@@ -90,8 +94,8 @@
 	kind := adapter.ServerKind()
 	proxy.servers = mirror.New(proxy.adapter, timers, kind, serverObserver{reachabilityObserver{proxy, kind}}, mirror.WithLeaderCheck(proxy.reader.readsForRegion))
 	proxy.limiter.requestTokens = proxy.peers.requestTokens
-	tokens := super.NewFencingTokens(proxy.adapter, settings.VM, rand.Uint64)
-	proxy.supervisor = super.New(settings.VM, proxy.pool, proxy.adapter, tokens, proxy.adapter, proxy.peers, timers, proxy.logger)
+	proxy.fencingTokens = super.NewFencingTokens(proxy.adapter, settings.VM, rand.Uint64)
+	proxy.supervisor = super.New(settings.VM, proxy.pool, proxy.adapter, proxy.fencingTokens, proxy.adapter, proxy.peers, timers, proxy.logger)
 	return proxy
 }
 
@@ -156,6 +160,7 @@
 	go proxy.servers.Run(ctx)
 	go proxy.members.run(ctx)
 	go proxy.reader.run(ctx)
+	go proxy.eras.run(ctx)
 	proxy.timers.Every(cleanupInterval, spool.TimerFunc(func(spool.Instant) { proxy.members.removeGone(ctx) }))
 }
 
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -111,6 +111,7 @@
 			continue
 		}
 		newestIsConfig = object.Version == version
+		reader.proxy.eras.awaitPeerConfig(ctx, object)
 		changed = reader.proxy.applyConfig(object)
 	}
 	if reader.mayAffectServers(version, newestIsConfig) {
@@ -156,6 +157,13 @@
 	return gap
 }
 
+// eraChanged counts a new era of the store as the end of a gap, after which entries have to be registered again.
+func (reader *reader) eraChanged() {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	reader.resumed = reader.proxy.timers.Now()
+}
+
 // stable reports whether reads have been confirmed for long enough for expired entries to be registered again.
 func (reader *reader) stable() bool {
 	ttl := reader.ttl()
--- a/internal/metric/sample.go
+++ b/internal/metric/sample.go
@@ -12,6 +12,7 @@
 	GroupLeases int // groups that this proxy leads
 	TeamLeases  int // teams whose tokens this proxy issues
 	AuditLost   uint64
+	StoreEra    spool.Era                       // newest era of the store that is known; zero if it announces none
 	Versions    map[spool.Partner]spool.Version // versions of the manifests in force
 }
 
@@ -22,6 +23,7 @@
 	sessionsDesc  = newDesc("sessions", "Connected callers.")
 	leasesDesc    = newDesc("leases_held", "Leases that this proxy holds.", "role")
 	auditLostDesc = newDesc("audit_entries_lost_total", "Audit entries that were never written.")
+	storeEraDesc  = newDesc("store_era", "Newest era of the store that is known.")
 	versionDesc   = newDesc("config_version", "Version of the manifest in force.", "partner")
 )
 
@@ -34,6 +36,7 @@
 	descs <- sessionsDesc
 	descs <- leasesDesc
 	descs <- auditLostDesc
+	descs <- storeEraDesc
 	descs <- versionDesc
 }
 
@@ -47,6 +50,9 @@
 	gauge(leasesDesc, float64(sample.GroupLeases), "group")
 	gauge(leasesDesc, float64(sample.TeamLeases), "team")
 	metrics <- prometheus.MustNewConstMetric(auditLostDesc, prometheus.CounterValue, float64(sample.AuditLost))
+	if sample.StoreEra > 0 {
+		gauge(storeEraDesc, float64(sample.StoreEra))
+	}
 	for partner, version := range sample.Versions {
 		gauge(versionDesc, float64(version), string(partner))
 	}
