--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -98,6 +98,7 @@
 		cluster.publishConfig()
 		return noRecovery
 	}},
+	{"store falls back", fallBack},
 }
 
 func randomVM(cluster *cluster, random *rand.Rand) *vm {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,6 +77,7 @@
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
 	cluster := newCluster(t, binary, proxyCount)
 	history := newHistory()
+	cluster.store.SetEra(seed % 2) // even seeds begin without eras
 	cluster.awaitWritable(history, "at the start")
 	var items []string
 	for i := range workerCount {
@@ -100,6 +101,7 @@
 	injectors.Wait()
 	stopFaults()
 	cluster.awaitWritable(history, "after the faults")
+	cluster.verifyEras(history)
 	cluster.withdrawKeys(history, "brown")
 	stopCallers()
 	callers.Wait()
