Spread the lists after a fall-back, and start a whole fleet without waiting

Cause: all proxies listed the registry within 0.8 s after a fall-back, which 2,800 proxies must not. A proxy without seeds took the store's configuration before it knew whether others are registered. An older configuration that the operators wrote in the same era was parsed at each read.

Change: the lists are spread over 10 s. A starting proxy waits until the registry is known, and ends its wait when all others were heard without a configuration. A configuration that is not newer is parsed once, also within an era.

--- a/internal/fleet/eras.go
+++ b/internal/fleet/eras.go
@@ -19,6 +19,7 @@
 	registrationCheckSpread   = 800 * time.Millisecond // over which the proxies' checks of their entries are spread after a new era
 	maxRegistrationRetryDelay = 4 * time.Second        // between attempts to restore an entry while the store fails
 	memberRetention           = 3 * time.Second        // after a new era, in which proxies write their entries again
+	listSpread                = 10 * time.Second       // over which the proxies list the registry after that; 2,800 lists then are 280 a second
 	// peerConfigWait is how long a starting proxy waits for heartbeats before it trusts the store's configuration. The first
 	// rounds are due after 250 ms; 700 ms was too short on a busy VM. If the whole fleet starts, heartbeats without a
 	// configuration from all of it end the wait.
@@ -73,7 +74,7 @@
 // listMembersAgain lists the registry once the other proxies had time to restore their entries, so that those that came back
 // for dead proxies are known and removed after the usual silence.
 func (eras *eras) listMembersAgain(ctx context.Context) {
-	if !sleep(ctx, memberRetention+rand.N(registrationCheckSpread)) {
+	if !sleep(ctx, memberRetention+rand.N(listSpread)) {
 		return
 	}
 	if err := eras.proxy.members.listRegistry(ctx); err != nil {
@@ -146,12 +147,12 @@
 // mayBeNewer reports whether a configuration of one version may replace that of another. Between eras only the revision in
 // the configuration tells.
 func (eras *eras) mayBeNewer(version, current spool.Version) bool {
-	if eras.proxy.adapter.Era() == 0 || version.Era() == current.Era() {
+	if eras.proxy.adapter.Era() == 0 {
 		return version > current
 	}
 	eras.mutex.Lock()
 	defer eras.mutex.Unlock()
-	return version != eras.ignoredConfig
+	return version != eras.ignoredConfig && (version > current || version.Era() != current.Era())
 }
 
 // ignoreConfig records that a configuration is not newer than the one in force, so that it is not parsed again, and logs it
@@ -172,8 +173,7 @@
 // the store fell back. It does not wait if the store announces no era, or at the first start of the whole fleet.
 func (eras *eras) awaitPeerConfig(ctx context.Context, object spool.Object) {
 	proxy := eras.proxy
-	alone := len(proxy.settings.Seeds) == 0 && proxy.members.size() == 1
-	if proxy.adapter.Era() == 0 || proxy.settings.Bootstrap || alone || proxy.currentRevision() > 0 {
+	if proxy.adapter.Era() == 0 || proxy.settings.Bootstrap || proxy.currentRevision() > 0 {
 		return
 	}
 	config, err := proxy.adapter.ParseConfig(object)
@@ -199,13 +199,14 @@
 	return eras.announced > revision && running < newerConfigWait
 }
 
-// allHeard reports whether the registry is known, shows other proxies, and all of them are live.
+// allHeard reports whether the registry is known and all other proxies are live; it shows none only if there are no seeds.
 func (members *members) allHeard() bool {
 	now := members.proxy.timers.Now()
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
 	others := members.roster.Size() - 1
-	return members.registryKnown && others > 0 && len(members.roster.Live(now)) == others
+	complete := others > 0 || len(members.proxy.settings.Seeds) == 0
+	return members.registryKnown && complete && len(members.roster.Live(now)) == others
 }
 
 // restore writes this VM's entry if the store does not show it as it is.
--- a/internal/fleet/eras_test.go
+++ b/internal/fleet/eras_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -181,3 +182,23 @@
 	cluster.configure(100, "key-blue")
 	cluster.waitUntil(func() bool { return cluster.answerTo(1, "key-blue") == "READY I -" })
 }
+
+// TestWholeFleetRestartsInAnEra guards against a fleet that waits for configurations that no proxy has.
+func TestWholeFleetRestartsInAnEra(t *testing.T) {
+	c := qt.New(t)
+	cluster := newEraCluster(t, 3, 2)
+	var stopping sync.WaitGroup
+	for _, stop := range cluster.stopFuncs {
+		stopping.Go(stop)
+	}
+	stopping.Wait()
+	began := time.Now()
+	for index := range cluster.settings {
+		cluster.start(index)
+	}
+	for index := range cluster.settings {
+		cluster.waitUntil(func() bool { return cluster.ready(index) })
+	}
+	t.Logf("all proxies ready %v after the start", time.Since(began))
+	c.Assert(time.Since(began) < 3*time.Second, qt.IsTrue)
+}
--- a/internal/fleet/lostentries_test.go
+++ b/internal/fleet/lostentries_test.go
@@ -72,3 +72,26 @@
 	c.Assert(proxy.applyConfig(config(15, spool.NewVersion(5, 690))), qt.IsFalse)
 	c.Assert(proxy.currentRevision(), qt.Equals, uint64(14))
 }
+
+// TestRegistrationDespiteOlderEntryAndLostAnswer guards against a starting proxy that stays registered at an older address, or
+// not at all because the fall-back undid a write whose answer was lost.
+func TestRegistrationDespiteOlderEntryAndLostAnswer(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	proxy, store := newStoppedProxy(t)
+	store.SetEra(3)
+	empty := store.Snapshot()
+	store.Write(kindMember, "vm0", memberBody{Address: "127.0.0.1:9", Domain: "z1"})
+	older := store.Snapshot()
+	for _, snapshot := range []kvsrv.Snapshot{empty, older, empty} {
+		store.SetFaults(kvsrv.Faults{LoseWriteAnswers: 1})
+		c.Assert(proxy.members.register(ctx), qt.IsNotNil)
+		store.FallBack(snapshot)
+		store.SetFaults(kvsrv.Faults{})
+		deadline := time.Now().Add(5 * time.Second)
+		for proxy.members.register(ctx) != nil {
+			c.Assert(time.Now().Before(deadline), qt.IsTrue)
+		}
+		c.Assert(store.Body(kindMember, "vm0"), qt.Contains, `"127.0.0.1:1"`)
+	}
+}
