--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -109,6 +109,12 @@
 	RateRefused Number = 792
 
 	PanicRecovered Number = 800
+
+	StoreEraFirstSeen    Number = 785
+	StoreFellBack        Number = 786
+	StoreAnswerRejected  Number = 787
+	RegistrationRestored Number = 788
+	OlderConfigIgnored   Number = 789
 )
 
 var kinds = map[Number]Kind{
@@ -187,4 +193,9 @@
 	LoanWithdrawn:                  {Level: zapcore.InfoLevel, Text: "waiting loan withdrawn", PerSecond: serverLimit},
 	RateRefused:                    {Level: zapcore.InfoLevel, Text: "no token of the team's rate", PerSecond: requestLimit},
 	PanicRecovered:                 {Level: zapcore.ErrorLevel, Text: "panic recovered", PerSecond: panicLimit},
+	StoreEraFirstSeen:              {Level: zapcore.InfoLevel, Text: "era of the store first seen"},
+	StoreFellBack:                  {Level: zapcore.WarnLevel, Text: "store fell back to an older copy"},
+	StoreAnswerRejected:            {Level: zapcore.WarnLevel, Text: "answer of the store with an older or malformed era not accepted", PerSecond: serverLimit},
+	RegistrationRestored:           {Level: zapcore.InfoLevel, Text: "registration of this proxy written again"},
+	OlderConfigIgnored:             {Level: zapcore.WarnLevel, Text: "older configuration of the store ignored", PerSecond: serverLimit},
 }
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -56,11 +56,14 @@
 	supervisor  *super.Supervisor
 	reader      *reader
 	evacuations *evacuations
+	eras        *eras
 	servers     *mirror.Mirror
 	warmup      *warmup
 	dial        spool.DialFunc
 	started     spool.Instant
 
+	fencingTokens *super.FencingTokens
+
 	mutex        sync.Mutex
 	revision     uint64              // of the configuration in force
 	config       spool.Object        // the configuration in force
@@ -76,6 +79,7 @@
 	proxy.started = timers.Now()
 	proxy.dial = sock.Dialer(sock.DefaultUserTimeout)
 	proxy.storeReached, proxy.lastReloaded = true, settings
+	proxy.eras = newEras(proxy)
 	proxy.setUpMetrics()
 	proxy.evacuations = newEvacuations(proxy)
 	proxy.borrower, proxy.watermarks, proxy.warmup = newBorrower(proxy), newWatermarks(proxy), newWarmup(proxy)
@@ -94,8 +98,8 @@
 	proxy.servers = mirror.New(proxy.adapter, timers, kind, serverObserver{reachabilityObserver{proxy, kind}}, mirror.WithLeaderCheck(proxy.reader.readsForRegion))
 	proxy.limiter.requestTokens, proxy.limiter.logger = proxy.peers.requestTokens, proxy.logger
 	proxy.limiter.sendTokens = proxy.peers.sendTokens
-	tokens := super.NewFencingTokens(proxy.adapter, settings.VM, rand.Uint64)
-	proxy.supervisor = super.New(settings.VM, proxy.pool, proxy.adapter, tokens, proxy.adapter, proxy.peers, timers, proxy.logger)
+	proxy.fencingTokens = super.NewFencingTokens(proxy.adapter, settings.VM, rand.Uint64)
+	proxy.supervisor = super.New(settings.VM, proxy.pool, proxy.adapter, proxy.fencingTokens, proxy.adapter, proxy.peers, timers, proxy.logger)
 	return proxy
 }
 
@@ -161,6 +165,7 @@
 	go proxy.members.run(ctx)
 	go proxy.reader.run(ctx)
 	go proxy.evacuations.run(ctx)
+	go proxy.eras.run(ctx)
 	proxy.timers.Every(cleanupInterval, spool.TimerFunc(func(spool.Instant) { proxy.members.removeGone(ctx) }))
 }
 
--- a/internal/metric/sample.go
+++ b/internal/metric/sample.go
@@ -12,6 +12,7 @@
 	GroupLeases int // groups that this proxy leads
 	TeamLeases  int // teams whose tokens this proxy issues
 	AuditLost   uint64
+	StoreEra    spool.Era                       // newest era of the store that is known; zero if it announces none
 	Versions    map[spool.Partner]spool.Version // versions of the manifests in force
 	Evacuated   map[spool.Domain]Remaining      // evacuated failure domains
 }
@@ -30,6 +31,7 @@
 	leasesDesc    = newDesc("leases_held", "Leases that this proxy holds.", "role")
 	auditLostDesc = newDesc("audit_entries_lost_total", "Audit entries that were never written.")
 	evacuatedDesc = newDesc("evacuated", "What is still open at the servers of an evacuated failure domain.", "domain", "of")
+	storeEraDesc  = newDesc("store_era", "Newest era of the store that is known.")
 	versionDesc   = newDesc("config_version", "Version of the manifest in force.", "partner")
 )
 
@@ -42,6 +44,7 @@
 	descs <- sessionsDesc
 	descs <- leasesDesc
 	descs <- auditLostDesc
+	descs <- storeEraDesc
 	descs <- versionDesc
 	descs <- evacuatedDesc
 }
@@ -60,6 +63,9 @@
 		gauge(evacuatedDesc, float64(remaining.Connections), string(domain), "connections")
 		gauge(evacuatedDesc, float64(remaining.Statements), string(domain), "statements")
 	}
+	if sample.StoreEra > 0 {
+		gauge(storeEraDesc, float64(sample.StoreEra))
+	}
 	for partner, version := range sample.Versions {
 		gauge(versionDesc, float64(version), string(partner))
 	}
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -262,7 +262,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	server.handshakes--
-	group := pool.group(server.spec.Group)
+	group := pool.group(server.group)
 	group.term = max(group.term, position.Term)
 	pool.dispatch(group, pool.timers.Now())
 }
@@ -280,10 +280,10 @@
 		return
 	}
 	server.health.RecordFailure(now)
-	event.Log(pool.logger, event.ServerConnectFailed, zap.String("Group", string(server.spec.Group)),
-		zap.String("Server", string(server.spec.Server)), zap.Duration("Took", now.Sub(began)),
+	event.Log(pool.logger, event.ServerConnectFailed, zap.String("Group", string(server.group)),
+		zap.String("Server", string(server.name)), zap.Duration("Took", now.Sub(began)),
 		zap.Int("Failures", server.health.ConsecutiveFailures()), event.Cause(cause))
-	pool.dispatch(pool.group(server.spec.Group), now)
+	pool.dispatch(pool.group(server.group), now)
 }
 
 // Release returns a connection to the pool or its lender, and closes it if it is broken or surplus.
@@ -348,7 +348,7 @@
 		server.health.RecordFailure(now)
 		closing = server.removeIdle()
 	}
-	event.Log(pool.logger, event.ServerNotAnswering, zap.String("Group", string(server.spec.Group)),
-		zap.String("Server", string(server.spec.Server)), zap.Int("Failures", server.health.ConsecutiveFailures()), event.Cause(cause))
+	event.Log(pool.logger, event.ServerNotAnswering, zap.String("Group", string(server.group)),
+		zap.String("Server", string(server.name)), zap.Int("Failures", server.health.ConsecutiveFailures()), event.Cause(cause))
 	go closeAll(closing)
 }
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -74,7 +74,7 @@
 
 // chooseLender returns the proxy to borrow a connection from, or an empty VM if this proxy is to open one.
 func (pool *Pool) chooseLender(server *server, request *Request) spool.VM {
-	for _, vm := range pool.lenders.PreferredLenders(server.spec.Server, server.spec.Domain, request.Team) {
+	for _, vm := range pool.lenders.PreferredLenders(server.name, server.spec.Domain, request.Team) {
 		if !slices.Contains(request.refusedBy, vm) {
 			return vm
 		}
@@ -95,7 +95,7 @@
 	if err != nil {
 		granted.server.borrowed--
 		event.Log(pool.logger, event.BorrowFailed, zap.String("Lender", string(granted.lender)),
-			zap.String("Group", string(request.Group)), zap.String("Server", string(granted.server.spec.Server)),
+			zap.String("Group", string(request.Group)), zap.String("Server", string(granted.server.name)),
 			zap.String("Team", string(request.Team)), zap.Int("Priority", request.Priority),
 			zap.Duration("Wait", loanRequest.Wait), event.Cause(err))
 		var refusal *LoanRefusal
