Count connections in use as half done when a wait is estimated

A request with nobody ahead was refused if the mean hold time exceeded its wait, although the connections in use have been held for half of it on average: on a busy machine, with holds of 100 to 230 ms and a wait of 200 ms, 2 to 17 of about 70 urgent statements were refused at three proxies.

The estimate adds half a hold in place of a whole one where routes differ in priority.

--- a/internal/pool/wait.go
+++ b/internal/pool/wait.go
@@ -277,11 +277,11 @@
 		if !capacity.accepts(server, target) {
 			continue
 		}
-		hold := server.health.ExpectedLatency(now)
+		wait := server.window.ExpectedWait(ahead, server.limit, server.health.ExpectedLatency(now))
 		if group.waiters.Prioritized() {
-			hold = group.waiters.MeanHold()
+			// The connections in use have been held for half of their time on average.
+			wait = server.window.ExpectedWait(2*ahead, server.limit, group.waiters.MeanHold()/2)
 		}
-		wait := server.window.ExpectedWait(ahead, server.limit, hold)
 		if shortest < 0 || wait < shortest {
 			shortest = wait
 		}
