--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -90,6 +90,11 @@
 	TunnelRefused       Number = 711
 	StoreReadFailed     Number = 712
 	LendRefused         Number = 713
+
+	ConfigFetched       Number = 760
+	ConfigFetchFailed   Number = 761
+	ConfigCorrupted     Number = 762
+	PeerMessagesDropped Number = 763
 )
 
 var kinds = map[Number]Kind{
@@ -156,4 +161,8 @@
 	TunnelRefused:              {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
 	StoreReadFailed:            {Level: zapcore.WarnLevel, Text: "reading the store failed", PerSecond: serverLimit},
 	LendRefused:                {Level: zapcore.InfoLevel, Text: "connection not lent", PerSecond: serverLimit},
+	ConfigFetched:              {Level: zapcore.InfoLevel, Text: "configuration fetched from a proxy", PerSecond: peerLimit},
+	ConfigFetchFailed:          {Level: zapcore.InfoLevel, Text: "configuration not fetched from a proxy", PerSecond: peerLimit},
+	ConfigCorrupted:            {Level: zapcore.WarnLevel, Text: "proxy sent a wrong configuration", PerSecond: peerLimit},
+	PeerMessagesDropped:        {Level: zapcore.WarnLevel, Text: "messages to a proxy dropped", PerSecond: auditLimit},
 }
