Spread configurations through a fleet by transfers

Cause: 300 proxies that learned of a newer configuration each requested it whole each 100 ms; control queues held 512 messages of any size for each peer.

Change: heartbeats announce the version to the distributor of internal/bulk. ConfigRequest is sent only to proxies of an older version, once a second, and answered at most once a second. A parse happens once for each body, one at a time, and none while a newer version waits. The reader of a region watches the configuration, so a change does not wait for the next read. A read may take twice what the link needs for the body beyond 600 ms: 950 kB take 760 ms on 10 Mbit/s, so reads of 5,000 routes could not succeed. One CopyRequest and one MemberRequest are in progress at a time, the latter for 256 proxies at most. Changes within 50 ms share one burst of heartbeats. The queue of a peer holds 256 KiB, the newest heartbeat of each form, and one large copy of each kind; drops are counted and logged (763).

Result: go test -race of internal/fleet passes in 102 s, internal/peer and internal/metric as well. Figures of whole sites are not measured here.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -13,11 +13,12 @@
 	if current, known := proxy.configCopy(); known && object.Version <= current.Version {
 		return false
 	}
-	config, err := proxy.adapter.ParseConfig(object)
-	if err != nil {
-		event.Log(proxy.logger, event.ManifestRejected, event.Cause(err))
-		return false
-	}
+	result, _ := proxy.putConfig(object) // putConfig logs the error
+	return result == configApplied
+}
+
+// putParsed puts a parsed configuration in force unless it is not newer than the current one.
+func (proxy *Proxy) putParsed(object spool.Object, config *spool.FleetConfig) bool {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	if config.Revision <= proxy.revision {
@@ -25,6 +26,7 @@
 	}
 	proxy.revision = config.Revision
 	proxy.config = object
+	proxy.offered.unused = nil
 	proxy.pool.SetLimits(config.Groups)
 	proxy.limiter.setTeams(config.Teams)
 	proxy.engine.SetConfig(config)
--- a/internal/fleet/delta.go
+++ b/internal/fleet/delta.go
@@ -25,7 +25,7 @@
 
 // requestDelta asks a proxy for the changes to the server entries after a version.
 func (peers *peers) requestDelta(from spool.VM, version spool.Version, now spool.Instant) {
-	if !peers.allowRequest(&peers.deltaRequested, requestInterval, now) {
+	if !peers.beginRequest(&peers.deltaRequest, now) {
 		return
 	}
 	request := &wire.CopyRequest{After: uint64(version)}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -85,19 +85,6 @@
 	peers.sendHeartbeat(to, answer)
 }
 
-// requestMembers asks a proxy for the names and addresses of unknown proxies in its digest.
-func (peers *peers) requestMembers(from spool.VM, unknown []roster.ID, now spool.Instant) {
-	if !peers.allowRequest(&peers.membersRequested, requestInterval, now) {
-		return
-	}
-	entries := make([]roster.Entry, 0, len(unknown))
-	for _, id := range unknown {
-		entries = append(entries, roster.Entry{ID: id})
-	}
-	request := &wire.MemberRequest{Domains: encodeEntries(entries)}
-	peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_MemberRequest{MemberRequest: request}})
-}
-
 func (peers *peers) sendMembers(to spool.VM, request *wire.MemberRequest) {
 	answer := &wire.MemberAnswer{}
 	for _, member := range peers.proxy.members.lookUp(decodeEntries(request.Domains)) {
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -47,7 +47,7 @@
 func (proxy *Proxy) setUpMetrics() {
 	proxy.metrics = metric.New(metric.WithSample(func() metric.Sample {
 		return metric.Sample{Sessions: proxy.engine.SessionCount()}
-	}))
+	}), metric.WithSpread(proxy.spreadSample))
 	proxy.logger = event.RateLimit(proxy.logger, func(number event.Number) { proxy.metrics.CountEvent(int(number)) })
 	proxy.adapter = countingAdapter{storelessAdapter: proxy.adapter, Store: proxy.metrics.InstrumentStore(proxy.adapter)}
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -34,15 +34,18 @@
 	proxy     *Proxy
 	transport *peer.Transport
 
-	mutex            sync.Mutex
-	heartbeats       map[spool.VM]receivedHeartbeat
-	pendingProbes    map[uint64]chan *wire.ProbeAnswer
-	lastSequence     uint64        // of the newest probe request
-	rounds           uint64        // heartbeat rounds so far
-	deltaRequested   spool.Instant // when changes of the server entries were last requested
-	configRequested  spool.Instant // when the configuration was last requested
-	membersRequested spool.Instant // when unknown proxies of a digest were last requested
-	sizeRequested    spool.Instant // when a digest was last requested since a peer reported a larger fleet
+	mutex           sync.Mutex
+	heartbeats      map[spool.VM]receivedHeartbeat
+	pendingProbes   map[uint64]chan *wire.ProbeAnswer
+	lastSequence    uint64        // of the newest probe request
+	rounds          uint64        // heartbeat rounds so far
+	deltaRequest    singleRequest // for changes of the server entries
+	configRequested spool.Instant // when the whole configuration was last requested
+	membersRequest  singleRequest // for unknown proxies of a digest
+	sizeRequested   spool.Instant // when a digest was last requested since a peer reported a larger fleet
+	configAnswered  map[spool.VM]configAnswer
+	notified        spool.Instant // when the region was last notified
+	notifyScheduled bool
 }
 
 // receivedHeartbeat is the newest heartbeat of another proxy.
@@ -53,10 +56,11 @@
 
 func newPeers(proxy *Proxy) *peers {
 	peers := &peers{proxy: proxy, heartbeats: map[spool.VM]receivedHeartbeat{}, pendingProbes: map[uint64]chan *wire.ProbeAnswer{}}
+	peers.configAnswered = map[spool.VM]configAnswer{}
 	dial := sock.Dialer(sock.DefaultUserTimeout, sock.WithoutKeepAlive())
 	authenticator := peer.NewPlainAuthenticator(proxy.settings.VM, dial)
 	peers.transport = peer.New(proxy.settings.VM, authenticator, proxy.members.address, peer.WithLogger(proxy.logger),
-		peer.WithKeepAlive(sessionKeepAlive), peer.WithObserver(proxy.metrics.AddPeerBytes))
+		peer.WithKeepAlive(sessionKeepAlive), peer.WithObserver(peerObserver{proxy}))
 	return peers
 }
 
@@ -108,10 +112,6 @@
 	}
 }
 
-// notifyRegion sends heartbeats to the region at once, so that what they announce, such as a newer configuration or newer
-// server entries, does not wait for the next round.
-func (peers *peers) notifyRegion() { peers.notify(peers.proxy.members.inRegion) }
-
 // announceLeaving sends heartbeats that announce the shutdown to all proxies that get updates at once.
 func (peers *peers) announceLeaving() { peers.notify(func(spool.VM) bool { return true }) }
 
@@ -177,7 +177,7 @@
 	case *wire.Envelope_Pulse:
 		peers.receiveHeartbeat(from, body.Pulse)
 	case *wire.Envelope_ConfigRequest:
-		peers.sendConfig(from)
+		peers.answerConfigRequest(from)
 	case *wire.Envelope_ConfigAnswer:
 		for _, object := range body.ConfigAnswer.Objects {
 			if peers.proxy.applyConfig(decodeObject(object)) {
@@ -187,10 +187,12 @@
 	case *wire.Envelope_MemberRequest:
 		peers.sendMembers(from, body.MemberRequest)
 	case *wire.Envelope_MemberAnswer:
+		peers.endRequest(&peers.membersRequest)
 		peers.applyMembers(body.MemberAnswer)
 	case *wire.Envelope_CopyRequest:
 		peers.sendDelta(from, body.CopyRequest)
 	case *wire.Envelope_CopyAnswer:
+		peers.endRequest(&peers.deltaRequest)
 		peers.applyDelta(body.CopyAnswer)
 	case *wire.Envelope_TokenRequest:
 		granted := peers.proxy.limiter.grantTokens(from, spool.Team(body.TokenRequest.Team), body.TokenRequest.Tokens)
@@ -211,7 +213,8 @@
 	}
 }
 
-// Serve handles a stream that another proxy opened: a tunnel to a backend server or a loan of a connection.
+// Serve handles a stream that another proxy opened: a tunnel to a backend server, a loan of a connection
+// or a transfer of the configuration.
 func (peers *peers) Serve(from spool.VM, conn net.Conn) {
 	defer func() { _ = conn.Close() }() // either side has closed
 	stream := lend.NewStream(conn)
@@ -227,6 +230,8 @@
 		peers.proxy.serveTunnel(stream, body.RelayRequest.Address)
 	case *wire.StreamFrame_LoanRequest:
 		peers.proxy.lender.Serve(from, stream, body.LoanRequest)
+	case *wire.StreamFrame_BulkRequest:
+		peers.proxy.spread.Serve(from, stream, body.BulkRequest)
 	}
 }
 
@@ -259,9 +264,7 @@
 	if version := proxy.servers.Version(); version > 0 && spool.Version(heartbeat.CopyVersion) > version && proxy.members.inRegion(from) {
 		peers.requestDelta(from, version, now)
 	}
-	if heartbeat.Revision > proxy.currentRevision() && peers.allowRequest(&peers.configRequested, requestInterval, now) {
-		peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ConfigRequest{ConfigRequest: &wire.ConfigRequest{}}})
-	}
+	proxy.spread.Announce(from, heartbeat.Revision)
 }
 
 // earliestSend returns a lower bound of the time when a heartbeat was sent, by this VM's clock, or zero if none is known.
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/bulk"
 	"corianderspool.example/spool/internal/engine"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/lend"
@@ -56,12 +57,15 @@
 	supervisor *super.Supervisor
 	reader     *reader
 	servers    *mirror.Mirror
+	spread     *bulk.Distributor // of the configuration
 	dial       spool.DialFunc
 	started    spool.Instant
 
+	parsing      sync.Mutex // held while a configuration is parsed, so that none is parsed twice
 	mutex        sync.Mutex
-	revision     uint64              // of the configuration in force
-	config       spool.Object        // the configuration in force
+	revision     uint64       // of the configuration in force
+	config       spool.Object // the configuration in force
+	offered      configOffers
 	operatorTeam spool.Team          // under which the proxy opens its own connections to servers
 	lastReloaded spool.FleetSettings // newest valid settings, including changes that need a restart
 	storeReached bool
@@ -87,6 +91,7 @@
 	proxy.members = newMembers(proxy)
 	proxy.peers = newPeers(proxy)
 	proxy.reader = newReader(proxy)
+	proxy.spread = proxy.newDistributor()
 	kind := adapter.ServerKind()
 	proxy.servers = mirror.New(proxy.adapter, timers, kind, serverObserver{reachabilityObserver{proxy, kind}}, mirror.WithLeaderCheck(proxy.reader.readsForRegion))
 	proxy.limiter.requestTokens = proxy.peers.requestTokens
@@ -156,6 +161,8 @@
 	go proxy.servers.Run(ctx)
 	go proxy.members.run(ctx)
 	go proxy.reader.run(ctx)
+	go proxy.reader.watchConfig(ctx)
+	go proxy.spread.Run(ctx)
 	proxy.timers.Every(cleanupInterval, spool.TimerFunc(func(spool.Instant) { proxy.members.removeGone(ctx) }))
 }
 
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -96,7 +96,7 @@
 func (reader *reader) fetch(ctx context.Context) error {
 	began := reader.proxy.timers.Now()
 	kind, name := reader.proxy.adapter.ConfigObject()
-	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	bounded, cancel := context.WithTimeout(ctx, reader.timeout())
 	defer cancel()
 	objects, version, err := reader.proxy.adapter.List(bounded, kind)
 	reader.recordCall(err)
--- a/internal/metric/metrics.go
+++ b/internal/metric/metrics.go
@@ -38,6 +38,7 @@
 	platformCalls *prometheus.CounterVec
 	peerBytes     prometheus.Counter
 	events        *prometheus.CounterVec
+	spread        spreadCollectors
 }
 
 // Option configures Metrics.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,7 +99,7 @@
 	}
 	node.core = core.New(self, node.timers.Now())
 	node.transport = peer.New(settings.VM, peer.NewTLSAuthenticator(node.peerBundle), node.address,
-		peer.WithLogger(node.logger), peer.WithObserver(node.metrics.AddPeerBytes))
+		peer.WithLogger(node.logger), peer.WithObserver(peer.ByteCounter(node.metrics.AddPeerBytes)))
 	return node, nil
 }
 
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
@@ -17,20 +19,21 @@
 type outbox struct {
 	transport   *Transport
 	to          spool.VM
-	queue       chan *wire.Envelope
+	queue       *queue
 	unreachable bool
 	lastUsed    time.Time // when a message was last queued; guarded by Transport.mutex
 }
 
 func newOutbox(transport *Transport, to spool.VM) *outbox {
-	return &outbox{transport: transport, to: to, queue: make(chan *wire.Envelope, maxQueuedEnvelopes)}
+	return &outbox{transport: transport, to: to, queue: newQueue()}
 }
 
 func (outbox *outbox) enqueue(envelope *wire.Envelope) {
 	outbox.lastUsed = time.Now()
-	select {
-	case outbox.queue <- envelope:
-	default:
+	if !outbox.queue.push(envelope) {
+		outbox.transport.observer.Dropped(outbox.to, Kind(envelope))
+		event.Log(outbox.transport.logger, event.PeerMessagesDropped,
+			zap.String("Peer", string(outbox.to)), zap.String("Kind", Kind(envelope)))
 	}
 }
 
@@ -48,7 +51,7 @@
 			outbox.unreachable = true
 			outbox.transport.log(event.PeerUnreachable, outbox.to, err)
 		}
-		outbox.discard()
+		outbox.queue.clear()
 		select {
 		case <-outbox.transport.ctx.Done():
 		case <-time.After(backoff):
@@ -83,31 +86,35 @@
 	idle := time.NewTimer(outbox.transport.idleTime)
 	defer idle.Stop()
 	for {
+		if outbox.transport.ctx.Err() != nil {
+			return nil
+		}
+		if next, found := outbox.queue.pop(); found {
+			if err := outbox.write(stream, writer, next); err != nil {
+				return err
+			}
+			idle.Reset(outbox.transport.idleTime)
+			continue
+		}
 		select {
 		case <-outbox.transport.ctx.Done():
 			return nil
 		case <-closed:
 			return nil
-		case envelope := <-outbox.queue:
-			_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
-			size, err := writer.Write(envelope)
-			if err != nil {
-				return err
-			}
-			outbox.transport.observe(size)
-			idle.Reset(outbox.transport.idleTime)
+		case <-outbox.queue.ready:
 		case <-idle.C:
 			return errIdle
 		}
 	}
 }
 
-func (outbox *outbox) discard() {
-	for {
-		select {
-		case <-outbox.queue:
-		default:
-			return
-		}
+func (outbox *outbox) write(stream net.Conn, writer *Writer[wire.Envelope, *wire.Envelope], next queued) error {
+	defer outbox.queue.sent()
+	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	size, err := writer.Write(next.envelope)
+	if err != nil {
+		return err
 	}
+	outbox.transport.observer.Sent(outbox.to, next.kind, size)
+	return nil
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -17,16 +17,15 @@
 )
 
 const (
-	dialTimeout        = 1 * time.Second
-	writeTimeout       = 3 * time.Second
-	handshakeTimeout   = 2 * time.Second
-	shortestBackoff    = 50 * time.Millisecond
-	longestBackoff     = 1 * time.Second
-	maxQueuedEnvelopes = 512 // per peer
-	maxEnvelopeBytes   = 20 << 20
-	streamWindowBytes  = 1 << 20
-	defaultKeepAlive   = 2 * time.Second
-	defaultIdleTime    = 10 * time.Second // unused connections are closed after this time, which is longer than the heartbeat interval
+	dialTimeout       = 1 * time.Second
+	writeTimeout      = 3 * time.Second
+	handshakeTimeout  = 2 * time.Second
+	shortestBackoff   = 50 * time.Millisecond
+	longestBackoff    = 1 * time.Second
+	maxEnvelopeBytes  = 20 << 20
+	streamWindowBytes = 1 << 20
+	defaultKeepAlive  = 2 * time.Second
+	defaultIdleTime   = 10 * time.Second // unused connections are closed after this time, which is longer than the heartbeat interval
 )
 
 // Kinds of connections. Control messages have a separate connection, so that bulk data never delays them.
@@ -50,7 +49,7 @@
 	handler       Handler
 	logger        *zap.Logger
 	resolve       func(spool.VM) (string, bool)
-	observe       func(bytes int)
+	observer      Observer
 
 	keepAlive time.Duration
 	idleTime  time.Duration
@@ -83,17 +82,34 @@
 	return func(transport *Transport) { transport.idleTime = idleTime }
 }
 
-// WithObserver sets a function that receives the size in bytes of each control message sent.
-func WithObserver(observe func(bytes int)) Option {
-	return func(transport *Transport) { transport.observe = observe }
+// Observer counts control messages; it must be safe for concurrent use.
+type Observer interface {
+	// Sent reports a control message that was sent, its kind and its size in bytes.
+	Sent(to spool.VM, kind string, bytes int)
+	// Dropped reports a control message that found no room in the queue.
+	Dropped(to spool.VM, kind string)
 }
 
+// WithObserver sets the observer of control messages.
+func WithObserver(observer Observer) Option {
+	return func(transport *Transport) { transport.observer = observer }
+}
+
+// ByteCounter is an Observer that counts the bytes sent.
+type ByteCounter func(bytes int)
+
+// Sent counts the bytes.
+func (counter ByteCounter) Sent(_ spool.VM, _ string, bytes int) { counter(bytes) }
+
+// Dropped counts nothing.
+func (ByteCounter) Dropped(spool.VM, string) {}
+
 // New returns a transport that looks up the addresses of VMs with resolve.
 func New(self spool.VM, authenticator Authenticator, resolve func(spool.VM) (string, bool), options ...Option) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	transport := &Transport{
 		self: self, authenticator: authenticator, resolve: resolve,
-		logger: zap.NewNop(), observe: func(int) {}, keepAlive: defaultKeepAlive, idleTime: defaultIdleTime,
+		logger: zap.NewNop(), observer: ByteCounter(func(int) {}), keepAlive: defaultKeepAlive, idleTime: defaultIdleTime,
 		ctx: ctx, cancel: cancel,
 		outboxes:   map[spool.VM]*outbox{},
 		sessions:   map[spool.VM]*yamux.Session{},
@@ -224,7 +240,7 @@
 func (transport *Transport) removeIfIdle(outbox *outbox) bool {
 	transport.mutex.Lock()
 	defer transport.mutex.Unlock()
-	if len(outbox.queue) > 0 || time.Since(outbox.lastUsed) < transport.idleTime {
+	if outbox.queue.length() > 0 || time.Since(outbox.lastUsed) < transport.idleTime {
 		return false
 	}
 	delete(transport.outboxes, outbox.to)
