--- a/internal/bulk/fetch.go
+++ b/internal/bulk/fetch.go
@@ -31,9 +31,12 @@
 func (distributor *Distributor) fetch(ctx context.Context, fetch spread.Fetch) {
 	began := distributor.timers.Now()
 	outcome, copied, err := distributor.transfer(ctx, fetch)
+	took := distributor.timers.Now().Sub(began)
+	distributor.logFetch(fetch, outcome, copied, took, err)
 	if outcome == spread.Completed {
 		if err = distributor.put(copied); err != nil {
 			outcome = spread.Corrupted
+			distributor.logFetch(fetch, outcome, copied, took, err)
 		}
 	}
 	if outcome != spread.Busy { // Redirect ended it
@@ -42,7 +45,6 @@
 		distributor.mutex.Unlock()
 	}
 	distributor.observer.Fetched(outcomeNames[outcome])
-	distributor.logFetch(fetch, outcome, copied, distributor.timers.Now().Sub(began), err)
 	if outcome == spread.Unknown {
 		distributor.peers.RequestWhole(fetch.Source)
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -37,6 +37,7 @@
 	mutex         sync.Mutex
 	roster        *roster.Roster
 	registryKnown bool // the registry was listed, or the settle time has passed
+	sharesChanged bool // updateShares is due in the next round of heartbeats
 }
 
 func newMembers(proxy *Proxy) *members {
@@ -126,7 +127,8 @@
 	return nil
 }
 
-// addMembers adds proxies to the fleet.
+// addMembers adds proxies to the fleet. While hundreds of proxies start, each of them hears of the others one by one, and the
+// shares cost time in proportion to the fleet. In a large fleet they are therefore updated once in a round of heartbeats.
 func (members *members) addMembers(found ...spool.Member) {
 	now := members.proxy.timers.Now()
 	added := false
@@ -134,8 +136,10 @@
 	for _, member := range found {
 		added = members.roster.Add(member, now) || added
 	}
+	later := members.roster.UsesRelays()
+	members.sharesChanged = members.sharesChanged || added && later
 	members.mutex.Unlock()
-	if added {
+	if added && !later {
 		members.updateShares()
 	}
 }
@@ -158,13 +162,16 @@
 	}
 }
 
-// finishSettling counts the registry as known once the settle time has passed, in which all other live proxies send heartbeats.
+// finishSettling counts the registry as known once the settle time has passed, in which all other live proxies send heartbeats,
+// and updates the shares if members were added.
 func (members *members) finishSettling(now spool.Instant) {
 	members.mutex.Lock()
 	settled := !members.registryKnown && now.Sub(members.proxy.started) > members.roster.SettleTime()
 	members.registryKnown = members.registryKnown || settled
+	changed := members.sharesChanged
+	members.sharesChanged = false
 	members.mutex.Unlock()
-	if settled {
+	if settled || changed {
 		members.updateShares()
 	}
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -44,8 +44,7 @@
 	membersRequest  singleRequest // for unknown proxies of a digest
 	sizeRequested   spool.Instant // when a digest was last requested since a peer reported a larger fleet
 	configAnswered  map[spool.VM]configAnswer
-	notified        spool.Instant // when the region was last notified
-	notifyScheduled bool
+	bursts          burstGate // of heartbeats to the region
 }
 
 // receivedHeartbeat is the newest heartbeat of another proxy.
--- a/internal/fleet/requests.go
+++ b/internal/fleet/requests.go
@@ -23,10 +23,8 @@
 	waiting bool // for the answer
 }
 
-// beginRequest reports whether no request is in progress and the interval has passed since the last one, and if so begins one.
-func (peers *peers) beginRequest(request *singleRequest, now spool.Instant) bool {
-	peers.mutex.Lock()
-	defer peers.mutex.Unlock()
+// begin reports whether no request is in progress and requestInterval has passed since the last one, and if so begins one.
+func (request *singleRequest) begin(now spool.Instant) bool {
 	pause := requestInterval
 	if request.waiting {
 		pause = answerTimeout
@@ -38,6 +36,12 @@
 	return true
 }
 
+func (peers *peers) beginRequest(request *singleRequest, now spool.Instant) bool {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	return request.begin(now)
+}
+
 // endRequest ends the request in progress.
 func (peers *peers) endRequest(request *singleRequest) {
 	peers.mutex.Lock()
@@ -68,31 +72,45 @@
 	at       spool.Instant
 }
 
+// burstGate merges bursts that follow each other within notifyInterval.
+type burstGate struct {
+	last      spool.Instant // when the newest burst was sent
+	scheduled bool          // another one follows
+}
+
+// request returns how long a burst must wait, and false if one that follows announces the change as well.
+func (gate *burstGate) request(now spool.Instant) (wait time.Duration, due bool) {
+	if gate.scheduled {
+		return 0, false
+	}
+	if wait = notifyInterval - now.Sub(gate.last); gate.last == 0 || wait <= 0 {
+		gate.last = now
+		return 0, true
+	}
+	gate.scheduled = true
+	return wait, true
+}
+
+// sent records that the scheduled burst is sent.
+func (gate *burstGate) sent(now spool.Instant) { *gate = burstGate{last: now} }
+
 // notifyRegion sends heartbeats to the region at once, so that what they announce, such as a newer configuration or newer
 // server entries, does not wait for the next round. Changes that follow within notifyInterval are announced together.
 func (peers *peers) notifyRegion() {
-	now := peers.proxy.timers.Now()
 	peers.mutex.Lock()
-	remaining := notifyInterval - now.Sub(peers.notified)
-	scheduled := peers.notifyScheduled
-	if peers.notified == 0 || remaining <= 0 {
-		peers.notified = now
-	} else {
-		peers.notifyScheduled = true
-	}
-	later := peers.notifyScheduled
+	wait, due := peers.bursts.request(peers.proxy.timers.Now())
 	peers.mutex.Unlock()
 	switch {
-	case scheduled:
-	case later:
-		peers.proxy.timers.After(remaining, spool.TimerFunc(func(at spool.Instant) {
+	case !due:
+	case wait == 0:
+		peers.notify(peers.proxy.members.inRegion)
+	default:
+		peers.proxy.timers.After(wait, spool.TimerFunc(func(now spool.Instant) {
 			peers.mutex.Lock()
-			peers.notified, peers.notifyScheduled = at, false
+			peers.bursts.sent(now)
 			peers.mutex.Unlock()
 			peers.notify(peers.proxy.members.inRegion)
 		}))
-	default:
-		peers.notify(peers.proxy.members.inRegion)
 	}
 }
 
