Announce a new configuration to other regions at once

Cause: heartbeats between regions are one or two seconds apart, and only they told a region whose proxies the store refuses of a new configuration.

Change: a reader announces it to two relays of each other region at once; a proxy that fetched it from another region announces it to its own region. The tests on virtual time bound the bytes that leave a failure domain as well.

--- a/internal/bulk/distributor.go
+++ b/internal/bulk/distributor.go
@@ -23,9 +23,9 @@
 	RequestWhole(vm spool.VM)
 }
 
-// ApplyFunc puts a version in effect and calls Publish. It returns an error if the body is malformed, and nil also if a newer
-// version is in effect.
-type ApplyFunc func(object spool.Object, version uint64) error
+// ApplyFunc puts a version in effect and calls Publish; remote reports that it came from another region. It returns an error
+// if the body is malformed, and nil also if a newer version is in effect.
+type ApplyFunc func(object spool.Object, version uint64, remote bool) error
 
 // Observer counts transfers; it must be safe for concurrent use.
 type Observer interface {
--- a/internal/bulk/distributor_test.go
+++ b/internal/bulk/distributor_test.go
@@ -86,7 +86,7 @@
 	return proxy
 }
 
-func (proxy *testProxy) put(object spool.Object, version uint64) error {
+func (proxy *testProxy) put(object spool.Object, version uint64, _ bool) error {
 	proxy.mutex.Lock()
 	if proxy.malformed {
 		proxy.mutex.Unlock()
--- a/internal/bulk/fetch.go
+++ b/internal/bulk/fetch.go
@@ -34,7 +34,7 @@
 	took := distributor.timers.Now().Sub(began)
 	distributor.logFetch(fetch, outcome, copied, took, err)
 	if outcome == spread.Completed {
-		if err = distributor.put(copied); err != nil {
+		if err = distributor.put(copied, fetch.Source); err != nil {
 			outcome = spread.Corrupted
 			distributor.logFetch(fetch, outcome, copied, took, err)
 		}
@@ -51,12 +51,13 @@
 }
 
 // put serves a verified version to others at once and puts it in effect.
-func (distributor *Distributor) put(copied spread.Copy) error {
+func (distributor *Distributor) put(copied spread.Copy, source spool.VM) error {
 	distributor.mutex.Lock()
 	distributor.add(copied, distributor.timers.Now())
 	distributor.mutex.Unlock()
 	object := spool.Object{Kind: distributor.kind, Name: distributor.name, Version: copied.Stored, Body: copied.Body}
-	err := distributor.apply(object, copied.Version)
+	_, distance := distributor.peers.Locate(source)
+	err := distributor.apply(object, copied.Version, distance == spread.OtherRegion)
 	if err != nil {
 		distributor.mutex.Lock()
 		distributor.library.Remove(copied.Version)
--- a/internal/core/spread/site_test.go
+++ b/internal/core/spread/site_test.go
@@ -55,7 +55,8 @@
 	upFree      spool.Instant
 	downFree    spool.Instant
 	sent        int
-	longest     time.Duration // queue of the uplink
+	left        [OtherRegion + 1]int // bytes sent, by distance
+	longest     time.Duration        // queue of the uplink
 	requested   spool.Instant
 	transfers   int // started, identifies the one in progress
 	parses      int
@@ -115,6 +116,7 @@
 	latency := []time.Duration{time.Millisecond / 2, 2 * time.Millisecond, 20 * time.Millisecond}[distance(member, to)]
 	member.upFree = max(member.upFree, now) + took
 	member.sent += bytes
+	member.left[distance(member, to)] += bytes
 	member.longest = max(member.longest, member.upFree.Sub(now))
 	to.downFree = max(to.downFree+took, member.upFree.Add(latency))
 	member.after(to.downFree.Sub(now), func() {
@@ -343,13 +345,24 @@
 	return last, missing
 }
 
-// sentBytes returns the bytes that the busiest member and all members together sent since the last call.
-func (site *site) sentBytes() (busiest, total int) {
+// traffic is the bytes that members sent.
+type traffic struct {
+	busiest, total int
+	domain         int // out of the failure domain that sent most to others
+	regions        int // between regions
+}
+
+// sentBytes returns the traffic since the last call.
+func (site *site) sentBytes() (sent traffic) {
+	domains := map[spool.Domain]int{}
 	for _, member := range site.members {
-		busiest, total = max(busiest, member.sent), total+member.sent
-		member.sent = 0
+		sent.busiest, sent.total = max(sent.busiest, member.sent), sent.total+member.sent
+		domains[member.domain] += member.left[SameRegion] + member.left[OtherRegion]
+		sent.domain = max(sent.domain, domains[member.domain])
+		sent.regions += member.left[OtherRegion]
+		member.sent, member.left = 0, [OtherRegion + 1]int{}
 	}
-	return busiest, total
+	return sent
 }
 
 func (site *site) longestQueue() (longest time.Duration) {
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -24,10 +24,10 @@
 
 // measure is what one distribution took.
 type measure struct {
-	last           time.Duration
-	missing        int
-	busiest, total int
-	queue          time.Duration
+	last    time.Duration
+	missing int
+	traffic
+	queue time.Duration
 }
 
 func (site *site) distribute(version uint64, within time.Duration) measure {
@@ -35,8 +35,7 @@
 	site.longestQueue()
 	site.publish(version)
 	last, missing := site.settle(version, within)
-	busiest, total := site.sentBytes()
-	return measure{last, missing, busiest, total, site.longestQueue()}
+	return measure{last, missing, site.sentBytes(), site.longestQueue()}
 }
 
 // violations compares a measure with the bounds.
@@ -51,12 +50,16 @@
 	add(measure.last > within, "time until in effect")
 	add(measure.queue > queueLimit, "longest queue")
 	add(measure.total > members*(packed*3/2+controlShare), "bytes of all members")
+	add(measure.domain > domainCopies*packed+controlShare, "bytes out of a failure domain")
 	return found
 }
 
 // controlShare is what each member sends in control messages within the measured time, relays shared among their members.
 const controlShare = 10_000
 
+// domainCopies is the number of copies that may leave a failure domain, that of the region's reader, for all others.
+const domainCopies = 16
+
 // TestConfigurationSpreads guards against a distribution whose time, queues or bytes for each member grow with the fleet:
 // with 5,000 routes to members that hold nothing, and with a small change.
 func TestConfigurationSpreads(t *testing.T) {
--- a/internal/fleet/configparse_test.go
+++ b/internal/fleet/configparse_test.go
@@ -98,11 +98,11 @@
 	c := qt.New(t)
 	settings := spool.FleetSettings{VM: "vm1", MemoryBytes: 1 << 30}
 	proxy := New(settings, platform.New(settings, nil), clock.Real{}, zap.NewNop())
-	c.Assert(proxy.applyFetched(configObject(5, `{"version":1}`), 1), qt.IsNil)
-	c.Assert(proxy.applyFetched(configObject(4, `{"version":2}`), 2), qt.IsNil, qt.Commentf("the version decides"))
-	c.Assert(proxy.applyFetched(configObject(6, `{"version":1}`), 1), qt.IsNil)
-	c.Assert(proxy.applyFetched(configObject(7, `{"version":3}`), 9), qt.ErrorMatches, "version 3 in force .*")
+	c.Assert(proxy.applyFetched(configObject(5, `{"version":1}`), 1, false), qt.IsNil)
+	c.Assert(proxy.applyFetched(configObject(4, `{"version":2}`), 2, false), qt.IsNil, qt.Commentf("the version decides"))
+	c.Assert(proxy.applyFetched(configObject(6, `{"version":1}`), 1, false), qt.IsNil)
+	c.Assert(proxy.applyFetched(configObject(7, `{"version":3}`), 9, false), qt.ErrorMatches, "version 3 in force .*")
 	var syntax *json.SyntaxError
-	c.Assert(errors.As(proxy.applyFetched(configObject(8, `{`), 9), &syntax), qt.IsTrue)
+	c.Assert(errors.As(proxy.applyFetched(configObject(8, `{`), 9, false), &syntax), qt.IsTrue)
 	c.Assert(proxy.currentRevision(), qt.Equals, uint64(3))
 }
--- a/internal/fleet/configwatch.go
+++ b/internal/fleet/configwatch.go
@@ -32,7 +32,7 @@
 		seen = max(after, version)
 		for _, change := range changes {
 			if change.Name == name && !change.Deleted && reader.proxy.applyConfig(change.Object) {
-				reader.proxy.peers.notifyRegion()
+				reader.proxy.peers.announceConfig()
 			}
 		}
 	}
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -116,7 +116,11 @@
 	if reader.mayAffectServers(version, newestIsConfig) {
 		reader.proxy.servers.NotifyVersion(version)
 	}
-	if reader.confirm(began) || changed {
+	gap := reader.confirm(began)
+	switch {
+	case changed:
+		reader.proxy.peers.announceConfig()
+	case gap:
 		reader.proxy.peers.notifyRegion()
 	}
 	return nil
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +20,9 @@
 // answers to one of them.
 const configRequestInterval = time.Second
 
+// maxRemoteAnnounced is the number of proxies of each other region that learn of a new configuration at once.
+const maxRemoteAnnounced = 2
+
 var distanceNames = map[spread.Distance]string{
 	spread.SameDomain: "same_domain", spread.SameRegion: "same_region", spread.OtherRegion: "other_region",
 }
@@ -30,12 +35,14 @@
 }
 
 // applyFetched puts a configuration that another proxy sent in force; it implements bulk.ApplyFunc.
-func (proxy *Proxy) applyFetched(object spool.Object, version uint64) error {
+func (proxy *Proxy) applyFetched(object spool.Object, version uint64, remote bool) error {
 	switch result, err := proxy.putConfig(object); {
 	case err != nil:
 		return err
 	case result == configOvertaken:
 		return nil
+	case result == configApplied && remote:
+		proxy.peers.notifyRegion() // no proxy of the region had it before
 	case result == configApplied:
 		proxy.peers.forwardUpdate()
 	}
@@ -45,6 +52,31 @@
 	return nil
 }
 
+// announceConfig announces a configuration that this proxy read from the store to the region, and to few proxies of each other
+// region: the store may refuse all proxies there, and their heartbeats from here are up to two seconds apart.
+func (peers *peers) announceConfig() {
+	peers.notifyRegion()
+	now := peers.proxy.timers.Now()
+	for _, vm := range peers.proxy.members.remoteRelays(now) {
+		peers.sendHeartbeat(vm, peers.newHeartbeat(vm, now))
+	}
+}
+
+// remoteRelays returns up to maxRemoteAnnounced relays of each other region.
+func (members *members) remoteRelays(now spool.Instant) []spool.VM {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	relays := members.roster.DomainRelays(now)
+	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+	chosen := map[string]int{}
+	return slices.DeleteFunc(relays, func(vm spool.VM) bool {
+		member := members.roster.Get(vm)
+		region := members.proxy.settings.Regions[member.Domain]
+		chosen[region]++
+		return members.roster.SameRegion(member) || chosen[region] > maxRemoteAnnounced
+	})
+}
+
 // configPeers gives the distributor access to the other proxies; it implements bulk.Peers.
 type configPeers struct{ proxy *Proxy }
 
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/pkg/spool"
 )
 
 // metric returns the sum of a proxy's series whose name and labels match an expression.
@@ -81,3 +83,37 @@
 		sent = total
 	}
 }
+
+// TestConfigurationReachesARegionThatTheStoreRefuses guards against a region whose proxies read nothing and wait for the
+// configuration: each change reaches them from the other region.
+func TestConfigurationReachesARegionThatTheStoreRefuses(t *testing.T) {
+	c := qt.New(t)
+	const proxies, changes = 4, 4
+	cluster := newCluster(t, proxies)
+	for index := range proxies {
+		cluster.stopFuncs[index]()
+		settings := &cluster.settings[index]
+		settings.Regions = map[spool.Domain]string{"z1": "r1", "z2": "r2"}
+		if index >= proxies/2 {
+			settings.Domain, settings.Region, settings.Store = "z2", "r2", "127.0.0.1:1"
+			settings.Seeds = []string{cluster.settings[0].Peers}
+		}
+		cluster.start(index)
+	}
+	for index := range proxies {
+		cluster.waitUntil(func() bool { return cluster.ready(index) })
+	}
+	time.Sleep(3 * time.Second) // until each region knows the other
+	for range changes {
+		began := time.Now()
+		version := cluster.writeRoutes(10)
+		for index := range proxies {
+			for cluster.metric(index, "config_version_in_effect") < float64(version) {
+				c.Assert(time.Since(began) < cluster.settings[0].Bounds.ConfigApply, qt.IsTrue, qt.Commentf("proxy %d", index))
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		t.Logf("version %d in effect in both regions after %v", version, time.Since(began))
+		time.Sleep(700 * time.Millisecond)
+	}
+}
