Wait longer for a slow source and ask an only source again sooner

Cause: a receiver gave up each answer after 600 ms and left the source alone for 2 s. A starting proxy with one seed on a machine short of processor time could so miss all attempts of ten seconds. This may be what failed in one run of TestLargeFleetDistributesConfigurationThroughRelays under a load average of 40; its cause was not traced.

Change: the time without progress doubles with each stalled fetch, up to 2.4 s, until a source answers; a source that stalled or closed is skipped for 250 ms, then twice as long with each failure in a row, up to 2 s. False data and older proxies are skipped for 2 s as before.

--- a/internal/bulk/fetch.go
+++ b/internal/bulk/fetch.go
@@ -84,7 +84,10 @@
 
 // transfer requests a version and receives it.
 func (distributor *Distributor) transfer(ctx context.Context, fetch spread.Fetch) (spread.Outcome, spread.Copy, error) {
-	ctx, cancel := context.WithTimeout(ctx, spread.FetchTimeout)
+	distributor.mutex.Lock()
+	patience := distributor.fetcher.Deadline().Sub(distributor.timers.Now())
+	distributor.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	conn, err := distributor.peers.Open(ctx, fetch.Source)
 	if err != nil {
--- a/internal/core/spread/fetcher.go
+++ b/internal/core/spread/fetcher.go
@@ -19,12 +19,16 @@
 )
 
 const (
-	// FetchTimeout is how long a fetch may receive nothing before another source is asked.
+	// FetchTimeout is how long a fetch may receive nothing before another source is asked. After fetches that stalled it is
+	// doubled, up to maxDoublings times: a proxy that is short of processor time may be what is slow.
 	FetchTimeout = 600 * time.Millisecond
+	maxDoublings = 2
 	// TransferTimeout bounds a transfer that progresses slowly, at both ends. Several full bodies take less on the slowest link.
 	TransferTimeout = 5 * time.Second
-	// skipDuration is how long a source that failed is not asked again.
+	// skipDuration is how long a source that failed is not asked again, at most. The first failure of a source that is only
+	// slow or restarts costs shortSkip; each further one twice as much.
 	skipDuration = 2 * time.Second
+	shortSkip    = 250 * time.Millisecond
 	// startJitter spreads the requests of the proxies that one heartbeat round reaches.
 	startJitter = 20 * time.Millisecond
 	// remoteDelay gives the reader of the region time to read a version before a source in another region is asked for it.
@@ -73,6 +77,7 @@
 	earliest  spool.Instant // before which no fetch starts
 	sources   map[spool.VM]*source
 	transfer  *transfer
+	stalls    int  // fetches that stalled since the last answer
 	abandoned bool // the previous transfer was abandoned for a newer version, so the next one is completed
 }
 
@@ -82,6 +87,7 @@
 	since     spool.Instant // when it first announced a version that was newer than the one held
 	notBefore spool.Instant // busy until then
 	skipUntil spool.Instant // failed
+	failures  int           // in a row
 }
 
 type transfer struct {
@@ -242,6 +248,7 @@
 		return false
 	}
 	fetcher.transfer.Version, fetcher.transfer.total, fetcher.transfer.progressed = version, total, now
+	fetcher.stalls = 0
 	return true
 }
 
@@ -274,7 +281,8 @@
 	if fetcher.transfer == nil {
 		return 0
 	}
-	return min(fetcher.transfer.progressed.Add(FetchTimeout), fetcher.transfer.started.Add(TransferTimeout))
+	patience := FetchTimeout << min(fetcher.stalls, maxDoublings)
+	return min(fetcher.transfer.progressed.Add(patience), fetcher.transfer.started.Add(TransferTimeout))
 }
 
 // Finish ends the fetch in progress. A source that failed is skipped for a while.
@@ -287,14 +295,23 @@
 	if outcome == Completed || outcome == Superseded {
 		fetcher.abandoned = outcome == Superseded
 	}
+	if outcome == Stalled {
+		fetcher.stalls++
+	}
 	known := fetcher.sources[current.Source]
 	if known == nil {
 		return
 	}
 	switch outcome {
+	case Completed, Busy:
+		known.failures = 0
 	case Nothing:
 		known.version = 0
-	case Stalled, Closed, Corrupted, Unknown:
+	case Stalled, Closed:
+		skip := min(shortSkip<<min(known.failures, 8), skipDuration)
+		known.failures++
+		known.skipUntil = now.Add(skip + fetcher.jitter(skip/4))
+	case Corrupted, Unknown:
 		known.skipUntil = now.Add(skipDuration + fetcher.jitter(skipDuration/4))
 	}
 	fetcher.prune(current.Source, known, now)
