--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -115,6 +115,11 @@
 	StoreAnswerRejected  Number = 787
 	RegistrationRestored Number = 788
 	OlderConfigIgnored   Number = 789
+
+	ConfigFetched       Number = 760
+	ConfigFetchFailed   Number = 761
+	ConfigCorrupted     Number = 762
+	PeerMessagesDropped Number = 763
 )
 
 var kinds = map[Number]Kind{
@@ -198,4 +203,8 @@
 	StoreAnswerRejected:            {Level: zapcore.WarnLevel, Text: "answer of the store with an older or malformed era not accepted", PerSecond: serverLimit},
 	RegistrationRestored:           {Level: zapcore.InfoLevel, Text: "registration of this proxy written again"},
 	OlderConfigIgnored:             {Level: zapcore.WarnLevel, Text: "older configuration of the store ignored", PerSecond: serverLimit},
+	ConfigFetched:                  {Level: zapcore.InfoLevel, Text: "configuration fetched from a proxy", PerSecond: peerLimit},
+	ConfigFetchFailed:              {Level: zapcore.InfoLevel, Text: "configuration not fetched from a proxy", PerSecond: peerLimit},
+	ConfigCorrupted:                {Level: zapcore.WarnLevel, Text: "proxy sent a wrong configuration", PerSecond: peerLimit},
+	PeerMessagesDropped:            {Level: zapcore.WarnLevel, Text: "messages to a proxy dropped", PerSecond: auditLimit},
 }
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -48,7 +48,7 @@
 func (proxy *Proxy) setUpMetrics() {
 	proxy.metrics = metric.New(metric.WithSample(func() metric.Sample {
 		return metric.Sample{Sessions: proxy.engine.SessionCount(), Evacuated: proxy.evacuations.sample(), StoreEra: proxy.adapter.Era()}
-	}), metric.WithQueueLength(func() map[int]int { return proxy.pool.WaitingByPriority() }))
+	}), metric.WithQueueLength(func() map[int]int { return proxy.pool.WaitingByPriority() }), metric.WithSpread(proxy.spreadSample))
 	proxy.logger = event.RateLimit(proxy.logger, func(number event.Number) { proxy.metrics.CountEvent(int(number)) })
 	proxy.adapter = countingAdapter{storelessAdapter: proxy.adapter, Store: proxy.metrics.InstrumentStore(proxy.adapter, proxy.eras.checkAnswer)}
 }
--- a/internal/metric/metrics.go
+++ b/internal/metric/metrics.go
@@ -39,6 +39,7 @@
 	peerBytes     prometheus.Counter
 	events        *prometheus.CounterVec
 	waits         *waitMetrics
+	spread        spreadCollectors
 }
 
 // Option configures Metrics.
