Ask for tokens where they can be had, and hold none back where none refill

A proxy now passes over issuers that its transport cannot reach and asks one after the other.

91 of 2,893 refusals in a second were of operations for which a token was there: proxies whose buckets do not refill held it back for more urgent operations, which it does not serve better since the issuer already decided. Only issuers hold back now.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -42,6 +42,7 @@
 	requestInterval time.Duration
 	// requestedPriority is the priority of the operation that caused the last request.
 	requestedPriority int
+	unanswered        int           // requests in a row that brought no tokens
 	creditedAt        spool.Instant // when tokens of another proxy last arrived
 	issuersOnly       bool          // only the buckets of issuers refill
 	teamRate          float64       // tokens a second in the whole fleet
@@ -133,6 +134,7 @@
 		return Request{}, false
 	}
 	bucket.requestedAt, bucket.requestedPriority = now, need.priority
+	bucket.unanswered++
 	lastFailed = interval > bucket.minInterval()
 	bucket.requestInterval = min(2*interval, maxRequestInterval)
 	if bucket.awaitsFirst(now) > 0 {
@@ -146,7 +148,7 @@
 	bucket.refill(now)
 	bucket.level += tokens
 	bucket.creditedAt = now
-	bucket.supplied = true
+	bucket.supplied, bucket.unanswered = true, 0
 	bucket.requestInterval = bucket.minInterval()
 }
 
--- a/internal/core/quota/bucketset.go
+++ b/internal/core/quota/bucketset.go
@@ -85,7 +85,8 @@
 	Exhausted         bool          // waiting is useless: neither refilling nor other proxies bring a token in time
 	TokensToRequest   Request       // tokens to request from other proxies now, if any
 	LastRequestFailed bool          // the last request to other proxies brought no tokens
-	AskOne            bool          // ask one issuer of any region, not all
+	AskOne            bool          // ask one issuer, not all, also after a failed request
+	Unanswered        int           // requests in a row that brought no tokens
 }
 
 // Admit reserves a token of the team until Settle, if there is one for the operation.
@@ -108,7 +109,8 @@
 	failing := decision.AwaitFirst == 0 && (bucketSet.single || bucket.requestInterval >= exhaustedInterval)
 	if !bucketSet.single {
 		decision.TokensToRequest, decision.LastRequestFailed = bucket.TokensToRequest(operation.need(), now)
-		decision.AskOne = decision.LastRequestFailed && bucketSet.asksOne(bucket)
+		decision.AskOne = bucketSet.asksOne(bucket)
+		decision.Unanswered = max(0, bucket.unanswered-1)
 	}
 	// An issuer may still meet a request that it remembers.
 	remembered := bucket.issuersOnly && now.Sub(bucket.requestedAt) < pendingLifetime
--- a/internal/core/quota/urgent.go
+++ b/internal/core/quota/urgent.go
@@ -115,9 +115,10 @@
 }
 
 // heldBack returns the tokens that less urgent operations must leave to the most urgent ones: what those need in reserveWindow,
-// while the demand exceeds the rate. If none was asked for during reserveWindow, nothing is held back.
+// while the demand exceeds the rate. If none was asked for during reserveWindow, nothing is held back, nor where the bucket does not
+// refill: its tokens were issued for what waits there.
 func (bucket *Bucket) heldBack(now spool.Instant) float64 {
-	if bucket.demand <= bucket.rate || now.Sub(bucket.urgent.recordedAt) > reserveWindow {
+	if bucket.rate <= 0 || bucket.demand <= bucket.rate || now.Sub(bucket.urgent.recordedAt) > reserveWindow {
 		return 0
 	}
 	tokens := math.Round(bucket.urgent.rate * reserveWindow.Seconds())
--- a/internal/core/quota/urgent_test.go
+++ b/internal/core/quota/urgent_test.go
@@ -47,6 +47,7 @@
 	dead        int  // index of an issuer that answers nothing, or -1
 	forget      bool // issuers do not remember requests, and proxies do not return tokens
 	asked       map[int]int
+	requests    int // that proxies sent to issuers
 	admitted    map[int]int
 	times       []spool.Instant
 }
@@ -125,16 +126,18 @@
 	if decision.TokensToRequest.Tokens == 0 {
 		return
 	}
-	one := play.issuers[play.random.IntN(len(play.issuers))]
+	var issuers []Proxy
 	for _, issuer := range play.issuers {
-		if decision.AskOne && issuer != one {
-			continue
-		}
-		near := play.fleet[issuer].Region == play.fleet[index].Region
-		if issuer == index || !near && !decision.LastRequestFailed && !slices.Contains(play.issuers, index) {
-			continue
-		}
-		play.messages = append(play.messages, message{at: play.now.Add(play.delay(index, issuer)), to: issuer, from: index, want: decision.TokensToRequest})
+		issuers = append(issuers, play.fleet[issuer])
+	}
+	asking := play.fleet[index]
+	if slices.Contains(play.issuers, index) {
+		asking.Region = "" // an issuer asks all others
+	}
+	for _, vm := range decision.Sources(asking, issuers, func(spool.VM) bool { return true }) {
+		to := slices.IndexFunc(play.fleet, func(proxy Proxy) bool { return proxy.VM == vm })
+		play.requests++
+		play.messages = append(play.messages, message{at: play.now.Add(play.delay(index, to)), to: to, from: index, want: decision.TokensToRequest})
 	}
 }
 
@@ -279,16 +282,18 @@
 	const size = 76
 	for _, rate := range []float64{10, 40} {
 		for _, demand := range []float64{0.8, 2, 7} {
-			var used [2]float64 // share of what is within the rate
+			var used, requests [2]float64 // share of what is within the rate; a second
 			for i, forget := range []bool{true, false} {
 				play := newTokenPlay(size, rate, true)
 				play.forget = forget
 				random := rand.New(rand.NewPCG(3, 1))
 				play.run(rate*demand, func() int { return min(2, random.IntN(5)) })
 				used[i] = float64(play.total()) / playTime.Seconds() / rate / min(1, demand)
+				requests[i] = float64(play.requests) / playTime.Seconds()
 				play.checkWindows(c, rate)
 			}
-			t.Logf("rate %2.0f, demand %.1f of it: %.3f of what is within the rate is used, %.3f without returns and memory", rate, demand, used[1], used[0])
+			t.Logf("rate %2.0f, demand %.1f of it: %.3f of what is within the rate is used, %.3f without returns and memory; %.0f and %.0f requests a second",
+				rate, demand, used[1], used[0], requests[1], requests[0])
 			c.Check(used[1] > 0.95, qt.IsTrue)
 		}
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -309,15 +309,10 @@
 }
 
 // requestTokens requests tokens of a team: from some live proxies if all issue tokens, else from the team's issuers in the
-// region, which request tokens from the others if they have none. If the last request failed, all issuers or any one are asked.
+// region, which request tokens from the others if they have none; after a failed request the next issuer or all are asked.
 func (peers *peers) requestTokens(team spool.Team, decision quota.Decision, issuers []quota.Proxy) {
 	request := encodeTokenRequest(team, decision.TokensToRequest)
-	sources := peers.tokenSources(issuers, decision.LastRequestFailed)
-	if decision.AskOne && len(sources) > 0 {
-		one := rand.IntN(len(sources))
-		sources = sources[one : one+1]
-	}
-	for _, to := range sources {
+	for _, to := range peers.tokenSources(decision, issuers) {
 		peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_TokenRequest{TokenRequest: request}})
 	}
 }
@@ -327,28 +322,18 @@
 	peers.transport.Send(to, encodeTransfer(team, tokens))
 }
 
-func (peers *peers) tokenSources(issuers []quota.Proxy, retry bool) []spool.VM {
-	var regional, all []spool.VM
-	if len(issuers) == 0 {
-		for _, member := range peers.proxy.members.liveMembers() {
-			all = append(all, member.VM)
-		}
-		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		return all[:min(len(all), maxTokenPeers)]
-	}
-	for _, issuer := range issuers {
-		if issuer.VM == peers.proxy.settings.VM {
-			continue
-		}
-		all = append(all, issuer.VM)
-		if issuer.Region == peers.proxy.settings.Region {
-			regional = append(regional, issuer.VM)
-		}
+// tokenSources returns the proxies to request tokens from: issuers, or some live proxies if all issue tokens.
+func (peers *peers) tokenSources(decision quota.Decision, issuers []quota.Proxy) []spool.VM {
+	if len(issuers) > 0 {
+		self := quota.Proxy{VM: peers.proxy.settings.VM, Region: peers.proxy.settings.Region}
+		return decision.Sources(self, issuers, peers.transport.Reachable)
 	}
-	if retry || len(regional) == 0 {
-		return all
+	var live []spool.VM
+	for _, member := range peers.proxy.members.liveMembers() {
+		live = append(live, member.VM)
 	}
-	return regional
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(len(live), maxTokenPeers)]
 }
 
 // Supervises reports whether this proxy supervises a group; proxies in the region of its primary are preferred.
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,7 +21,7 @@
 	transport   *Transport
 	to          spool.VM
 	queue       *queue
-	unreachable bool
+	unreachable atomic.Bool
 	lastUsed    time.Time // when a message was last queued; guarded by Transport.mutex
 }
 
@@ -47,8 +48,7 @@
 		if errors.Is(err, errIdle) {
 			continue // a message was queued just before the timeout
 		}
-		if !outbox.unreachable && outbox.transport.ctx.Err() == nil {
-			outbox.unreachable = true
+		if outbox.transport.ctx.Err() == nil && !outbox.unreachable.Swap(true) {
 			outbox.transport.log(event.PeerUnreachable, outbox.to, err)
 		}
 		outbox.queue.clear()
@@ -74,8 +74,7 @@
 	if err != nil {
 		return err
 	}
-	if outbox.unreachable {
-		outbox.unreachable = false
+	if outbox.unreachable.Swap(false) {
 		outbox.transport.log(event.PeerReachable, outbox.to, nil)
 	}
 	return outbox.sendQueued(stream, session.CloseChan())
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -237,6 +237,14 @@
 	outbox.enqueue(envelope)
 }
 
+// Reachable returns false if the last attempt to send control messages to another proxy failed.
+func (transport *Transport) Reachable(vm spool.VM) bool {
+	transport.mutex.Lock()
+	defer transport.mutex.Unlock()
+	outbox := transport.outboxes[vm]
+	return outbox == nil || !outbox.unreachable.Load()
+}
+
 // removeIfIdle removes an outbox that was unused for the idle time, and reports whether it did.
 func (transport *Transport) removeIfIdle(outbox *outbox) bool {
 	transport.mutex.Lock()
