--- a/internal/bulk/fetch.go
+++ b/internal/bulk/fetch.go
@@ -58,10 +58,11 @@
 	object := spool.Object{Kind: distributor.kind, Name: distributor.name, Version: copied.Stored, Body: copied.Body}
 	_, distance := distributor.peers.Locate(source)
 	err := distributor.apply(object, copied.Version, distance == spread.OtherRegion)
-	if err != nil {
-		distributor.mutex.Lock()
+	distributor.mutex.Lock()
+	defer distributor.mutex.Unlock()
+	if err != nil || distributor.fetcher.Held() < copied.Version {
+		// A version that a newer one overtook has to be fetched again if the newer one proves malformed.
 		distributor.library.Remove(copied.Version)
-		distributor.mutex.Unlock()
 	}
 	return err
 }
--- a/internal/core/queue/dispatch.go
+++ b/internal/core/queue/dispatch.go
@@ -10,6 +10,10 @@
 // handshake of about the time of a short statement.
 const reuseBonus = 0.7
 
+// maxClassFailures is the number of items of one team and target that a dispatch offers in vain. The home regions of requests
+// differ within a class; more failures would keep it from the other classes.
+const maxClassFailures = 2
+
 // Capacity reports what is free at the servers of a target.
 type Capacity interface {
 	// Free reports whether a request of the team can be served now, and whether an idle connection of the team can be reused.
@@ -39,6 +43,9 @@
 		}
 		item.class.next++
 		failures++
+		if item.class.next >= maxClassFailures {
+			item.class.next = len(item.class.items) // the others of the class accept the same servers, so they would fail as well
+		}
 	}
 }
 
--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -64,7 +64,9 @@
 	if share > 0 {
 		bucket.burst = max(1, burst*share)
 	}
-	bucket.level = min(bucket.level, max(0, bucket.burst-bucket.reserved))
+	if bucket.burst > 0 { // received tokens of a bucket that does not refill expire by themselves
+		bucket.level = min(bucket.level, max(0, bucket.burst-bucket.reserved))
+	}
 }
 
 // accrue adds the tokens that the bucket refills with in a time. Reserved tokens count towards the capacity, so that returned
@@ -210,10 +212,13 @@
 	return bucket.level+bucket.rate*within.Seconds() >= float64(tokens)
 }
 
-// TimeToNextToken returns how long the bucket takes to refill to a whole token, at most maxRetryAfter.
-func (bucket *Bucket) TimeToNextToken(now spool.Instant) time.Duration {
+// minTokenWait is the shortest wait for a level: shorter ones would be spent on looks while tokens are held back.
+const minTokenWait = 10 * time.Millisecond
+
+// timeToLevel returns how long the bucket takes to refill to a level, which is at least one token, at most maxRetryAfter.
+func (bucket *Bucket) timeToLevel(level float64, now spool.Instant) time.Duration {
 	bucket.refill(now)
-	if bucket.level >= 1 {
+	if bucket.level >= level {
 		return 0
 	}
 	if bucket.teamRate <= 0 {
@@ -222,7 +227,7 @@
 	if bucket.rate <= 0 {
 		return min(maxRetryAfter, max(bucket.requestInterval, time.Duration(float64(time.Second)/bucket.teamRate)))
 	}
-	return min(maxRetryAfter, time.Duration((1-bucket.level)/bucket.rate*float64(time.Second)))
+	return min(maxRetryAfter, max(minTokenWait, time.Duration((level-bucket.level)/bucket.rate*float64(time.Second))))
 }
 
 func (bucket *Bucket) refill(now spool.Instant) {
--- a/internal/core/quota/bucketset.go
+++ b/internal/core/quota/bucketset.go
@@ -98,7 +98,7 @@
 	if !operation.Retry {
 		bucket.RecordDemand(operation.Priority, now)
 	}
-	decision := Decision{Admitted: bucket.Reserve(operation, now), Wait: bucket.TimeToNextToken(now)}
+	decision := Decision{Admitted: bucket.Reserve(operation, now), Wait: bucket.timeToLevel(bucket.needed(operation, now), now)}
 	if !bucketSet.single {
 		decision.AwaitFirst = bucket.awaitsFirst(now)
 	}
--- a/internal/core/quota/pending.go
+++ b/internal/core/quota/pending.go
@@ -63,5 +63,7 @@
 	if len(bucket.pending) == 0 {
 		return transfers, 0
 	}
-	return transfers, max(time.Millisecond, min(pendingLifetime, bucket.TimeToNextToken(now)))
+	first := bucket.pending[0].need.Priority
+	level := bucket.needed(Operation{Priority: first}, now)
+	return transfers, max(minTokenWait, min(pendingLifetime, bucket.timeToLevel(level, now)))
 }
--- a/internal/core/quota/unused.go
+++ b/internal/core/quota/unused.go
@@ -12,7 +12,7 @@
 // which needs a token now and then, keeping them would lose part of the rate.
 const ReturnDelay = 60 * time.Millisecond
 
-// TakeUnused removes the received tokens that neither waiting operations nor the demand until the next look need, and returns how
+// TakeUnused removes the received tokens that neither waiting operations nor the demand within requestWindow need, and returns how
 // many go back to their issuer.
 func (bucketSet *BucketSet) TakeUnused(team spool.Team, waiting int, now spool.Instant) float64 {
 	bucket := bucketSet.buckets[team]
@@ -20,7 +20,7 @@
 		return 0 // its own bucket refills, so it issues what it does not need
 	}
 	bucket.refill(now)
-	needed := max(float64(waiting), math.Round(bucket.demand*ReturnDelay.Seconds()))
+	needed := max(float64(waiting), math.Floor(bucket.demand*requestWindow.Seconds())) // what a request asks for
 	return bucket.debit(math.Floor(bucket.level - needed))
 }
 
@@ -31,6 +31,8 @@
 		return
 	}
 	bucket.refill(now)
+	bucket.demand = max(0, bucket.demand-tokens/demandWindow.Seconds()) // the request counted them
+	bucket.urgent.rate = min(bucket.urgent.rate, bucket.demand)
 	if capacity := bucket.burst - bucket.reserved; bucket.level < capacity {
 		bucket.level = min(capacity, bucket.level+tokens)
 	}
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -120,14 +120,7 @@
 func (session *session) acquire(
 	ctx context.Context, statement *statement, primary bool, avoid []spool.Server,
 ) (*pool.Conn, *spool.Refusal) {
-	wait := maxWait
-	if session.route.Target > 0 {
-		wait = session.route.Target / waitDivisor
-	}
-	deadline := time.Now().Add(wait)
-	if statement.deadline.Before(deadline) {
-		deadline = statement.deadline
-	}
+	deadline := session.waitDeadline(statement)
 	conn, refusal := session.engine.pool.Acquire(ctx, pool.Request{
 		Group: session.route.Group, Team: session.team, Values: session.values,
 		Primary: primary, Avoid: avoid, MinPosition: statement.MinPosition, Priority: session.route.Priority, Deadline: deadline,
@@ -137,6 +130,28 @@
 	return conn, session.explainHome(refusal)
 }
 
+// waitDeadline returns until when a statement waits for a connection, or for room at a server that warms up.
+func (session *session) waitDeadline(statement *statement) time.Time {
+	wait := maxWait
+	if session.route.Target > 0 {
+		wait = session.route.Target / waitDivisor
+	}
+	deadline := time.Now().Add(wait)
+	if statement.deadline.Before(deadline) {
+		return statement.deadline
+	}
+	return deadline
+}
+
+// recheck returns pool.ErrWarmingUp if the session's key or home regions, which were checked before a wait, no longer allow a
+// statement on a connection.
+func (session *session) recheck(conn *pool.Conn) error {
+	if !session.authorized(session.engine.config.Load()) || session.checkHome(conn) != nil {
+		return pool.ErrWarmingUp
+	}
+	return nil
+}
+
 // needsPrimary sets the position that a replica must have applied; it returns true if none is known, so that only the
 // primary can serve the read.
 func (session *session) needsPrimary(ctx context.Context, statement *statement) bool {
@@ -212,12 +227,18 @@
 func (session *session) exchange(statement *statement, conn *pool.Conn, command spool.Command) (spool.Answer, error) {
 	engine := session.engine
 	began := engine.timers.Now()
-	err := engine.pool.AwaitWarmup(conn, began, statement.deadline)
+	waited, err := engine.pool.AwaitWarmup(conn, began, session.waitDeadline(statement))
+	if waited && err == nil {
+		began = engine.timers.Now()
+		err = session.recheck(conn)
+	}
 	if err == nil {
 		err = session.checkSend(conn, began)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, pool.ErrWarmingUp) { // the connection to a server that warms up stays usable
 		engine.pool.RecordFailure(conn, err)
+	}
+	if err != nil {
 		return spool.Answer{}, err
 	}
 	statement.attempts++
--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -63,10 +64,11 @@
 	adapter := evacuations.proxy.adapter
 	for ctx.Err() == nil {
 		after := evacuations.listedVersion()
+		sleep(ctx, checkInterval/2+rand.N(checkInterval)) // also between watches that the store answers at once
 		if after == 0 || !evacuations.proxy.reader.readsForRegion() {
-			sleep(ctx, checkInterval)
 			continue
 		}
+		began := evacuations.proxy.timers.Now()
 		changes, _, err := adapter.Watch(ctx, adapter.EvacuationKind(), after, evacuationWatch)
 		if ctx.Err() != nil {
 			return
@@ -74,8 +76,9 @@
 		if err != nil && !errors.Is(err, spool.ErrCompacted) {
 			sleep(ctx, evacuationRetryDelay)
 		}
-		if err != nil || len(changes) > 0 {
-			err = evacuations.list(ctx) // a watch that fails may have missed changes
+		early := evacuations.proxy.timers.Now().Sub(began) < evacuationWatch
+		if err != nil || len(changes) > 0 || early {
+			err = evacuations.list(ctx) // a watch that fails or ends early may have missed changes
 			if err != nil {
 				sleep(ctx, evacuationRetryDelay)
 			}
@@ -99,7 +102,7 @@
 func (evacuations *evacuations) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	adapter := evacuations.proxy.adapter
+	adapter, began := evacuations.proxy.adapter, evacuations.proxy.timers.Now()
 	objects, version, err := adapter.List(ctx, adapter.EvacuationKind())
 	if err != nil {
 		event.Log(evacuations.proxy.logger, event.EvacuationReadFailed, event.Cause(err))
@@ -111,9 +114,12 @@
 	}
 	evacuations.mutex.Lock()
 	evacuations.listedAt = version
+	fresh := began >= evacuations.resumedAt // an older answer was received while the VM was suspended
 	evacuations.mutex.Unlock()
 	evacuations.apply(version, domains, fromStore)
-	evacuations.settle()
+	if fresh {
+		evacuations.settle()
+	}
 	return nil
 }
 
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -25,6 +25,7 @@
 	buckets     *quota.BucketSet
 	refilled    map[spool.Team]chan struct{} // closed when tokens arrive
 	waiters     map[spool.Team]map[int]int   // by priority
+	sources     map[spool.Team]spool.VM      // issuers that last sent tokens
 	issuing     map[spool.Team]bool          // a look for pending requests that can be met is scheduled
 	prioritized bool                         // the routes differ in priority
 	candidates  []quota.Proxy                // proxies that may issue tokens in a large fleet; empty if all do
@@ -35,7 +36,7 @@
 	return &limiter{
 		timers: timers, buckets: quota.NewBucketSet(), self: self, issuers: map[spool.Team][]quota.Proxy{},
 		requestTokens: func(spool.Team, quota.Decision, []quota.Proxy) {}, logger: zap.NewNop(),
-		sendTokens: func(spool.VM, spool.Team, float64) {}, issuing: map[spool.Team]bool{},
+		sendTokens: func(spool.VM, spool.Team, float64) {}, issuing: map[spool.Team]bool{}, sources: map[spool.Team]spool.VM{},
 		refilled: map[spool.Team]chan struct{}{}, waiters: map[spool.Team]map[int]int{},
 	}
 }
@@ -119,6 +120,7 @@
 	limiter.buckets.Settle(team, reached, limiter.timers.Now())
 	if !reached {
 		limiter.wakeWaiters(team)
+		limiter.scheduleReturn(team)
 	}
 }
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -172,11 +173,17 @@
 			VM: member.VM, Region: settings.Regions[member.Domain], Capacity: member.Capacity,
 		})
 	}
+	if slices.ContainsFunc(fleet, func(proxy quota.Proxy) bool { return proxy.Capacity == 0 }) {
+		// Proxies of an older version rank without capacities and must agree on the issuers of a rate.
+		for i := range fleet {
+			fleet[i].Capacity = rank.ReferenceCapacity
+		}
+	}
 	known := members.registryKnown
 	members.mutex.Unlock()
 	members.proxy.pool.SetFleet(domains, self)
-	members.proxy.warmup.setFleet(fleet)
 	if known {
+		members.proxy.warmup.setFleet(fleet)
 		members.proxy.limiter.setFleet(fleet)
 	}
 }
--- a/internal/fleet/tokens.go
+++ b/internal/fleet/tokens.go
@@ -28,7 +28,16 @@
 	case issues(limiter.self):
 		limiter.issuePending(team, now)
 	case len(issuers) > 0:
-		limiter.timers.After(quota.ReturnDelay, spool.TimerFunc(func(now spool.Instant) { limiter.returnUnused(from, team, now) }))
+		limiter.sources[team] = from
+		limiter.scheduleReturn(team)
+	}
+}
+
+// scheduleReturn has this proxy return the tokens of a team that it does not use, if its bucket does not refill. The caller holds
+// the mutex.
+func (limiter *limiter) scheduleReturn(team spool.Team) {
+	if issuer, known := limiter.sources[team]; known {
+		limiter.timers.After(quota.ReturnDelay, spool.TimerFunc(func(now spool.Instant) { limiter.returnUnused(issuer, team, now) }))
 	}
 }
 
--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -140,6 +140,9 @@
 	deadline := time.Now().Add(loan.idleTimeout)
 	pool.MarkActive(loan.conn)
 	err := loan.conn.DiscardPending(deadline)
+	if err == nil && loan.conn.Strays() {
+		return false // home regions were set since, and the tunnel may lead through another region
+	}
 	began := loan.lender.timers.Now()
 	if err == nil {
 		pool.AwaitEvacuation(began)
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -25,7 +25,8 @@
 
 // heartbeatState tells heartbeats apart that do not replace each other: a digest or a request for one must not get lost.
 type heartbeatState struct {
-	heartbeat, digest, asks, introduces bool
+	heartbeat, digest, introduces bool
+	digestScope, askedScope       uint32 // zero if there is none
 }
 
 // queue holds the messages to one proxy, bounded by number and bytes; it is safe for concurrent use.
@@ -77,7 +78,8 @@
 		return heartbeatState{}
 	}
 	return heartbeatState{
-		heartbeat: true, digest: pulse.Digest != nil, asks: pulse.AskedScope != 0, introduces: pulse.Address != "",
+		heartbeat: true, digest: pulse.Digest != nil, introduces: pulse.Address != "",
+		digestScope: pulse.GetDigest().GetScope(), askedScope: pulse.AskedScope,
 	}
 }
 
--- a/internal/peer/queue_test.go
+++ b/internal/peer/queue_test.go
@@ -54,6 +54,16 @@
 	c := qt.New(t)
 	queue := newQueue()
 	queue.push(pulse(1, &wire.LiveDigest{Hash: 1}))
+	for scope := range uint32(2) { // a request for a smaller scope must not replace that for a larger one
+		asking := pulse(1, nil)
+		asking.GetPulse().AskedScope = 3 - scope
+		queue.push(asking)
+	}
+	c.Assert(queue.length(), qt.Equals, 3)
+	for range 2 {
+		queue.waiting = queue.waiting[:len(queue.waiting)-1]
+	}
+	queue.bytes = queue.waiting[0].bytes
 	for sent := range int64(1000) {
 		c.Assert(queue.push(pulse(2+sent, nil)), qt.IsTrue)
 	}
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -186,7 +187,7 @@
 	}
 	best, bestFit := -1, fitReset+1
 	for i, conn := range server.idle {
-		if conn.team != request.Team || conn.strays() {
+		if conn.team != request.Team || conn.Strays() {
 			continue
 		}
 		if fit := conn.valueFit(request.Values); fit < bestFit {
@@ -224,6 +225,9 @@
 	return grant{server: server, evicted: evicted}, true
 }
 
+// errOpenEnded reports that opening a connection ended without a result.
+var errOpenEnded = errors.New("opening the connection ended without a result")
+
 // open opens the connection that a grant allows. It completes the handshake also if the caller leaves meanwhile: the server has
 // begun it, the connection serves the next request, and a broken handshake would count as a failure of the server.
 func (pool *Pool) open(ctx context.Context, request Request, granted grant) (*Conn, error) {
@@ -238,9 +242,14 @@
 	defer cancel()
 	target, domain := pool.target(granted.server, request.Team)
 	began, restricted := pool.timers.Now(), pool.restricted.Load()
+	err := errOpenEnded // of a panic that is recovered further up
+	defer func() {
+		if err != nil {
+			pool.recordOpenFailure(granted.server, request.Team, err, began)
+		}
+	}()
 	serverConn, tunneled, position, err := pool.connect(ctx, granted.server, target, request.work)
 	if err != nil {
-		pool.recordOpenFailure(granted.server, request.Team, err, began)
 		return nil, err
 	}
 	pool.recordOpened(granted.server, position)
@@ -304,7 +313,7 @@
 	conn.supervising = false
 	group := pool.group(server.spec.Group)
 	surplus := server.open > server.retainLimit
-	closing := conn.broken || server.removed || conn.strays() || pool.evacuation.Load().Closed(server.spec.Domain) ||
+	closing := conn.broken || server.removed || conn.Strays() || pool.evacuation.Load().Closed(server.spec.Domain) ||
 		surplus && !pool.prioritized
 	if closing {
 		server.open--
--- a/internal/pool/evacuation.go
+++ b/internal/pool/evacuation.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderspool.example/spool/internal/core/place"
+	"corianderspool.example/spool/internal/core/queue"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -41,12 +42,30 @@
 				}
 			}
 		}
+		pool.refuseLoans(group, evacuation, now)
 		pool.dispatch(group, now)
 	}
 	pool.mutex.Unlock()
 	closeAll(closing)
 }
 
+// refuseLoans refuses the loans that wait for a server of an evacuated failure domain, so that the borrowers choose another one.
+func (pool *Pool) refuseLoans(group *group, evacuation *place.Evacuation, now spool.Instant) {
+	var refused []*queue.Item[*waiter]
+	group.waiters.Each(func(item *queue.Item[*waiter]) bool {
+		server := group.servers[item.Target.Server]
+		if server != nil && evacuation.Closed(server.spec.Domain) {
+			refused = append(refused, item)
+		}
+		return true
+	})
+	for _, item := range refused {
+		group.waiters.Remove(item)
+		pool.observe(item, WaitRefused, now)
+		item.Value.grants <- grant{refusal: spool.Refuse(spool.CodeNoSlot, "the server's failure domain is evacuated")}
+	}
+}
+
 // Evacuation returns the evacuated failure domains, or nil if there are none.
 func (pool *Pool) Evacuation() *place.Evacuation { return pool.evacuation.Load() }
 
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -35,6 +35,7 @@
 	reopenedAt      spool.Instant // when its failure domain was opened again after an evacuation
 	reopenLimit     int           // statements of this proxy at once while load returns; zero if there is no limit
 	coldUntil       spool.Instant // the server warms up before this instant
+	warmupReport    warmupReport  // newest one
 	removed         bool
 }
 
--- a/internal/pool/home.go
+++ b/internal/pool/home.go
@@ -23,8 +23,8 @@
 	return home.Unrestricted() || home.Allows(conn.domain) && !conn.farTunnel
 }
 
-// strays reports whether the connection goes through a proxy that may be outside the home regions that were set since.
-func (conn *Conn) strays() bool { return conn.farTunnel && conn.pool.restricted.Load() }
+// Strays reports whether the connection goes through a proxy that may be outside the home regions that were set since.
+func (conn *Conn) Strays() bool { return conn.farTunnel && conn.pool.restricted.Load() }
 
 // allows reports whether the request may run on servers in a failure domain.
 func (request *Request) allows(domain spool.Domain) bool {
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -126,7 +126,11 @@
 	if target.Server != "" && server.spec.Server != target.Server || target.Primary && server.spec.Server != capacity.group.primary {
 		return false
 	}
-	return capacity.pool.usable(server, capacity.now)
+	if !capacity.pool.usable(server, capacity.now) {
+		return false
+	}
+	return target.Server != "" || !capacity.group.cold(server, capacity.now) ||
+		capacity.pool.warmupTokens.Available(capacity.group.warmupServer(server), capacity.now)
 }
 
 // hasIdle reports whether a connection of a team is idle.
--- a/internal/pool/wait.go
+++ b/internal/pool/wait.go
@@ -173,9 +173,9 @@
 		server.borrowed--
 		return
 	case granted.conn != nil:
-		server.idle = append(server.idle, granted.conn)
+		pool.keepIdle(granted.conn)
 	case granted.evicted != nil:
-		server.idle = append(server.idle, granted.evicted)
+		pool.keepIdle(granted.evicted)
 		server.handshakes--
 	default:
 		server.open--
@@ -186,6 +186,18 @@
 	pool.dispatch(pool.group(server.spec.Group), now)
 }
 
+// keepIdle returns an unused connection to the idle ones, or closes it if its server was removed or evacuated meanwhile. The caller
+// holds the mutex.
+func (pool *Pool) keepIdle(conn *Conn) {
+	server := conn.server
+	if server.removed || conn.Strays() || pool.evacuation.Load().Closed(server.spec.Domain) {
+		server.open--
+		go closeAll([]*Conn{conn})
+		return
+	}
+	server.idle = append(server.idle, conn)
+}
+
 // refuseWait refuses a request that cannot be served in time; the caller holds the mutex.
 func (pool *Pool) refuseWait(group *group, item *queue.Item[*waiter], expected time.Duration, now spool.Instant) *spool.Refusal {
 	pool.observe(item, WaitRefused, now)
--- a/internal/pool/warmup.go
+++ b/internal/pool/warmup.go
@@ -58,12 +58,20 @@
 	return WarmupServer{Server: server.name, Domain: server.spec.Domain, PerSecond: group.limits.WarmupPerSecond}
 }
 
+// warmupReport is what a server's entry says of its warm-up.
+type warmupReport struct {
+	startMillis int64
+	left        time.Duration
+}
+
 // recordWarmup records until when a server warms up after its registration changed: it reports the remaining time itself, also
 // when it became cold without a restart, and the time since its start is known by the clocks of both.
 func (pool *Pool) recordWarmup(group *group, server *server, now spool.Instant) {
 	wasCold := group.cold(server, now)
-	if server.spec.Warmup > 0 {
-		server.coldUntil = max(server.coldUntil, now.Add(server.spec.Warmup))
+	if reported := (warmupReport{server.spec.StartMillis, server.spec.Warmup}); reported != server.warmupReport {
+		// The same remaining time in a later entry or configuration is the one that was reported before.
+		server.warmupReport = reported
+		server.coldUntil = max(server.coldUntil, now.Add(reported.left))
 	}
 	if server.spec.StartMillis != 0 {
 		age := max(0, time.Since(time.UnixMilli(server.spec.StartMillis)))
@@ -93,21 +101,23 @@
 	return granted, possible
 }
 
-// AwaitWarmup waits until a statement may be sent to a server that warms up; it returns ErrWarmingUp if the deadline passes before.
-func (pool *Pool) AwaitWarmup(conn *Conn, now spool.Instant, deadline time.Time) error {
+// AwaitWarmup waits until a statement may be sent to a server that warms up, and reports whether it waited; it returns
+// ErrWarmingUp if the deadline passes before.
+func (pool *Pool) AwaitWarmup(conn *Conn, now spool.Instant, deadline time.Time) (waited bool, err error) {
 	if int64(now) >= pool.coldUntil.Load() {
-		return nil
+		return false, nil
 	}
 	expiry := conn.warmupExpiry
 	conn.warmupExpiry = 0
 	for {
 		if pool.takeWarmup(conn.server, expiry) {
-			return nil
+			return waited, nil
 		}
 		if time.Now().Add(warmupPoll).After(deadline) {
-			return ErrWarmingUp
+			return waited, ErrWarmingUp
 		}
 		time.Sleep(warmupPoll)
+		waited = true
 	}
 }
 
--- a/internal/super/evacuate.go
+++ b/internal/super/evacuate.go
@@ -10,8 +10,10 @@
 )
 
 // replaceEvacuated replaces a primary in an evacuated failure domain. While commands to that domain's servers are allowed, it
-// does so like for a leaving primary. Later the domain's servers count as not reachable, and no proxy in reach commits at the
-// primary any more: then the acknowledged positions of all proxies decide as at a failover.
+// does so like for a leaving primary. Later the domain's servers count as not reachable, as at a failover. The primary still
+// answers: commits that were sent before, or by proxies that learned late, may be acknowledged after a proxy told its newest
+// position. So these positions never stand in for a replica that does not answer, and without it the group has no primary until
+// the evacuation is withdrawn.
 func (supervisor *Supervisor) replaceEvacuated(ctx context.Context, view pool.GroupView, state *groupState, primary *pool.ServerView) {
 	if !hasSuccessor(view) {
 		supervisor.scheduleRetry(state)
@@ -23,12 +25,21 @@
 		supervisor.switchover(ctx, view, state)
 	case evacuation.Settled(primary.Domain, now):
 		state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
+		state.poll.Complete = false
 		supervisor.failover(ctx, view, state)
 	default:
 		supervisor.scheduleRetry(state)
 	}
 }
 
+// tooLateToSwitchOver reports whether the primary's failure domain was evacuated so long ago that paused replicas there might not
+// be resumed in time; the wait for another holder's token may take longer than a switchover has.
+func (supervisor *Supervisor) tooLateToSwitchOver(view pool.GroupView) bool {
+	primary := findServer(view, view.Primary)
+	evacuation := supervisor.pool.Evacuation()
+	return primary != nil && evacuation.Closed(primary.Domain) && !evacuation.MaySwitchOver(primary.Domain, supervisor.timers.Now())
+}
+
 // evacuatedSince reports whether the failure domain of a server was evacuated after the view was taken.
 func (supervisor *Supervisor) evacuatedSince(view pool.GroupView, name spool.Server) bool {
 	server := findServer(view, name)
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -67,6 +67,10 @@
 	if !ok {
 		return
 	}
+	if supervisor.tooLateToSwitchOver(view) {
+		supervisor.scheduleRetry(state)
+		return
+	}
 	candidates := supervisor.queryCandidates(view)
 	chosen, found := elect.ChooseSwitchover(candidates)
 	decision := elect.Safe
