Tell callers that a transaction was rolled back while it waited, and keep rankings of lenders

MALFORMED promises nothing, so callers did not repeat them. The next statement is now answered ABORTED, which is true.

Lenders were ranked among all members for each statement and server, and again for each class of waiting requests at each dispatch; a ranking is kept for 100 ms now.

--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -202,7 +202,12 @@
 	if session.tx.conn != nil && !session.engine.draining.Load() {
 		event.Log(session.engine.logger, event.IdleTransactionRolledBack, zap.String("Route", session.routeName),
 			zap.String("Server", string(session.tx.conn.Server())))
+		reason := "the transaction was idle for too long"
+		if !session.authorized(session.engine.config.Load()) {
+			reason = "the key or route was withdrawn"
+		}
 		session.failTx()
+		session.txRefusal = spool.Refuse(spool.CodeRolledBack, reason) // nothing is kept, so the caller may repeat it
 	}
 	return false
 }
--- a/internal/fleet/borrower.go
+++ b/internal/fleet/borrower.go
@@ -14,6 +14,8 @@
 const (
 	maxRanked       = 2                      // proxies per subject, such as a team's connections to a server; a busy team overflows to the second
 	borrowTimeout   = 300 * time.Millisecond // a round trip between regions and the handshake of a busy server
+	rankingLifetime = 100 * time.Millisecond // well below the time after which a silent proxy counts as lost
+	maxRankings     = 4096                   // servers times teams of a large fleet that one proxy serves at a time
 	suspectDuration = time.Second            // skips a proxy that did not answer; two heartbeats show whether it is live
 )
 
@@ -22,16 +24,45 @@
 	proxy    *Proxy
 	mutex    sync.Mutex
 	suspects map[spool.VM]spool.Instant // when each proxy last failed to answer
+	ranked   map[rankedSubject]rankedLenders
+}
+
+// rankedSubject is what lenders are ranked for.
+type rankedSubject struct {
+	server spool.Server
+	team   spool.Team
+}
+
+// rankedLenders are lenders as they ranked at an instant.
+type rankedLenders struct {
+	lenders []spool.VM
+	at      spool.Instant
 }
 
 func newBorrower(proxy *Proxy) *borrower {
-	return &borrower{proxy: proxy, suspects: map[spool.VM]spool.Instant{}}
+	return &borrower{proxy: proxy, suspects: map[spool.VM]spool.Instant{}, ranked: map[rankedSubject]rankedLenders{}}
 }
 
 // PreferredLenders returns the proxies of the server's region that pool a team's connections to it, best first. If this
 // proxy is one of them, only those that rank higher are returned.
+//
+// A ranking takes time that grows with the fleet and is asked for several times a statement, so it is kept for rankingLifetime.
 func (borrower *borrower) PreferredLenders(server spool.Server, domain spool.Domain, team spool.Team) []spool.VM {
-	return borrower.proxy.members.topRanked(string(server)+"\x00"+string(team), domain, borrower.suspected)
+	subject, now := rankedSubject{server, team}, borrower.proxy.timers.Now()
+	borrower.mutex.Lock()
+	known, found := borrower.ranked[subject]
+	borrower.mutex.Unlock()
+	if found && now.Sub(known.at) < rankingLifetime {
+		return known.lenders
+	}
+	lenders := borrower.proxy.members.topRanked(string(server)+"\x00"+string(team), domain, borrower.suspected)
+	borrower.mutex.Lock()
+	defer borrower.mutex.Unlock()
+	if len(borrower.ranked) >= maxRankings {
+		clear(borrower.ranked)
+	}
+	borrower.ranked[subject] = rankedLenders{lenders, now}
+	return lenders
 }
 
 func (borrower *borrower) suspected(vm spool.VM, now spool.Instant) bool {
@@ -71,4 +102,5 @@
 	borrower.mutex.Lock()
 	defer borrower.mutex.Unlock()
 	borrower.suspects[vm] = borrower.proxy.timers.Now()
+	clear(borrower.ranked)
 }
