Count the other proxies' positions once no commit of an evacuated primary can be acknowledged

The positions count now once the bound for learning of the evacuation and the time for the statements sent before have passed, 7 s with a bound of 5 s.

--- a/internal/core/place/evacuation.go
+++ b/internal/core/place/evacuation.go
@@ -18,6 +18,8 @@
 	// SettledTime is when every proxy in reach has ended its transactions in the failure domain: the others learn of the
 	// evacuation within 500 ms of this proxy.
 	SettledTime = TransactionTime + 500*time.Millisecond
+	// answerTime is how long a statement that was sent before an evacuation may still be answered: the usual timeout of a route.
+	answerTime = 2 * time.Second
 	// EvacuationRetry is the retry hint to callers whose group has no server outside the evacuated failure domains.
 	EvacuationRetry = time.Second
 )
@@ -36,6 +38,7 @@
 // the failure that an operator predicts: a failure domain that is about to lose power or its network.
 type Evacuation struct {
 	since map[spool.Domain]spool.Instant // when this proxy learned of each
+	bound time.Duration                  // as of EvacuationRecord
 }
 
 // Closed reports whether new work must not be sent to a failure domain.
@@ -70,6 +73,16 @@
 	return evacuated && now.Sub(since) >= SettledTime
 }
 
+// Answered reports whether no proxy acknowledges commits of the servers of an evacuated failure domain any more: the bound for
+// learning of the evacuation has passed everywhere, and so has the time for the statements that were sent before.
+func (evacuation *Evacuation) Answered(domain spool.Domain, now spool.Instant) bool {
+	if evacuation == nil {
+		return false
+	}
+	since, evacuated := evacuation.since[domain]
+	return evacuated && now.Sub(since) >= evacuation.bound+answerTime
+}
+
 // Domains returns the evacuated failure domains in alphabetical order.
 func (evacuation *Evacuation) Domains() []spool.Domain {
 	if evacuation == nil {
@@ -86,6 +99,7 @@
 // EvacuationRecord is the newest set that a proxy knows, with the version of the store at which it was read.
 type EvacuationRecord struct {
 	Version spool.Version // zero if no set is known
+	Bound   time.Duration // within which every proxy in reach learns of an evacuation
 	Current *Evacuation
 }
 
@@ -115,7 +129,7 @@
 	slices.Sort(added)
 	record.Current = nil
 	if len(since) > 0 {
-		record.Current = &Evacuation{since: since}
+		record.Current = &Evacuation{since: since, bound: record.Bound}
 	}
 	return slices.Compact(added), removed
 }
--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -41,6 +41,7 @@
 
 func newEvacuations(proxy *Proxy) *evacuations {
 	evacuations := &evacuations{proxy: proxy, remaining: map[spool.Domain]bool{}, tunnels: map[net.Conn]spool.Domain{}}
+	evacuations.record.Bound = proxy.settings.Bounds.Evacuate
 	evacuations.lastTick.Store(int64(proxy.timers.Now()))
 	return evacuations
 }
--- a/internal/super/evacuate.go
+++ b/internal/super/evacuate.go
@@ -12,8 +12,7 @@
 // replaceEvacuated replaces a primary in an evacuated failure domain. While commands to that domain's servers are allowed, it
 // does so like for a leaving primary. Later the domain's servers count as not reachable, as at a failover. The primary still
 // answers: commits that were sent before, or by proxies that learned late, may be acknowledged after a proxy told its newest
-// position. So these positions never stand in for a replica that does not answer, and without it the group has no primary until
-// the evacuation is withdrawn.
+// position. So these positions stand in for a replica that does not answer only once no proxy acknowledges commits any more.
 func (supervisor *Supervisor) replaceEvacuated(ctx context.Context, view pool.GroupView, state *groupState, primary *pool.ServerView) {
 	if !hasSuccessor(view) {
 		supervisor.scheduleRetry(state)
@@ -25,7 +24,7 @@
 		supervisor.switchover(ctx, view, state)
 	case evacuation.Settled(primary.Domain, now):
 		state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
-		state.poll.Complete = false
+		state.poll.Complete = state.poll.Complete && evacuation.Answered(primary.Domain, now)
 		supervisor.failover(ctx, view, state)
 	default:
 		supervisor.scheduleRetry(state)
