--- a/internal/leader/executor_test.go
+++ b/internal/leader/executor_test.go
@@ -215,9 +215,9 @@
 	}()
 	time.Sleep(20 * time.Millisecond)
 	fixture.group.MarkDown("primary")
+	fixture.group.SetFence(terms.Fence{Term: 2, Until: spool.Instant(time.Minute)}) // before the term, as the node does
 	fixture.group.OpenTerm(terms.Open{Term: 2, Primary: "replica", Start: 10})
 	fixture.group.RecordStatus(spool.ServerStatus{Server: "replica", Term: 2, Position: 10, Primary: true}, 0)
-	fixture.group.SetFence(terms.Fence{Term: 2, Until: spool.Instant(time.Minute)})
 	select {
 	case text := <-done:
 		fixture.Assert(text, qt.Equals, "good")
