leader: a canceled caller no longer marks a server down, and a lost server costs no request

A dial that ended because its caller canceled the request marked the healthy server as down. Requests that held a slot on it and had no connection yet were then refused with 53300, although other servers could run them.

--- a/internal/core/slots/queue.go
+++ b/internal/core/slots/queue.go
@@ -138,6 +138,9 @@
 	return len(queue.overdue) < before
 }
 
+// AcceptsWork reports whether a server is up and not leaving.
+func (queue *Queue) AcceptsWork(server int) bool { return queue.servers[server].acceptsWork() }
+
 // ReserveConnection reserves one of a server's connections and reports whether its limit allows it.
 func (queue *Queue) ReserveConnection(server int) bool {
 	limited := &queue.servers[server]
--- a/internal/leader/executor.go
+++ b/internal/leader/executor.go
@@ -81,8 +81,8 @@
 		if err != nil {
 			return err
 		}
-		pooledConn, refusal := executor.group.connect(ctx, slot.server)
-		if refusal == nil {
+		pooledConn, err := executor.group.connect(ctx, slot.server)
+		if err == nil {
 			executor.slot, executor.conn = slot, pooledConn
 			if slot.primary {
 				executor.group.trackPrimaryConn(pooledConn, slot.term)
@@ -90,8 +90,13 @@
 			return nil
 		}
 		executor.group.releaseSlot(slot.server, executor.request.Team)
-		if refusal.Code == spool.CodeNoSlot || executor.group.timers.Now() >= executor.request.Deadline {
-			return refusal
+		if errors.Is(err, errServersChanged) {
+			continue
+		}
+		var refusal *spool.Refusal
+		unreachable := errors.As(err, &refusal) && refusal.Code == spool.CodeNoPrimary
+		if !unreachable || executor.group.timers.Now() >= executor.request.Deadline {
+			return err
 		}
 		executor.group.MarkDown(executor.group.serverName(slot.server))
 		_ = clock.Wait(ctx, executor.group.timers, redialDelay)
--- a/internal/leader/pool.go
+++ b/internal/leader/pool.go
@@ -41,26 +41,34 @@
 	pool.idle = nil
 }
 
-// connect returns an idle connection to a server or opens a new one.
-func (group *Group) connect(ctx context.Context, server int) (*pooledConn, *spool.Refusal) {
+// connect returns an idle connection to a server or opens a new one. It returns errServersChanged if the server was marked down
+// or is leaving since the slot was granted, so that the request gets a slot on another server.
+func (group *Group) connect(ctx context.Context, server int) (*pooledConn, error) {
 	group.mutex.Lock()
 	if pooledConn := group.pools[server].popIdle(); pooledConn != nil {
 		group.mutex.Unlock()
 		return pooledConn, nil
 	}
 	spec := group.specs[server]
+	available := group.queue.AcceptsWork(server)
 	allowed := group.queue.ReserveConnection(server)
 	group.mutex.Unlock()
+	if !available {
+		return nil, errServersChanged
+	}
 	if !allowed {
 		return nil, noSlotRefusal(dialTimeout)
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := group.dial(ctx, spec)
+	conn, err := group.dial(dialCtx, spec)
 	if err != nil {
 		group.mutex.Lock()
 		group.queue.ReleaseConnection(server)
 		group.mutex.Unlock()
+		if ctx.Err() != nil { // the caller ended the attempt, which says nothing about the server
+			return nil, canceledRefusal()
+		}
 		return nil, &spool.Refusal{
 			Verdict: spool.VerdictNotRun, Code: spool.CodeNoPrimary, RetryAfter: noPrimaryRetryAfter, Cause: err,
 			Message: "server " + string(spec.Name) + " cannot be reached",
@@ -112,8 +120,8 @@
 	group.mutex.Unlock()
 	pooledConns := []*pooledConn{}
 	for range missing {
-		pooledConn, refusal := group.connect(context.Background(), server)
-		if refusal != nil {
+		pooledConn, err := group.connect(context.Background(), server)
+		if err != nil {
 			break
 		}
 		pooledConns = append(pooledConns, pooledConn)
