--- a/internal/engine/caller_test.go
+++ b/internal/engine/caller_test.go
@@ -9,6 +9,23 @@
 	"corianderspool.example/spool/internal/pool"
 )
 
+// heldShare is the number of connections to each server that the only proxy may open: the limit of the fixture's group, less the
+// one that the pool keeps for the proxies' own commands.
+const heldShare = 9
+
+// holdShare takes all connections to the primary, so that the next statement waits for one.
+func (fixture *fixture) holdShare() []*pool.Conn {
+	var held []*pool.Conn
+	for range heldShare {
+		conn, refusal := fixture.pool.Acquire(fixture.Context(), pool.Request{
+			Group: "g1", Team: "red", Primary: true, Deadline: time.Now().Add(5 * time.Second), IdleTimeout: time.Minute,
+		})
+		qt.Assert(fixture, refusal == nil, qt.IsTrue)
+		held = append(held, conn)
+	}
+	return held
+}
+
 // TestCallerThatLeavesWhileQueued closes a caller's connection while its statement waits for a connection to the server: its
 // place in the queue and its token are free at once, and the statement never reaches the server.
 func TestCallerThatLeavesWhileQueued(t *testing.T) {
@@ -20,14 +37,7 @@
 	fixture.config.Routes["primary"] = route
 	fixture.config.Revision++
 	fixture.setConfig(fixture.config)
-	var held []*pool.Conn
-	for range 9 { // all of this proxy's share
-		conn, refusal := fixture.pool.Acquire(t.Context(), pool.Request{
-			Group: "g1", Team: "red", Primary: true, Deadline: time.Now().Add(5 * time.Second), IdleTimeout: time.Minute,
-		})
-		c.Assert(refusal == nil, qt.IsTrue)
-		held = append(held, conn)
-	}
+	held := fixture.holdShare()
 	caller := fixture.connect("primary", "key-red")
 	go func() { _ = caller.Query("WRITE item one") }()
 	waiting := func() int { return fixture.pool.WaitingByPriority()[0] }
@@ -45,16 +55,8 @@
 // TestStatementAfterAWait runs a statement that waited for a connection, and another one in the same session: the watch of the
 // caller's connection must not end the session.
 func TestStatementAfterAWait(t *testing.T) {
-	c := qt.New(t)
 	fixture := newFixture(t)
-	var held []*pool.Conn
-	for range 9 {
-		conn, refusal := fixture.pool.Acquire(t.Context(), pool.Request{
-			Group: "g1", Team: "red", Primary: true, Deadline: time.Now().Add(5 * time.Second), IdleTimeout: time.Minute,
-		})
-		c.Assert(refusal == nil, qt.IsTrue)
-		held = append(held, conn)
-	}
+	held := fixture.holdShare()
 	caller := fixture.connect("primary", "key-red")
 	go func() {
 		time.Sleep(50 * time.Millisecond)
--- a/internal/engine/evacuation.go
+++ b/internal/engine/evacuation.go
@@ -11,6 +11,12 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
+// Reasons in refusals of statements that were not sent.
+const (
+	evacuatedReason = "the server's failure domain is evacuated"
+	warmingUpReason = "the server warms up"
+)
+
 // EndEvacuatedTransactions wakes the sessions that idle in a transaction at a server of an evacuated failure domain after the
 // time for open transactions; each rolls its transaction back. A session that is busy learns of it at its next statement.
 func (engine *Engine) EndEvacuatedTransactions() {
@@ -31,20 +37,21 @@
 
 // evacuatedTx returns the refusal for a statement of a transaction that was rolled back because of an evacuation.
 func evacuatedTx(cause error) *spool.Refusal {
-	return spool.Refuse(spool.CodeRolledBack, "the server's failure domain is evacuated").WithRetryAfter(busyRetryDelay).WithCause(cause)
+	return spool.Refuse(spool.CodeRolledBack, evacuatedReason).WithRetryAfter(busyRetryDelay).WithCause(cause)
 }
 
 // notSent returns the answer for a statement that was not sent because of an evacuation or a server that warms up; false means
 // that it may have been sent.
 func notSent(err error) (spool.Answer, bool) {
-	if errors.Is(err, pool.ErrWarmingUp) {
-		refusal := spool.Refuse(spool.CodeNoSlot, "the server warms up").WithRetryAfter(warmupRetry).WithCause(err)
-		return spool.Answer{Refusal: refusal, State: spool.TxIdle}, true
-	}
-	if !errors.Is(err, pool.ErrEvacuated) {
+	var refusal *spool.Refusal
+	switch {
+	case errors.Is(err, pool.ErrWarmingUp):
+		refusal = spool.Refuse(spool.CodeNoSlot, warmingUpReason).WithRetryAfter(warmupRetry).WithCause(err)
+	case errors.Is(err, pool.ErrEvacuated):
+		refusal = spool.Refuse(spool.CodeNoPrimary, evacuatedReason).WithRetryAfter(place.EvacuationRetry).WithCause(err)
+	default:
 		return spool.Answer{}, false
 	}
-	refusal := spool.Refuse(spool.CodeNoPrimary, "the server's failure domain is evacuated").WithRetryAfter(place.EvacuationRetry).WithCause(err)
 	return spool.Answer{Refusal: refusal, State: spool.TxIdle}, true
 }
 
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -218,7 +218,7 @@
 func (session *session) setupFailed(conn *pool.Conn, cause error) *spool.Refusal {
 	session.engine.pool.RecordFailure(conn, cause)
 	if errors.Is(cause, pool.ErrEvacuated) {
-		return spool.Refuse(spool.CodeNoSlot, "the server's failure domain is evacuated").WithRetryAfter(busyRetryDelay).WithCause(cause)
+		return spool.Refuse(spool.CodeNoSlot, evacuatedReason).WithRetryAfter(busyRetryDelay).WithCause(cause)
 	}
 	return spool.Refuse(spool.CodeNoSlot, "the connection could not be prepared").WithRetryAfter(setupTimeout).WithCause(cause)
 }
@@ -235,10 +235,10 @@
 	if err == nil {
 		err = session.checkSend(conn, began)
 	}
-	if err != nil && !errors.Is(err, pool.ErrWarmingUp) { // the connection to a server that warms up stays usable
-		engine.pool.RecordFailure(conn, err)
-	}
 	if err != nil {
+		if !errors.Is(err, pool.ErrWarmingUp) { // the connection to a server that warms up stays usable
+			engine.pool.RecordFailure(conn, err)
+		}
 		return spool.Answer{}, err
 	}
 	statement.attempts++
--- a/internal/engine/panic_test.go
+++ b/internal/engine/panic_test.go
@@ -37,11 +37,7 @@
 	sessions := 2 * fixture.config.Groups["g1"].Connections
 	for session := range sessions {
 		caller := newScriptedCaller()
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			faulty.Serve(context.Background(), caller)
-		}()
+		done := serve(faulty, caller)
 		caller.messages <- spool.CallerMessage{Kind: spool.MessageOpen, Route: "primary", Key: "key-red"}
 		<-caller.answers
 		if session%2 == 0 {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -170,8 +170,10 @@
 	}
 }
 
+const withdrawnReason = "the key or route was withdrawn"
+
 func withdrawn() *spool.Refusal {
-	return spool.Refuse(spool.CodeBadKey, "the key or route was withdrawn")
+	return spool.Refuse(spool.CodeBadKey, withdrawnReason)
 }
 
 // receiveDeadline returns the deadline of the next message, or zero; it bounds the idle time of a transaction at a server.
@@ -204,7 +206,7 @@
 			zap.String("Server", string(session.tx.conn.Server())))
 		reason := "the transaction was idle for too long"
 		if !session.authorized(session.engine.config.Load()) {
-			reason = "the key or route was withdrawn"
+			reason = withdrawnReason
 		}
 		session.failTx()
 		session.txRefusal = spool.Refuse(spool.CodeRolledBack, reason) // nothing is kept, so the caller may repeat it
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -13,7 +13,7 @@
 // runInTx runs a statement of an open transaction.
 func (session *session) runInTx(ctx context.Context, statement *statement) spool.Answer {
 	if !session.authorized(session.engine.config.Load()) {
-		refusal := spool.Refuse(spool.CodeRolledBack, "the key or route was withdrawn")
+		refusal := spool.Refuse(spool.CodeRolledBack, withdrawnReason)
 		return session.failTxWith(statement, spool.Answer{Refusal: refusal})
 	}
 	command := statement.Command
@@ -86,7 +86,7 @@
 	case errors.Is(err, pool.ErrEvacuated):
 		return spool.Answer{Refusal: evacuatedTx(err)}
 	case errors.Is(err, pool.ErrWarmingUp):
-		return spool.Answer{Refusal: spool.Refuse(spool.CodeRolledBack, "the server warms up").WithRetryAfter(warmupRetry).WithCause(err)}
+		return spool.Answer{Refusal: spool.Refuse(spool.CodeRolledBack, warmingUpReason).WithRetryAfter(warmupRetry).WithCause(err)}
 	case statement.Verb == spool.VerbCommit && session.tx.wrote:
 		return spool.Answer{Refusal: &spool.Refusal{
 			Verdict: spool.VerdictUnknown, Code: spool.CodeOutcomeUnknown, Message: "no answer to the commit", Cause: err,
--- a/internal/engine/withdrawal_test.go
+++ b/internal/engine/withdrawal_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"corianderspool.example/spool/internal/engine"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -63,12 +64,18 @@
 	return <-scriptedCaller.answers
 }
 
-func (fixture *fixture) serve(caller *scriptedCaller) {
-	done := make(chan struct{})
+// serve runs a session in the background; the channel is closed when it has ended.
+func serve(engine *engine.Engine, caller *scriptedCaller) (done chan struct{}) {
+	done = make(chan struct{})
 	go func() {
 		defer close(done)
-		fixture.engine.Serve(context.Background(), caller)
+		engine.Serve(context.Background(), caller)
 	}()
+	return done
+}
+
+func (fixture *fixture) serve(caller *scriptedCaller) {
+	done := serve(fixture.engine, caller)
 	fixture.Cleanup(func() {
 		close(caller.messages)
 		<-done
@@ -120,11 +127,7 @@
 	for range 50 {
 		fixture.setConfig(fixture.config)
 		caller := newScriptedCaller()
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			fixture.engine.Serve(context.Background(), caller)
-		}()
+		done := serve(fixture.engine, caller)
 		opened := make(chan bool)
 		go func() {
 			caller.messages <- spool.CallerMessage{Kind: spool.MessageOpen, Route: "primary", Key: "key-red"}
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -93,6 +93,11 @@
 	StoreReadFailed     Number = 712
 	LendRefused         Number = 713
 
+	ConfigFetched       Number = 760
+	ConfigFetchFailed   Number = 761
+	ConfigCorrupted     Number = 762
+	PeerMessagesDropped Number = 763
+
 	EvacuationStarted              Number = 770
 	EvacuationComplete             Number = 771
 	EvacuationWithdrawn            Number = 772
@@ -103,23 +108,18 @@
 
 	ServerWarmingUp Number = 780
 
-	WaitRefused   Number = 790
-	LoanWithdrawn Number = 791
-
-	RateRefused Number = 792
-
-	PanicRecovered Number = 800
-
 	StoreEraFirstSeen    Number = 785
 	StoreFellBack        Number = 786
 	StoreAnswerRejected  Number = 787
 	RegistrationRestored Number = 788
 	OlderConfigIgnored   Number = 789
 
-	ConfigFetched       Number = 760
-	ConfigFetchFailed   Number = 761
-	ConfigCorrupted     Number = 762
-	PeerMessagesDropped Number = 763
+	WaitRefused   Number = 790
+	LoanWithdrawn Number = 791
+
+	RateRefused Number = 792
+
+	PanicRecovered Number = 800
 )
 
 var kinds = map[Number]Kind{
@@ -186,25 +186,25 @@
 	TunnelRefused:                  {Level: zapcore.WarnLevel, Text: "stream to a backend server not relayed", PerSecond: serverLimit},
 	StoreReadFailed:                {Level: zapcore.WarnLevel, Text: "reading the store failed", PerSecond: serverLimit},
 	LendRefused:                    {Level: zapcore.InfoLevel, Text: "connection not lent", PerSecond: serverLimit},
+	ConfigFetched:                  {Level: zapcore.InfoLevel, Text: "configuration fetched from a proxy", PerSecond: peerLimit},
+	ConfigFetchFailed:              {Level: zapcore.InfoLevel, Text: "configuration not fetched from a proxy", PerSecond: peerLimit},
+	ConfigCorrupted:                {Level: zapcore.WarnLevel, Text: "proxy sent a wrong configuration", PerSecond: peerLimit},
+	PeerMessagesDropped:            {Level: zapcore.WarnLevel, Text: "messages to a proxy dropped", PerSecond: auditLimit},
 	EvacuationStarted:              {Level: zapcore.WarnLevel, Text: "failure domain evacuated"},
 	EvacuationComplete:             {Level: zapcore.InfoLevel, Text: "last request left the evacuated failure domain"},
 	EvacuationWithdrawn:            {Level: zapcore.InfoLevel, Text: "evacuation withdrawn"},
 	EvacuatedTransactionRolledBack: {Level: zapcore.InfoLevel, Text: "transaction rolled back because of an evacuation", PerSecond: callerLimit},
 	HomeRegionUnknown:              {Level: zapcore.ErrorLevel, Text: "home region unknown"},
 	ClockJumped:                    {Level: zapcore.WarnLevel, Text: "VM was suspended", PerSecond: serverLimit},
-	ServerWarmingUp:                {Level: zapcore.InfoLevel, Text: "backend server warms up", PerSecond: serverLimit},
 	EvacuationReadFailed:           {Level: zapcore.WarnLevel, Text: "reading the evacuations failed", PerSecond: serverLimit},
-	WaitRefused:                    {Level: zapcore.InfoLevel, Text: "request refused in the queue for connections", PerSecond: requestLimit},
-	LoanWithdrawn:                  {Level: zapcore.InfoLevel, Text: "waiting loan withdrawn", PerSecond: serverLimit},
-	RateRefused:                    {Level: zapcore.InfoLevel, Text: "no token of the team's rate", PerSecond: requestLimit},
-	PanicRecovered:                 {Level: zapcore.ErrorLevel, Text: "panic recovered", PerSecond: panicLimit},
+	ServerWarmingUp:                {Level: zapcore.InfoLevel, Text: "backend server warms up", PerSecond: serverLimit},
 	StoreEraFirstSeen:              {Level: zapcore.InfoLevel, Text: "era of the store first seen"},
 	StoreFellBack:                  {Level: zapcore.WarnLevel, Text: "store fell back to an older copy"},
 	StoreAnswerRejected:            {Level: zapcore.WarnLevel, Text: "answer of the store with an older or malformed era not accepted", PerSecond: serverLimit},
 	RegistrationRestored:           {Level: zapcore.InfoLevel, Text: "registration of this proxy written again"},
 	OlderConfigIgnored:             {Level: zapcore.WarnLevel, Text: "older configuration of the store ignored", PerSecond: serverLimit},
-	ConfigFetched:                  {Level: zapcore.InfoLevel, Text: "configuration fetched from a proxy", PerSecond: peerLimit},
-	ConfigFetchFailed:              {Level: zapcore.InfoLevel, Text: "configuration not fetched from a proxy", PerSecond: peerLimit},
-	ConfigCorrupted:                {Level: zapcore.WarnLevel, Text: "proxy sent a wrong configuration", PerSecond: peerLimit},
-	PeerMessagesDropped:            {Level: zapcore.WarnLevel, Text: "messages to a proxy dropped", PerSecond: auditLimit},
+	WaitRefused:                    {Level: zapcore.InfoLevel, Text: "request refused in the queue for connections", PerSecond: requestLimit},
+	LoanWithdrawn:                  {Level: zapcore.InfoLevel, Text: "waiting loan withdrawn", PerSecond: serverLimit},
+	RateRefused:                    {Level: zapcore.InfoLevel, Text: "no token of the team's rate", PerSecond: requestLimit},
+	PanicRecovered:                 {Level: zapcore.ErrorLevel, Text: "panic recovered", PerSecond: panicLimit},
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -9,6 +9,7 @@
 	"corianderspool.example/spool/internal/event"
 )
 
+// Bounds on a log entry: the value of a panic and its stack can be of any length.
 const (
 	maxPanicBytes = 512     // of the panic's value in the log
 	maxStackBytes = 4 << 10 // of the stack in the log
--- a/internal/metric/sample.go
+++ b/internal/metric/sample.go
@@ -39,6 +39,10 @@
 	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
 }
 
+func sendGauge(metrics chan<- prometheus.Metric, desc *prometheus.Desc, value float64, labels ...string) {
+	metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
+}
+
 // Describe sends the descriptions of all metrics.
 func (sampler sampler) Describe(descs chan<- *prometheus.Desc) {
 	descs <- sessionsDesc
@@ -52,21 +56,18 @@
 // Collect takes a sample and sends its metrics.
 func (sampler sampler) Collect(metrics chan<- prometheus.Metric) {
 	sample := sampler()
-	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
-		metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
-	}
-	gauge(sessionsDesc, float64(sample.Sessions))
-	gauge(leasesDesc, float64(sample.GroupLeases), "group")
-	gauge(leasesDesc, float64(sample.TeamLeases), "team")
+	sendGauge(metrics, sessionsDesc, float64(sample.Sessions))
+	sendGauge(metrics, leasesDesc, float64(sample.GroupLeases), "group")
+	sendGauge(metrics, leasesDesc, float64(sample.TeamLeases), "team")
 	metrics <- prometheus.MustNewConstMetric(auditLostDesc, prometheus.CounterValue, float64(sample.AuditLost))
 	for domain, remaining := range sample.Evacuated {
-		gauge(evacuatedDesc, float64(remaining.Connections), string(domain), "connections")
-		gauge(evacuatedDesc, float64(remaining.Statements), string(domain), "statements")
+		sendGauge(metrics, evacuatedDesc, float64(remaining.Connections), string(domain), "connections")
+		sendGauge(metrics, evacuatedDesc, float64(remaining.Statements), string(domain), "statements")
 	}
 	if sample.StoreEra > 0 {
-		gauge(storeEraDesc, float64(sample.StoreEra))
+		sendGauge(metrics, storeEraDesc, float64(sample.StoreEra))
 	}
 	for partner, version := range sample.Versions {
-		gauge(versionDesc, float64(version), string(partner))
+		sendGauge(metrics, versionDesc, float64(version), string(partner))
 	}
 }
--- a/internal/metric/spread.go
+++ b/internal/metric/spread.go
@@ -75,12 +75,9 @@
 // Collect takes a sample and sends its metrics.
 func (sampler spreadSampler) Collect(metrics chan<- prometheus.Metric) {
 	sample := sampler()
-	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
-		metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
-	}
-	gauge(configInEffectDesc, float64(sample.InEffect))
-	gauge(configNewestDesc, float64(sample.Newest))
-	gauge(configAgeDesc, sample.NewestAge.Seconds())
-	gauge(transfersDesc, float64(sample.Fetching), "fetch")
-	gauge(transfersDesc, float64(sample.Serving), "serve")
+	sendGauge(metrics, configInEffectDesc, float64(sample.InEffect))
+	sendGauge(metrics, configNewestDesc, float64(sample.Newest))
+	sendGauge(metrics, configAgeDesc, sample.NewestAge.Seconds())
+	sendGauge(metrics, transfersDesc, float64(sample.Fetching), "fetch")
+	sendGauge(metrics, transfersDesc, float64(sample.Serving), "serve")
 }
--- a/internal/metric/wait.go
+++ b/internal/metric/wait.go
@@ -86,6 +86,6 @@
 		lengths[priorityLabel(priority)] += length
 	}
 	for label, length := range lengths {
-		metrics <- prometheus.MustNewConstMetric(queueLengthDesc, prometheus.GaugeValue, float64(length), label)
+		sendGauge(metrics, queueLengthDesc, float64(length), label)
 	}
 }
--- a/scripts/regress.sh
+++ b/scripts/regress.sh
@@ -26,6 +26,11 @@
 for site in "$@"; do
   name=$(basename "$site" .toml)
   before=$(last "$name" HEAD)
-  "$bench" score "$site" --quick --jobs "${JOBS:-2}" --why "$why" | grep -E '^(GATE|[a-z]+-[0-9]+ +[0-9])' || true
+  status=0
+  output=$("$bench" score "$site" --quick --jobs "${JOBS:-2}" --why "$why") || status=$?
+  grep -E '^(GATE|[a-z]+-[0-9]+ +[0-9])' <<<"$output" || true # a score may have no such line
+  if [ "$status" -ne 0 ]; then
+    echo "score of $site ended with status $status; the newest entry may be that of an earlier score" >&2
+  fi
   printf '%-26s before: %s\n%-26s now:    %s\n' "$name" "$before" "" "$(last "$name" "")"
 done
