engine: check the key again after the wait for a connection

A statement that waited for a connection while its key was withdrawn was sent once a connection was free, so the key worked for up to half a second more at that proxy. The same held for a retry after a wait for a server that warms up. acquire now checks the grant after the wait and refuses as not run.

--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -127,6 +127,10 @@
 		IdleTimeout: max(session.route.Timeout, session.engine.config.Load().TxIdle), Allowed: session.allowed(),
 	})
 	session.inUse = conn
+	if refusal == nil && !session.authorized(session.engine.config.Load()) {
+		session.release(conn) // the key was withdrawn during the wait
+		return nil, withdrawn()
+	}
 	return conn, session.explainHome(refusal)
 }
 
--- a/internal/engine/withdrawal_test.go
+++ b/internal/engine/withdrawal_test.go
@@ -117,6 +117,33 @@
 	}
 }
 
+// TestNoWriteAfterWithdrawalDuringWait guards against a write that waits for a connection while its key is withdrawn, and is sent
+// once a connection is free.
+func TestNoWriteAfterWithdrawalDuringWait(t *testing.T) {
+	c := qt.New(t)
+	fixture := newFixture(t)
+	held := fixture.holdShare()
+	caller := newScriptedCaller()
+	fixture.serve(caller)
+	caller.messages <- spool.CallerMessage{Kind: spool.MessageOpen, Route: "primary", Key: "key-red"}
+	c.Assert((<-caller.answers).State, qt.Equals, spool.TxIdle)
+	command := spool.Command{ID: "id", Verb: spool.VerbWrite, Text: "WRITE item one"}
+	caller.messages <- spool.CallerMessage{Kind: spool.MessageCommand, Command: command}
+	time.Sleep(50 * time.Millisecond) // the write waits
+	c.Assert(caller.answers, qt.HasLen, 0)
+	config := fixture.config
+	config.Keys = map[string]spool.Team{"key-blue": "blue"}
+	fixture.setConfig(config)
+	for _, conn := range held {
+		fixture.pool.Release(conn)
+	}
+	answer := <-caller.answers
+	c.Assert(answer.Refusal != nil, qt.IsTrue)
+	c.Assert(answer.Refusal.Code, qt.Equals, spool.CodeBadKey)
+	c.Assert(answer.Refusal.Verdict, qt.Equals, spool.VerdictNotRun)
+	c.Assert(fixture.group.WrittenValues("item"), qt.HasLen, 0)
+}
+
 // TestSessionsOpenWhileConfigurationChanges opens sessions while their key is withdrawn. It guards against a data race between
 // the change and the session, and against an accepted session that the change did not see and does not interrupt.
 func TestSessionsOpenWhileConfigurationChanges(t *testing.T) {
