pool: release the mutex when a call panics while holding it

Several functions unlocked the pool's mutex without defer. The engine and the peer transport recover panics, so a panic in one of these sections left the mutex locked and blocked every other session of the proxy.

Move the locked part of waitForGrant, reserveAt, Release, Abandon, connTo, connect, ReadPosition, SetServer, RemoveServer, SetEvacuation and Close into functions that unlock with defer. wait, which released a mutex that its caller had locked, becomes enqueue (locked) and awaitGrant (unlocked).

Also: Release and keepIdle share the check whether a connection can be reused, HasAddress and AddressDomain share the search by address, and two loops become slices.Contains and slices.ContainsFunc.

--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -305,29 +305,29 @@
 		go pool.awaitLateAnswers(conn)
 		return
 	}
+	if !pool.putBack(conn) {
+		_ = conn.Close() // the server rolls back an open transaction
+	}
+}
+
+// putBack ends the use of a connection, which becomes idle or serves the next request; false means that the caller is to close it.
+func (pool *Pool) putBack(conn *Conn) (kept bool) {
 	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
 	now := pool.timers.Now()
 	server := conn.server
 	pool.endUse(conn)
 	server.busy--
 	conn.supervising = false
-	group := pool.group(server.spec.Group)
 	surplus := server.open > server.retainLimit
-	closing := conn.broken || server.removed || conn.Strays() || pool.evacuation.Load().Closed(server.spec.Domain) ||
-		surplus && !pool.prioritized
-	if closing {
-		server.open--
-	} else {
+	kept = pool.reusable(conn) && (!surplus || pool.prioritized)
+	if kept {
 		server.idle = append(server.idle, conn)
+	} else {
+		server.open--
 	}
-	pool.dispatch(group, now)
-	if surplus && !closing {
-		closing = server.removeSurplus(conn)
-	}
-	pool.mutex.Unlock()
-	if closing {
-		_ = conn.Close() // the server rolls back an open transaction
-	}
+	pool.dispatch(pool.group(server.spec.Group), now)
+	return kept && !(surplus && server.removeSurplus(conn))
 }
 
 // removeSurplus removes a connection that is still idle after a dispatch, and reports whether it did. Where requests wait, a
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -121,13 +121,18 @@
 func (pool *Pool) Abandon(conn *Conn, answers int) {
 	conn.AddPending(answers)
 	conn.pendingLate = true
+	pool.recordTimeout(conn)
+	event.Log(pool.logger, event.AnswerLate, zap.String("Group", string(conn.server.group)),
+		zap.String("Server", string(conn.Server())))
+}
+
+// recordTimeout records that a server did not answer in time.
+func (pool *Pool) recordTimeout(conn *Conn) {
 	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
 	now := pool.timers.Now()
 	conn.server.health.RecordTimeout(now)
 	pool.shrinkWindow(conn, now)
-	pool.mutex.Unlock()
-	event.Log(pool.logger, event.AnswerLate, zap.String("Group", string(conn.server.group)),
-		zap.String("Server", string(conn.Server())))
 }
 
 // awaitLateAnswers discards late answers and then releases the connection.
--- a/internal/pool/evacuation.go
+++ b/internal/pool/evacuation.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -28,25 +29,27 @@
 // in steps to the servers of those that are open again.
 func (pool *Pool) SetEvacuation(evacuation *place.Evacuation, reopened []spool.Domain) {
 	pool.evacuation.Store(evacuation)
+	closeAll(pool.applyEvacuation(evacuation, reopened))
+}
+
+// applyEvacuation applies the evacuated failure domains to the servers, and returns the connections to close.
+func (pool *Pool) applyEvacuation(evacuation *place.Evacuation, reopened []spool.Domain) (closing []*Conn) {
 	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
 	now := pool.timers.Now()
-	var closing []*Conn
 	for _, group := range pool.groups {
 		for _, server := range group.servers {
 			if evacuation.Closed(server.spec.Domain) {
 				closing = append(closing, server.removeIdle()...)
 			}
-			for _, domain := range reopened {
-				if server.spec.Domain == domain {
-					pool.reopen(server, now)
-				}
+			if slices.Contains(reopened, server.spec.Domain) {
+				pool.reopen(server, now)
 			}
 		}
 		pool.refuseLoans(group, evacuation, now)
 		pool.dispatch(group, now)
 	}
-	pool.mutex.Unlock()
-	closeAll(closing)
+	return closing
 }
 
 // refuseLoans refuses the loans that wait for a server of an evacuated failure domain, so that the borrowers choose another one.
@@ -208,12 +211,8 @@
 func (pool *Pool) AddressDomain(address string) spool.Domain {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	for _, group := range pool.groups {
-		for _, server := range group.servers {
-			if server.spec.Address == address {
-				return server.spec.Domain
-			}
-		}
+	if server := pool.serverAt(address); server != nil {
+		return server.spec.Domain
 	}
 	return ""
 }
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"corianderspool.example/spool/internal/core/queue"
@@ -64,33 +65,50 @@
 
 // reserveAt reserves a connection to the server of a request, and waits for one until the request's deadline.
 func (pool *Pool) reserveAt(ctx context.Context, request Request) (grant, spool.Term, error) {
+	granted, term, item, err := pool.reserveOrQueueAt(&request)
+	if item == nil {
+		return granted, term, err
+	}
+	granted, refusal := pool.awaitGrant(ctx, item)
+	if refusal != nil {
+		return grant{}, 0, toLoanRefusal(refusal)
+	}
+	return granted, pool.newestTerm(request.Group), nil
+}
+
+// reserveOrQueueAt is like reserveOrQueue for the server of a request, and returns the group's newest term with a grant.
+func (pool *Pool) reserveOrQueueAt(request *Request) (grant, spool.Term, *queue.Item[*waiter], error) {
 	pool.mutex.Lock()
-	group := pool.group(request.Group)
-	now := pool.timers.Now()
+	defer pool.mutex.Unlock()
+	group, now := pool.group(request.Group), pool.timers.Now()
 	server := group.servers[request.server]
 	if server == nil || !pool.usable(server, now) {
-		pool.mutex.Unlock()
-		return grant{}, 0, &LoanRefusal{Reason: fmt.Sprintf("server %s is not usable here", request.server)}
+		return grant{}, 0, nil, &LoanRefusal{Reason: fmt.Sprintf("server %s is not usable here", request.server)}
 	}
-	granted, possible := pool.tryReserve(group, &request, now)
-	if possible {
-		term := group.term
-		pool.mutex.Unlock()
-		return granted, term, nil
+	if granted, possible := pool.tryReserve(group, request, now); possible {
+		return granted, group.term, nil, nil
 	}
 	if !time.Now().Before(request.Deadline) {
-		pool.mutex.Unlock()
-		return grant{}, 0, &LoanRefusal{
+		return grant{}, 0, nil, &LoanRefusal{
 			Reason: fmt.Sprintf("all connections to server %s are in use", request.server), InUse: true,
 		}
 	}
-	granted, refusal := pool.wait(ctx, group, request, now)
+	item, refusal := pool.enqueue(group, request, now)
 	if refusal != nil {
-		return grant{}, 0, &LoanRefusal{Reason: refusal.Message, RetryAfter: refusal.RetryAfter}
+		return grant{}, 0, nil, toLoanRefusal(refusal)
 	}
+	return grant{}, 0, item, nil
+}
+
+func toLoanRefusal(refusal *spool.Refusal) *LoanRefusal {
+	return &LoanRefusal{Reason: refusal.Message, RetryAfter: refusal.RetryAfter}
+}
+
+// newestTerm returns the newest term of a group that this proxy knows.
+func (pool *Pool) newestTerm(name spool.Group) spool.Term {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	return granted, group.term, nil
+	return pool.group(name).term
 }
 
 // capacity reports what is free at the servers of a group; it implements queue.Capacity.
@@ -135,10 +153,5 @@
 
 // hasIdle reports whether a connection of a team is idle.
 func (server *server) hasIdle(team spool.Team) bool {
-	for _, conn := range server.idle {
-		if conn.team == team {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(server.idle, func(conn *Conn) bool { return conn.team == team })
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -137,12 +137,15 @@
 }
 
 // SetServer adds or updates a registered server.
-func (pool *Pool) SetServer(spec spool.RegisteredServer) {
+func (pool *Pool) SetServer(spec spool.RegisteredServer) { closeAll(pool.applyServer(spec)) }
+
+// applyServer adds or updates a registered server, and returns the connections to close.
+func (pool *Pool) applyServer(spec spool.RegisteredServer) (closing []*Conn) {
 	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
 	now := pool.timers.Now()
 	group := pool.group(spec.Group)
 	registered := group.servers[spec.Server]
-	var closing []*Conn
 	if registered == nil {
 		registered = &server{name: spec.Server, group: spec.Group, roundTrip: pool.roundTrip(spec.Domain)}
 		group.servers[spec.Server] = registered
@@ -171,14 +174,16 @@
 		zap.String("Server", string(spec.Server)), zap.Bool("Leaving", registered.leavingSince != 0),
 		zap.Bool("Primary", spec.Primary), zap.String("Address", spec.Address))
 	pool.dispatchAll(group, now)
-	pool.mutex.Unlock()
-	closeAll(closing)
+	return closing
 }
 
 // RemoveServer removes a server that is no longer registered.
-func (pool *Pool) RemoveServer(name spool.Server) {
+func (pool *Pool) RemoveServer(name spool.Server) { closeAll(pool.unregister(name)) }
+
+// unregister removes a server, and returns the connections to close.
+func (pool *Pool) unregister(name spool.Server) (closing []*Conn) {
 	pool.mutex.Lock()
-	var closing []*Conn
+	defer pool.mutex.Unlock()
 	for _, group := range pool.groups {
 		server := group.servers[name]
 		if server == nil {
@@ -194,8 +199,7 @@
 		event.Log(pool.logger, event.ServerRemoved, zap.String("Group", string(group.name)),
 			zap.String("Server", string(name)))
 	}
-	pool.mutex.Unlock()
-	closeAll(closing)
+	return closing
 }
 
 // RecordPrimary records that a server acted as primary, with its log position and the time of the request.
@@ -327,14 +331,16 @@
 }
 
 // Close closes the idle connections.
-func (pool *Pool) Close(context.Context) {
+func (pool *Pool) Close(context.Context) { closeAll(pool.removeAllIdle()) }
+
+// removeAllIdle removes and returns the idle connections to all servers; the caller closes them.
+func (pool *Pool) removeAllIdle() (idle []*Conn) {
 	pool.mutex.Lock()
-	var closing []*Conn
+	defer pool.mutex.Unlock()
 	for _, group := range pool.groups {
 		for _, server := range group.servers {
-			closing = append(closing, server.removeIdle()...)
+			idle = append(idle, server.removeIdle()...)
 		}
 	}
-	pool.mutex.Unlock()
-	closeAll(closing)
+	return idle
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -28,11 +28,19 @@
 }
 
 func newFixture(t *testing.T, dial spool.DialFunc, connections int, options ...pool.Option) *fixture {
+	fixture := newFixtureWithTimers(t, dial, clock.Real{}, connections, options...)
+	t.Cleanup(func() { fixture.pool.Close(context.Background()) })
+	return fixture
+}
+
+// newFixtureWithTimers returns a fixture whose pool the test closes.
+func newFixtureWithTimers(
+	t *testing.T, dial spool.DialFunc, timers spool.Timers, connections int, options ...pool.Option,
+) *fixture {
 	group, err := linesrv.NewGroup("g1", "a", "b", "c")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(group.Close)
-	fixture := &fixture{T: t, group: group, pool: pool.New(platform.ServerDialer{}, dial, clock.Real{}, options...)}
-	t.Cleanup(func() { fixture.pool.Close(context.Background()) })
+	fixture := &fixture{T: t, group: group, pool: pool.New(platform.ServerDialer{}, dial, timers, options...)}
 	fixture.pool.SetLimits(map[spool.Group]spool.GroupLimits{"g1": {Connections: connections, SyncReplicas: 1}})
 	for _, server := range group.Servers() {
 		fixture.pool.SetServer(fixture.registration(server.ID))
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -70,22 +70,11 @@
 
 // connTo returns a connection to one server without waiting; it may exceed this proxy's share.
 func (pool *Pool) connTo(server *server, team spool.Team, timeout time.Duration, work place.Work) (*Conn, error) {
-	pool.mutex.Lock()
-	if !pool.evacuation.Load().Permits(server.spec.Domain, work, pool.timers.Now()) {
-		pool.mutex.Unlock()
-		return nil, ErrEvacuated
-	}
-	group := pool.group(server.spec.Group)
-	request := Request{Group: group.name, Team: team, work: work}
-	granted, possible := pool.reserveLocal(server, &request)
-	if !possible {
-		server.open++
-		server.busy++
-		server.handshakes++
-		pool.startUse(server, team)
-		granted = grant{server: server} // uses the connection that no proxy's share includes
+	request := Request{Group: server.group, Team: team, work: work}
+	granted, err := pool.reserveUnshared(server, &request)
+	if err != nil {
+		return nil, err
 	}
-	pool.mutex.Unlock()
 	supervising := work == place.SupervisorWork
 	if granted.conn != nil {
 		granted.conn.supervising = supervising
@@ -100,6 +89,24 @@
 	return conn, err
 }
 
+// reserveUnshared reserves a connection to one server; where this proxy's share is in use, it is the one that no share includes.
+func (pool *Pool) reserveUnshared(server *server, request *Request) (grant, error) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if !pool.evacuation.Load().Permits(server.spec.Domain, request.work, pool.timers.Now()) {
+		return grant{}, ErrEvacuated
+	}
+	granted, possible := pool.reserveLocal(server, request)
+	if !possible {
+		server.open++
+		server.busy++
+		server.handshakes++
+		pool.startUse(server, request.Team)
+		granted = grant{server: server}
+	}
+	return granted, nil
+}
+
 func (pool *Pool) beginAndRollBack(conn *Conn, deadline time.Time) error {
 	sent := pool.timers.Now()
 	pool.AwaitEvacuation(sent)
--- a/internal/pool/tunnel.go
+++ b/internal/pool/tunnel.go
@@ -29,11 +29,7 @@
 func (pool *Pool) connect(
 	ctx context.Context, server *server, target spool.ServerTarget, work place.Work,
 ) (serverConn spool.ServerConn, tunneled bool, position spool.LogPosition, err error) {
-	pool.mutex.Lock()
-	tunneled = pool.timers.Now() < server.tunnelUntil
-	primary := pool.group(target.Group).primary == target.Server
-	domain := server.spec.Domain
-	pool.mutex.Unlock()
+	tunneled, primary, domain := pool.path(server)
 	dial := pool.checkedDial(domain, work, pool.dial)
 	dialTunnel := pool.checkedDial(domain, work, func(ctx context.Context, address string) (net.Conn, error) {
 		return pool.dialTunnel(ctx, target.Group, target.Server, address)
@@ -51,10 +47,23 @@
 	if tunnelErr != nil {
 		return nil, false, position, err
 	}
-	pool.mutex.Lock()
-	server.tunnelUntil = pool.timers.Now().Add(tunnelTTL)
-	pool.mutex.Unlock()
+	pool.tunnelConnections(server)
 	event.Log(pool.logger, event.PrimaryTunneled, zap.String("Group", string(target.Group)),
 		zap.String("Server", string(target.Server)), event.Cause(err))
 	return serverConn, true, position, nil
 }
+
+// path returns what decides how to connect to a server: whether it is presently reached through another proxy, whether it is
+// presumed to be the primary, and its failure domain.
+func (pool *Pool) path(server *server) (tunneled, primary bool, domain spool.Domain) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.timers.Now() < server.tunnelUntil, pool.group(server.group).primary == server.name, server.spec.Domain
+}
+
+// tunnelConnections makes connections to a server go through another proxy for tunnelTTL.
+func (pool *Pool) tunnelConnections(server *server) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	server.tunnelUntil = pool.timers.Now().Add(tunnelTTL)
+}
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -147,12 +147,17 @@
 func (pool *Pool) HasAddress(address string) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	return pool.serverAt(address) != nil
+}
+
+// serverAt returns the registered server with an address, or nil; the caller holds the mutex.
+func (pool *Pool) serverAt(address string) *server {
 	for _, group := range pool.groups {
 		for _, server := range group.servers {
 			if server.spec.Address == address {
-				return true
+				return server
 			}
 		}
 	}
-	return false
+	return nil
 }
--- a/internal/pool/wait.go
+++ b/internal/pool/wait.go
@@ -74,39 +74,43 @@
 
 // waitForGrant returns a grant, or queues the request until one is available or its deadline passes.
 func (pool *Pool) waitForGrant(ctx context.Context, request Request) (grant, *spool.Refusal) {
+	granted, item, refusal := pool.reserveOrQueue(&request)
+	if item != nil {
+		return pool.awaitGrant(ctx, item)
+	}
+	return granted, refusal
+}
+
+// reserveOrQueue reserves a connection without waiting, queues the request, or refuses it; the item is nil unless it is queued.
+func (pool *Pool) reserveOrQueue(request *Request) (grant, *queue.Item[*waiter], *spool.Refusal) {
 	pool.mutex.Lock()
-	group := pool.group(request.Group)
-	now := pool.timers.Now()
-	granted, possible := pool.tryReserve(group, &request, now)
-	if possible {
-		pool.mutex.Unlock()
-		return granted, nil
+	defer pool.mutex.Unlock()
+	group, now := pool.group(request.Group), pool.timers.Now()
+	if granted, possible := pool.tryReserve(group, request, now); possible {
+		return granted, nil, nil
 	}
-	return pool.wait(ctx, group, request, now)
+	item, refusal := pool.enqueue(group, request, now)
+	return grant{}, item, refusal
 }
 
-// wait queues a request until a connection is available, or refuses it. The caller holds the mutex, which it releases.
-func (pool *Pool) wait(ctx context.Context, group *group, request Request, now spool.Instant) (grant, *spool.Refusal) {
-	if refusal := pool.refuseWithoutServer(group, &request); refusal != nil {
-		pool.mutex.Unlock()
-		return grant{}, refusal
+// enqueue queues a request for a connection, or refuses it; the caller holds the mutex.
+func (pool *Pool) enqueue(group *group, request *Request, now spool.Instant) (*queue.Item[*waiter], *spool.Refusal) {
+	if refusal := pool.refuseWithoutServer(group, request); refusal != nil {
+		return nil, refusal
 	}
 	left := time.Until(request.Deadline)
 	item := &queue.Item[*waiter]{
 		Team: request.Team, Target: request.target(), Priority: request.Priority, Arrived: now, Deadline: now.Add(left),
-		Value: &waiter{Request: request, grants: make(chan grant, 1)},
+		Value: &waiter{Request: *request, grants: make(chan grant, 1)},
 	}
 	ahead := group.waiters.Ahead(item.Team, item.Target, item.Priority, group.primary, now)
 	if expected := pool.expectedWait(group, item.Target, ahead); expected > left {
-		refusal := pool.refuseWait(group, item, expected, now)
-		pool.mutex.Unlock()
-		return grant{}, refusal
+		return nil, pool.refuseWait(group, item, expected, now)
 	}
 	if displaced := group.waiters.Push(item, now); displaced != nil {
 		refusal := pool.refuseWait(group, displaced, displaced.Deadline.Sub(now), now)
 		if displaced == item {
-			pool.mutex.Unlock()
-			return grant{}, refusal
+			return nil, refusal
 		}
 		displaced.Value.grants <- grant{refusal: refusal}
 	}
@@ -114,8 +118,12 @@
 		pool.startProbing(group, request.Team)
 	}
 	pool.startDispatchTimer(group)
-	pool.mutex.Unlock()
-	timer := time.NewTimer(left)
+	return item, nil
+}
+
+// awaitGrant waits until a queued request is granted or refused, its deadline passes, or the context ends.
+func (pool *Pool) awaitGrant(ctx context.Context, item *queue.Item[*waiter]) (grant, *spool.Refusal) {
+	timer := time.NewTimer(time.Until(item.Value.Deadline))
 	defer timer.Stop()
 	select {
 	case granted := <-item.Value.grants:
@@ -123,7 +131,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return pool.cancelWait(ctx, group, item)
+	return pool.cancelWait(ctx, item)
 }
 
 // target describes the servers that a request accepts.
@@ -135,10 +143,10 @@
 
 // cancelWait removes a request from the queue, or returns the grant that it has received meanwhile; a grant to a caller that
 // has left goes to the next request.
-func (pool *Pool) cancelWait(ctx context.Context, group *group, item *queue.Item[*waiter]) (grant, *spool.Refusal) {
+func (pool *Pool) cancelWait(ctx context.Context, item *queue.Item[*waiter]) (grant, *spool.Refusal) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	now := pool.timers.Now()
+	group, now := pool.group(item.Value.Group), pool.timers.Now()
 	select {
 	case granted := <-item.Value.grants:
 		if granted.refusal == nil && ctx.Err() != nil {
@@ -186,11 +194,10 @@
 	pool.dispatch(pool.group(server.spec.Group), now)
 }
 
-// keepIdle returns an unused connection to the idle ones, or closes it if its server was removed or evacuated meanwhile. The caller
-// holds the mutex.
+// keepIdle returns an unused connection to the idle ones, or closes it if it must not be reused. The caller holds the mutex.
 func (pool *Pool) keepIdle(conn *Conn) {
 	server := conn.server
-	if server.removed || conn.Strays() || pool.evacuation.Load().Closed(server.spec.Domain) {
+	if !pool.reusable(conn) {
 		server.open--
 		go closeAll([]*Conn{conn})
 		return
@@ -198,6 +205,13 @@
 	server.idle = append(server.idle, conn)
 }
 
+// reusable reports whether a connection may serve another request: it is not broken, its server was neither removed nor evacuated,
+// and it does not stray. The caller holds the mutex.
+func (pool *Pool) reusable(conn *Conn) bool {
+	server := conn.server
+	return !conn.broken && !server.removed && !conn.Strays() && !pool.evacuation.Load().Closed(server.spec.Domain)
+}
+
 // refuseWait refuses a request that cannot be served in time; the caller holds the mutex.
 func (pool *Pool) refuseWait(group *group, item *queue.Item[*waiter], expected time.Duration, now spool.Instant) *spool.Refusal {
 	pool.observe(item, WaitRefused, now)
--- a/internal/pool/watermark.go
+++ b/internal/pool/watermark.go
@@ -28,14 +28,7 @@
 // ReadPosition returns a position at or above every commit acknowledged before an instant. It fetches a watermark and waits
 // for it if none is recent enough, and fetches one in the background if the newest is about to become too old.
 func (pool *Pool) ReadPosition(ctx context.Context, name spool.Group, since spool.Instant) (spool.LogPosition, bool) {
-	pool.mutex.Lock()
-	group := pool.group(name)
-	position, known := group.watermarks.Covering(since)
-	var refreshDone chan struct{}
-	if !known || group.watermarks.Newest().SentAt.Sub(since) < refreshAhead {
-		refreshDone = pool.startRefresh(group)
-	}
-	pool.mutex.Unlock()
+	position, known, refreshDone := pool.coveringPosition(name, since)
 	if known {
 		return position, true
 	}
@@ -49,6 +42,19 @@
 	return pool.KnownReadPosition(name, since)
 }
 
+// coveringPosition returns a known position at or above every commit acknowledged before an instant. It starts a refresh if there
+// is none, or if the newest watermark is about to become too old; done is closed when that refresh ends.
+func (pool *Pool) coveringPosition(name spool.Group, since spool.Instant) (position spool.LogPosition, known bool, done chan struct{}) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	group := pool.group(name)
+	position, known = group.watermarks.Covering(since)
+	if !known || group.watermarks.Newest().SentAt.Sub(since) < refreshAhead {
+		done = pool.startRefresh(group)
+	}
+	return position, known, done
+}
+
 // startRefresh fetches a newer watermark of a group in the background, one at a time; the caller holds the mutex.
 func (pool *Pool) startRefresh(group *group) chan struct{} {
 	if group.refreshDone != nil {
