core, super: reuse shared code and name bare numbers

place: the four checks of an evacuation's age share elapsed. quota: accrue and CreditReturned share fill; the issuer's burst of a warm-up is warmupBurstTime; TestRateBoundWithIssuers and TestRateBoundWithPriorities share checkRateBound with the same bounds. spread: the bound of the skip's doublings and its jitter are named. queue: the one use of before calls compareItems. super: hasSuccessor uses slices.ContainsFunc.

go test -race of internal/core/{quota,queue,place,spread}, internal/lend and internal/super passes, and so does make lint.

--- a/internal/core/place/evacuation.go
+++ b/internal/core/place/evacuation.go
@@ -50,37 +50,38 @@
 	return evacuated
 }
 
-// Permits reports whether work of a kind may be sent to a failure domain now.
-func (evacuation *Evacuation) Permits(domain spool.Domain, work Work, now spool.Instant) bool {
+// elapsed returns how long this proxy has known that a failure domain is evacuated.
+func (evacuation *Evacuation) elapsed(domain spool.Domain, now spool.Instant) (elapsed time.Duration, evacuated bool) {
 	if evacuation == nil {
-		return true
+		return 0, false
 	}
 	since, evacuated := evacuation.since[domain]
-	return !evacuated || work != NewWork && now.Sub(since) < TransactionTime
+	return now.Sub(since), evacuated
+}
+
+// Permits reports whether work of a kind may be sent to a failure domain now.
+func (evacuation *Evacuation) Permits(domain spool.Domain, work Work, now spool.Instant) bool {
+	elapsed, evacuated := evacuation.elapsed(domain, now)
+	return !evacuated || work != NewWork && elapsed < TransactionTime
 }
 
 // MaySwitchOver reports whether a switchover that sends commands to an evacuated failure domain may begin.
 func (evacuation *Evacuation) MaySwitchOver(domain spool.Domain, now spool.Instant) bool {
-	return evacuation.Closed(domain) && now.Sub(evacuation.since[domain]) < SwitchoverTime
+	elapsed, evacuated := evacuation.elapsed(domain, now)
+	return evacuated && elapsed < SwitchoverTime
 }
 
 // Settled reports whether every proxy in reach has ended its transactions in an evacuated failure domain.
 func (evacuation *Evacuation) Settled(domain spool.Domain, now spool.Instant) bool {
-	if evacuation == nil {
-		return false
-	}
-	since, evacuated := evacuation.since[domain]
-	return evacuated && now.Sub(since) >= SettledTime
+	elapsed, evacuated := evacuation.elapsed(domain, now)
+	return evacuated && elapsed >= SettledTime
 }
 
 // Answered reports whether no proxy acknowledges commits of the servers of an evacuated failure domain any more: the bound for
 // learning of the evacuation has passed everywhere, and so has the time for the statements that were sent before.
 func (evacuation *Evacuation) Answered(domain spool.Domain, now spool.Instant) bool {
-	if evacuation == nil {
-		return false
-	}
-	since, evacuated := evacuation.since[domain]
-	return evacuated && now.Sub(since) >= evacuation.bound+answerTime
+	elapsed, evacuated := evacuation.elapsed(domain, now)
+	return evacuated && elapsed >= evacuation.bound+answerTime
 }
 
 // Domains returns the evacuated failure domains in alphabetical order.
--- a/internal/core/queue/item.go
+++ b/internal/core/queue/item.go
@@ -50,9 +50,7 @@
 	next   int // index of the item to offer next in the dispatch in progress
 }
 
-// before reports whether an item is served before another one of its class.
-func (queue *Queue[T]) before(left, right *Item[T]) bool { return queue.compareItems(left, right) < 0 }
-
+// compareItems orders the items of a class, the one that is served first before the others.
 func (queue *Queue[T]) compareItems(left, right *Item[T]) int {
 	order := cmp.Compare(left.Priority, right.Priority)
 	if order == 0 && queue.prioritized {
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -64,7 +64,7 @@
 		queue.classes = append(queue.classes, found)
 	}
 	full := len(found.items) >= MaxPerTeam || queue.waitingFor(item.Target) >= MaxPerTarget
-	if full && !queue.before(item, found.items[len(found.items)-1]) {
+	if full && queue.compareItems(item, found.items[len(found.items)-1]) >= 0 {
 		return item
 	}
 	queue.insert(found, item)
--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -69,11 +69,14 @@
 	}
 }
 
-// accrue adds the tokens that the bucket refills with in a time. Reserved tokens count towards the capacity, so that returned
-// ones never exceed it.
-func (bucket *Bucket) accrue(elapsed time.Duration) {
+// accrue adds the tokens that the bucket refills with in a time.
+func (bucket *Bucket) accrue(elapsed time.Duration) { bucket.fill(bucket.rate * elapsed.Seconds()) }
+
+// fill adds tokens up to the capacity, and none above it. Reserved tokens count towards the capacity, so that returned ones never
+// exceed it.
+func (bucket *Bucket) fill(tokens float64) {
 	if capacity := bucket.burst - bucket.reserved; bucket.level < capacity {
-		bucket.level = min(capacity, bucket.level+bucket.rate*elapsed.Seconds())
+		bucket.level = min(capacity, bucket.level+tokens)
 	}
 }
 
--- a/internal/core/quota/issuers_test.go
+++ b/internal/core/quota/issuers_test.go
@@ -105,7 +105,10 @@
 
 // TestRateBoundWithIssuers spreads bursts over many proxies, which restart at random, with lost messages, and checks the bound
 // in every window of five seconds. Tokens that a proxy received and did not use must not add to a burst.
-func TestRateBoundWithIssuers(t *testing.T) {
+func TestRateBoundWithIssuers(t *testing.T) { checkRateBound(t, 1) }
+
+// checkRateBound checks the bound of a team's rate with operations of a number of priorities.
+func checkRateBound(t *testing.T, priorities int) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := float64(rapid.IntRange(2, 100).Draw(t, "rate"))
 		burst := float64(rapid.IntRange(2, 100).Draw(t, "burst"))
@@ -120,7 +123,7 @@
 				fleet.restart(random.IntN(size), now)
 			}
 			for range random.IntN(60) {
-				if fleet.admit(random.IntN(size), now, func() bool { return random.IntN(10) == 0 }) {
+				if fleet.admitUrgent(random.IntN(size), random.IntN(priorities), now, func() bool { return random.IntN(10) == 0 }) {
 					admitted = append(admitted, now)
 				}
 			}
--- a/internal/core/quota/unused.go
+++ b/internal/core/quota/unused.go
@@ -33,7 +33,5 @@
 	bucket.refill(now)
 	bucket.demand = max(0, bucket.demand-tokens/demandWindow.Seconds()) // the request counted them
 	bucket.urgent.rate = min(bucket.urgent.rate, bucket.demand)
-	if capacity := bucket.burst - bucket.reserved; bucket.level < capacity {
-		bucket.level = min(capacity, bucket.level+tokens)
-	}
+	bucket.fill(tokens)
 }
--- a/internal/core/quota/urgent_test.go
+++ b/internal/core/quota/urgent_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"pgregory.net/rapid"
 
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -357,29 +356,7 @@
 }
 
 // TestRateBoundWithPriorities is TestRateBoundWithIssuers with operations of three priorities: holding tokens back must add none.
-func TestRateBoundWithPriorities(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		rate := float64(rapid.IntRange(2, 100).Draw(t, "rate"))
-		burst := float64(rapid.IntRange(2, 100).Draw(t, "burst"))
-		const size = 60
-		fleet := newIssuerFleet(start, size, rate, burst)
-		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		now := start
-		var admitted []spool.Instant
-		for range 200 {
-			now = now.Add(time.Duration(random.IntN(200)) * time.Millisecond)
-			if random.IntN(40) == 0 {
-				fleet.restart(random.IntN(size), now)
-			}
-			for range random.IntN(60) {
-				if fleet.admitUrgent(random.IntN(size), random.IntN(3), now, func() bool { return random.IntN(10) == 0 }) {
-					admitted = append(admitted, now)
-				}
-			}
-		}
-		assertWindows(t, admitted, rate, burst)
-	})
-}
+func TestRateBoundWithPriorities(t *testing.T) { checkRateBound(t, 3) }
 
 // TestUrgentTokensMoveFirst has a team ask for three times its rate at seven proxies that all issue tokens, as in a small fleet.
 func TestUrgentTokensMoveFirst(t *testing.T) {
--- a/internal/core/quota/warmup.go
+++ b/internal/core/quota/warmup.go
@@ -19,6 +19,9 @@
 	warmupRequestInterval = 50 * time.Millisecond // between requests for tokens of a server: a round trip between regions
 	// WarmupRequest is how many tokens one request asks each issuer for; more would expire before they are used.
 	WarmupRequest = 2
+	// warmupBurstTime is the time of refilling whose tokens an issuer holds at most, which bounds the burst that a cold server gets
+	// after a time without requests.
+	warmupBurstTime = 100 * time.Millisecond
 )
 
 // WarmupIssuer issues this proxy's part of the requests that a server may get while it warms up.
@@ -37,7 +40,7 @@
 func (issuer *WarmupIssuer) Issue(want, perSecond float64, now spool.Instant) float64 {
 	rate := perSecond / (1 + WarmupTokenLifetime.Seconds()) / WarmupIssuers
 	if elapsed := now.Sub(issuer.filledAt); elapsed > 0 {
-		issuer.level = min(max(1, rate/10), issuer.level+rate*elapsed.Seconds())
+		issuer.level = min(max(1, rate*warmupBurstTime.Seconds()), issuer.level+rate*elapsed.Seconds())
 		issuer.filledAt = now
 	}
 	issued := math.Floor(min(want, issuer.level))
@@ -106,12 +109,13 @@
 	eligible := make([]Proxy, 0, len(fleet))
 	for _, proxy := range fleet {
 		if proxy.Region == region {
-			eligible = append(eligible, Proxy{VM: proxy.VM, Capacity: proxy.Capacity})
+			eligible = append(eligible, proxy)
 		}
 	}
 	if len(eligible) == 0 {
 		for _, proxy := range fleet {
-			eligible = append(eligible, Proxy{VM: proxy.VM, Capacity: proxy.Capacity})
+			proxy.Region = region // so that the issuers are chosen over the whole fleet
+			eligible = append(eligible, proxy)
 		}
 	}
 	issuers := make([]spool.VM, 0, WarmupIssuers)
--- a/internal/core/spread/fetcher.go
+++ b/internal/core/spread/fetcher.go
@@ -29,6 +29,11 @@
 	// slow or restarts costs shortSkip; each further one twice as much.
 	skipDuration = 2 * time.Second
 	shortSkip    = 250 * time.Millisecond
+	// maxSkipDoublings keeps shortSkip from overflowing; skipDuration is reached before.
+	maxSkipDoublings = 8
+	// skipJitterDivisor is the divisor of a skip that bounds the random time added to it, so that proxies whose source failed
+	// do not ask it again at once.
+	skipJitterDivisor = 4
 	// startJitter spreads the requests of the proxies that one heartbeat round reaches.
 	startJitter = 20 * time.Millisecond
 	// remoteDelay gives the reader of the region time to read a version before a source in another region is asked for it.
@@ -308,11 +313,11 @@
 	case Nothing:
 		known.version = 0
 	case Stalled, Closed:
-		skip := min(shortSkip<<min(known.failures, 8), skipDuration)
+		skip := min(shortSkip<<min(known.failures, maxSkipDoublings), skipDuration)
 		known.failures++
-		known.skipUntil = now.Add(skip + fetcher.jitter(skip/4))
+		known.skipUntil = fetcher.skipUntil(skip, now)
 	case Corrupted, Unknown:
-		known.skipUntil = now.Add(skipDuration + fetcher.jitter(skipDuration/4))
+		known.skipUntil = fetcher.skipUntil(skipDuration, now)
 	}
 	fetcher.prune(current.Source, known, now)
 }
@@ -334,6 +339,11 @@
 	}
 }
 
+// skipUntil returns the end of a skip that begins now, with a random addition.
+func (fetcher *Fetcher) skipUntil(skip time.Duration, now spool.Instant) spool.Instant {
+	return now.Add(skip + fetcher.jitter(skip/skipJitterDivisor))
+}
+
 func (fetcher *Fetcher) jitter(limit time.Duration) time.Duration {
 	return time.Duration(fetcher.random(int64(limit)))
 }
--- a/internal/super/evacuate.go
+++ b/internal/super/evacuate.go
@@ -55,12 +55,9 @@
 
 // hasSuccessor reports whether a server other than the primary is outside the evacuated failure domains.
 func hasSuccessor(view pool.GroupView) bool {
-	for _, server := range view.Servers {
-		if server.Server != view.Primary && !server.Evacuated {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(view.Servers, func(server pool.ServerView) bool {
+		return server.Server != view.Primary && !server.Evacuated
+	})
 }
 
 // commandable reports whether the supervisor's commands to a server of a view may be sent now.
