Simplify fleet, bulk, peer and mirror after a review

The review of the changes since found repeated code, a missing test and errors of watches that were neither logged nor returned.

- bulk: add a test that a stream which ends within an answer is a closed source and not a proxy of an older version.
The code was right already: the reader returns io.EOF only before the first byte.
With the check widened to io.ErrUnexpectedEOF, four of its five cases fail.
- fleet, mirror: use one constant for the longest wait of a watch.
- fleet: share the sum of waiting operations and the heartbeats to all proxies that get updates at once; load the last tick once.
- fleet tests: share the start of the pressure tests and the reading of metrics; rename the local function tenant to team.
- peer: determine once for each queued message whether it has a copy.

Tests: make lint passes. go test -race -p 2 passes for bulk, peer and mirror. For fleet, one run of all tests failed: in TestFleetServesDuringStoreOutage a chosen port was in use, which was not traced further ("listen tcp4 127.0.0.1:12375: bind: address already in use", load average 14 to 18). That test passed in 2 of 2 runs afterwards. The other tests of that run passed.

--- a/internal/bulk/distributor_test.go
+++ b/internal/bulk/distributor_test.go
@@ -1,10 +1,12 @@
 package bulk
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,8 +22,6 @@
 	"corianderspool.example/spool/pkg/spool"
 )
 
-type spoolVersion = spool.Version
-
 const (
 	testKind = "config"
 	testName = "main"
@@ -261,6 +261,38 @@
 	}
 }
 
+// TestSourceThatBreaksOffItsAnswerIsNoOlderProxy guards against a source whose stream ends within its answer being taken for a proxy
+// of an older version, which is skipped for longer and asked for the whole configuration. Only an end before the first byte
+// tells an older version.
+func TestSourceThatBreaksOffItsAnswerIsNoOlderProxy(t *testing.T) {
+	var answer bytes.Buffer
+	frame := &wire.StreamFrame{Body: &wire.StreamFrame_BulkAnswer{BulkAnswer: &wire.BulkAnswer{
+		Version: 1, Bytes: 1000, PackedBytes: 1000, Sources: []string{strings.Repeat("x", 200)}, // the length takes two bytes
+	}}}
+	_, err := peer.NewWriter[wire.StreamFrame](&answer).Write(frame)
+	qt.Assert(t, err, qt.IsNil)
+	for _, sent := range []int{1, 2, 3, answer.Len() - 1, answer.Len()} {
+		t.Run(fmt.Sprint(sent), func(t *testing.T) {
+			fleet := newTestFleet(t)
+			failing, receiver := fleet.start("failing"), fleet.start("receiver")
+			failing.serve = func(_ spool.VM, conn net.Conn) {
+				_, _ = lend.NewStream(conn).Read()
+				_, _ = conn.Write(answer.Bytes()[:sent])
+			}
+			receiver.Announce("failing", 1)
+			began := time.Now()
+			for receiver.count("fetch closed") == 0 {
+				fleet.c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("%v", receiver.outcomes))
+				time.Sleep(time.Millisecond)
+			}
+			fleet.c.Check(receiver.count("fetch older_proxy"), qt.Equals, 0)
+			receiver.mutex.Lock()
+			defer receiver.mutex.Unlock()
+			fleet.c.Check(receiver.whole, qt.HasLen, 0)
+		})
+	}
+}
+
 // TestMalformedVersionIsNotServed guards against a malformed body that spreads from proxies which cannot use it.
 func TestMalformedVersionIsNotServed(t *testing.T) {
 	fleet := newTestFleet(t)
--- a/internal/bulk/fetch.go
+++ b/internal/bulk/fetch.go
@@ -106,7 +106,7 @@
 		return spread.Closed, spread.Copy{}, err
 	}
 	frame, err := stream.Read()
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) { // no byte of an answer, as from a proxy of an older version; within one it is io.ErrUnexpectedEOF
 		return spread.Unknown, spread.Copy{}, err
 	}
 	if err != nil {
--- a/internal/bulk/pack_test.go
+++ b/internal/bulk/pack_test.go
@@ -8,6 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"corianderspool.example/spool/pkg/spool"
 )
 
 // configText returns a configuration with a number of routes in which few texts repeat.
@@ -47,7 +49,7 @@
 		for base, packed := range map[string][]byte{"": whole, string(old): delta} {
 			stored, unpacked, err := unpack(packed, len(body), []byte(base))
 			c.Assert(err, qt.IsNil)
-			c.Assert(stored, qt.Equals, spoolVersion(9))
+			c.Assert(stored, qt.Equals, spool.Version(9))
 			c.Assert(bytes.Equal(unpacked, body), qt.IsTrue)
 		}
 	}
--- a/internal/bulk/serve.go
+++ b/internal/bulk/serve.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	pieceBytes = 16 << 10
-	maxPacked  = 4 // compressed forms of the newest version that are kept
+	pieceBytes = 16 << 10 // of compressed data in a frame; the deadline is checked before each
+	maxPacked  = 4        // compressed forms of the newest version that are kept
 	// slowLink is how much slower than this proxy's link a receiver may be. A receiver that confirms nothing for longer has
 	// stopped, and its place goes to another one.
 	slowLink = 8
--- a/internal/fleet/configwatch.go
+++ b/internal/fleet/configwatch.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/mirror"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
-	configWatchTimeout = 25 * time.Second // longest wait of a watch; the store allows 30 s
-	configWatchPause   = time.Second      // after a watch that failed; reads go on meanwhile
+	configWatchPause = time.Second // after a watch that failed; reads go on meanwhile
 )
 
 // watchConfig watches the configuration while this proxy reads for its region, so that a change does not wait for the next
@@ -23,9 +27,10 @@
 		if after == 0 || !reader.readsForRegion() {
 			continue
 		}
-		changes, version, err := reader.proxy.adapter.Watch(ctx, kind, after, configWatchTimeout)
+		changes, version, err := reader.proxy.adapter.Watch(ctx, kind, after, mirror.WatchTimeout)
 		if err != nil {
 			seen = 0
+			reader.logWatchFailure(ctx, err)
 			sleep(ctx, configWatchPause/2+rand.N(configWatchPause))
 			continue
 		}
@@ -38,6 +43,15 @@
 	}
 }
 
+// logWatchFailure logs an error of a watch, unless the context ended or the store has only discarded the history since the version.
+func (reader *reader) logWatchFailure(ctx context.Context, err error) {
+	if ctx.Err() != nil || errors.Is(err, spool.ErrCompacted) {
+		return
+	}
+	event.Log(reader.proxy.logger, event.StoreReadFailed,
+		zap.Duration("SinceConfirmed", reader.proxy.timers.Now().Sub(reader.lastConfirmed())), event.Cause(err))
+}
+
 // lastReadVersion returns the newest version of the store that this proxy read.
 func (reader *reader) lastReadVersion() spool.Version {
 	reader.mutex.Lock()
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -302,15 +301,6 @@
 	}
 }
 
-func (cluster *cluster) metrics(index int) string {
-	response, err := http.Get("http://" + cluster.settings[index].Metrics + "/metrics")
-	qt.Assert(cluster, err, qt.IsNil)
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	qt.Assert(cluster, err, qt.IsNil)
-	return string(text)
-}
-
 // forwarder forwards connections to an address until it is cut.
 type forwarder struct {
 	listener net.Listener
--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -14,14 +14,14 @@
 	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/metric"
+	"corianderspool.example/spool/internal/mirror"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
 )
 
 const (
-	evacuationWatch      = 25 * time.Second // longest wait of a watch; the store allows 30 s
-	evacuationRetryDelay = time.Second      // after a failed watch; the reads of the configuration notice a change as well
-	fromStore            = "store"          // source of a set that this proxy read itself
+	evacuationRetryDelay = time.Second // after a failed watch; the reads of the configuration notice a change as well
+	fromStore            = "store"     // source of a set that this proxy read itself
 )
 
 // evacuations tracks the evacuated failure domains and ends what is still open at their servers. The region's reader lists them
@@ -70,14 +70,15 @@
 			continue
 		}
 		began := evacuations.proxy.timers.Now()
-		changes, _, err := adapter.Watch(ctx, adapter.EvacuationKind(), after, evacuationWatch)
+		changes, _, err := adapter.Watch(ctx, adapter.EvacuationKind(), after, mirror.WatchTimeout)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil && !errors.Is(err, spool.ErrCompacted) {
+			event.Log(evacuations.proxy.logger, event.EvacuationReadFailed, event.Cause(err))
 			sleep(ctx, evacuationRetryDelay)
 		}
-		early := evacuations.proxy.timers.Now().Sub(began) < evacuationWatch
+		early := evacuations.proxy.timers.Now().Sub(began) < mirror.WatchTimeout
 		if err != nil || len(changes) > 0 || early {
 			err = evacuations.list(ctx) // a watch that fails or ends early may have missed changes
 			if err != nil {
@@ -147,7 +148,7 @@
 		evacuations.log(event.EvacuationWithdrawn, domain, version, from)
 	}
 	if changed && (from == fromStore || evacuations.proxy.members.relayed()) {
-		evacuations.proxy.peers.notify(func(spool.VM) bool { return true })
+		evacuations.proxy.peers.notifyAll()
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -174,6 +174,17 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// metrics returns the text of a running proxy's metrics.
+func (cluster *cluster) metrics(index int) string {
+	cluster.Helper()
+	response, err := http.Get("http://" + cluster.settings[index].Metrics + "/metrics")
+	qt.Assert(cluster, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	qt.Assert(cluster, err, qt.IsNil)
+	return string(text)
+}
+
 func (cluster *cluster) waitUntil(condition func() bool) {
 	cluster.Helper()
 	deadline := time.Now().Add(10 * time.Second)
@@ -219,11 +230,7 @@
 	c.Assert(writer.execute("WRITE item one"), qt.Equals, "")
 	c.Assert(writer.execute("READ item"), qt.Equals, "one")
 	c.Assert(reader.execute("READ item"), qt.Equals, "one")
-	response, err := http.Get("http://" + cluster.settings[0].Metrics + "/metrics")
-	c.Assert(err, qt.IsNil)
-	text, err := io.ReadAll(response.Body)
-	c.Assert(err, qt.IsNil)
-	c.Assert(string(text), qt.Contains, `corianderspool_requests_total{team="red",verdict="answered"} 2`)
+	c.Assert(cluster.metrics(0), qt.Contains, `corianderspool_requests_total{team="red",verdict="answered"} 2`)
 }
 
 // TestCrashedPrimaryIsReplacedByTheFleet kills the primary: a caller's writes succeed again within 2.5 s, and no
--- a/internal/fleet/home_test.go
+++ b/internal/fleet/home_test.go
@@ -27,14 +27,14 @@
 			})
 		}
 	}
-	tenant := func(name string, regions []string) map[string]any {
+	team := func(name string, regions []string) map[string]any {
 		return map[string]any{"name": name, "api-keys": []string{"key-" + name}, "rate-per-s": 1000, "burst": 1000, "allowed-regions": regions}
 	}
 	cluster.store.Write("config", "main", map[string]any{
 		"version": cluster.version, "routes": routes,
 		"services": []any{map[string]any{"name": "g1", "max-conns": 20, "sync-replicas": 1}},
 		"limits":   map[string]any{"tx-idle-ms": 3000},
-		"tenants":  []any{tenant("red", nil), tenant("blue", blue)},
+		"tenants":  []any{team("red", nil), team("blue", blue)},
 	})
 }
 
--- a/internal/fleet/limiter.go
+++ b/internal/fleet/limiter.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// waiting returns the number of waiting operations of a team. The caller holds the mutex.
+func (limiter *limiter) waiting(team spool.Team) int {
+	sum := 0
+	for _, count := range limiter.waiters[team] {
+		sum += count
+	}
+	return sum
+}
+
 func (limiter *limiter) decide(team spool.Team, operation quota.Operation) (quota.Decision, <-chan struct{}) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// announceLeaving sends heartbeats that announce the shutdown to all proxies that get updates at once.
-func (peers *peers) announceLeaving() { peers.notify(func(spool.VM) bool { return true }) }
+// notifyAll sends heartbeats to all proxies that get updates at once.
+func (peers *peers) notifyAll() { peers.notify(func(spool.VM) bool { return true }) }
 
 // forwardUpdate forwards an update to the region in a fleet with relays; in a small fleet the proxy that read it has notified
 // all others itself.
--- a/internal/fleet/pressure_test.go
+++ b/internal/fleet/pressure_test.go
@@ -1,8 +1,6 @@
 package fleet_test
 
 import (
-	"io"
-	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +12,20 @@
 	"corianderspool.example/spool/internal/fake/linecl"
 )
 
+// newPressureCluster returns three proxies that have the configuration of configurePriorities. The primary takes workTime for each
+// statement.
+func newPressureCluster(t *testing.T, workTime time.Duration) *cluster {
+	cluster := newCluster(t, 3)
+	cluster.configurePriorities()
+	cluster.waitUntil(func() bool {
+		_, answer := cluster.open(0, "urgent", "key-red")
+		return answer == "READY I -"
+	})
+	time.Sleep(300 * time.Millisecond) // until the other proxies have the configuration, and the fleet is known
+	cluster.group.Server("a").WorkTime = workTime
+	return cluster
+}
+
 // configurePriorities writes a configuration with an urgent and a less urgent route and few connections.
 func (cluster *cluster) configurePriorities() {
 	cluster.mutex.Lock()
@@ -55,14 +67,7 @@
 // proxies that lend to each other. It guards against urgent statements being refused while others are served.
 func TestUrgentRouteUnderPressure(t *testing.T) {
 	c := qt.New(t)
-	cluster := newCluster(t, 3)
-	cluster.configurePriorities()
-	cluster.waitUntil(func() bool {
-		_, answer := cluster.open(0, "urgent", "key-red")
-		return answer == "READY I -"
-	})
-	time.Sleep(300 * time.Millisecond) // until the other proxies have the configuration, and the fleet is known
-	cluster.group.Server("a").WorkTime = 55 * time.Millisecond
+	cluster := newPressureCluster(t, 55*time.Millisecond)
 	var urgent, batch pressure
 	var calling sync.WaitGroup
 	until := time.Now().Add(4 * time.Second)
@@ -99,12 +104,7 @@
 // scrape reports whether a proxy shows a metric.
 func (cluster *cluster) scrape(metric string) bool {
 	for index := range cluster.settings {
-		response, err := http.Get("http://" + cluster.settings[index].Metrics + "/metrics")
-		qt.Assert(cluster, err, qt.IsNil)
-		text, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		qt.Assert(cluster, err, qt.IsNil)
-		if strings.Contains(string(text), metric) {
+		if strings.Contains(cluster.metrics(index), metric) {
 			return true
 		}
 	}
@@ -115,14 +115,7 @@
 // queue is empty well before their deadlines, and a statement of another caller is served next.
 func TestCallersThatLeaveWhileQueuedAtALender(t *testing.T) {
 	c := qt.New(t)
-	cluster := newCluster(t, 3)
-	cluster.configurePriorities()
-	cluster.waitUntil(func() bool {
-		_, answer := cluster.open(0, "urgent", "key-red")
-		return answer == "READY I -"
-	})
-	time.Sleep(300 * time.Millisecond) // until the other proxies have the configuration, and the fleet is known
-	cluster.group.Server("a").WorkTime = 300 * time.Millisecond
+	cluster := newPressureCluster(t, 300*time.Millisecond)
 	var leaving []caller
 	for index := range cluster.settings {
 		for range 6 {
--- a/internal/fleet/priority.go
+++ b/internal/fleet/priority.go
@@ -41,10 +41,7 @@
 // logRefusal logs the inputs of a refusal by the team's rate.
 func (limiter *limiter) logRefusal(team spool.Team, priority int, decision quota.Decision) {
 	limiter.mutex.Lock()
-	waiting := 0
-	for _, count := range limiter.waiters[team] {
-		waiting += count
-	}
+	waiting := limiter.waiting(team)
 	state := limiter.buckets.State(team, limiter.timers.Now())
 	limiter.mutex.Unlock()
 	event.Log(limiter.logger, event.RateRefused, zap.String("Team", string(team)), zap.Int("Priority", priority),
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -226,7 +226,7 @@
 	proxy.draining = true
 	proxy.mutex.Unlock()
 	proxy.lender.Close()
-	proxy.peers.announceLeaving()
+	proxy.peers.notifyAll() // the heartbeats announce the shutdown
 	event.Log(proxy.logger, event.ProxyDraining, zap.Int("Sessions", proxy.engine.SessionCount()))
 	grace := time.Duration(float64(proxy.settings.Bounds.Grace) * drainFraction)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
--- a/internal/fleet/spread_test.go
+++ b/internal/fleet/spread_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
 	"regexp"
 	"strconv"
 	"testing"
@@ -17,13 +15,8 @@
 // metric returns the sum of a proxy's series whose name and labels match an expression.
 func (cluster *cluster) metric(index int, expression string) (sum float64) {
 	cluster.Helper()
-	response, err := http.Get("http://" + cluster.settings[index].Metrics + "/metrics")
-	qt.Assert(cluster, err, qt.IsNil)
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	qt.Assert(cluster, err, qt.IsNil)
-	for _, match := range regexp.MustCompile(`(?m)^corianderspool_`+expression+` (\S+)$`).FindAllSubmatch(text, -1) {
-		value, err := strconv.ParseFloat(string(match[1]), 64)
+	for _, match := range regexp.MustCompile(`(?m)^corianderspool_`+expression+` (\S+)$`).FindAllStringSubmatch(cluster.metrics(index), -1) {
+		value, err := strconv.ParseFloat(match[1], 64)
 		qt.Assert(cluster, err, qt.IsNil)
 		sum += value
 	}
--- a/internal/fleet/suspension.go
+++ b/internal/fleet/suspension.go
@@ -33,8 +33,8 @@
 // noticeSuspension starts to learn the evacuated failure domains anew if the VM was suspended since the last tick.
 func (evacuations *evacuations) noticeSuspension(now spool.Instant) {
 	evacuations.mutex.Lock()
-	gap := now.Sub(spool.Instant(evacuations.lastTick.Load()))
-	noticed := place.Suspended(spool.Instant(evacuations.lastTick.Load()), now)
+	last := spool.Instant(evacuations.lastTick.Load())
+	noticed := place.Suspended(last, now)
 	if noticed {
 		evacuations.lastTick.Store(int64(now))
 		evacuations.resumedAt = now
@@ -48,9 +48,9 @@
 	if !noticed {
 		return
 	}
-	event.Log(evacuations.proxy.logger, event.ClockJumped, zap.Duration("Gap", gap))
+	event.Log(evacuations.proxy.logger, event.ClockJumped, zap.Duration("Gap", now.Sub(last)))
 	go func() { _ = evacuations.list(context.Background()) }() // list logs the error
-	go evacuations.proxy.peers.notify(func(spool.VM) bool { return true })
+	go evacuations.proxy.peers.notifyAll()
 }
 
 // settle ends the wait after a suspension, since the evacuated failure domains are known again.
--- a/internal/fleet/tokens.go
+++ b/internal/fleet/tokens.go
@@ -45,11 +45,7 @@
 func (limiter *limiter) returnUnused(issuer spool.VM, team spool.Team, now spool.Instant) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	waiting := 0
-	for _, count := range limiter.waiters[team] {
-		waiting += count
-	}
-	if unused := limiter.buckets.TakeUnused(team, waiting, now); unused > 0 {
+	if unused := limiter.buckets.TakeUnused(team, limiter.waiting(team), now); unused > 0 {
 		limiter.sendTokens(issuer, team, unused)
 	}
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -15,11 +15,13 @@
 	maxRetryDelay    = 900 * time.Millisecond  // so that the end of an outage is noticed within a second
 	minBatchDelay    = 150 * time.Millisecond  // after changes, so that one call returns related ones together
 	maxBatchDelay    = 1200 * time.Millisecond // during a series of changes, as when all servers register
-	watchTimeout     = 25 * time.Second        // longest wait of a watch; the store allows 30 s
 	catchUpTimeout   = 600 * time.Millisecond  // for a watch to return a version known to others; a slow answer takes 240 ms
 	unreachableAfter = 2                       // consecutive failed calls after which the store counts as unreachable
 )
 
+// WatchTimeout is the longest wait of a watch; the store allows 30 s.
+const WatchTimeout = 25 * time.Second
+
 // ExpiryGracePeriod is how long after an outage of the store missing entries are retained: those that expired during the
 // outage are registered again within two seconds.
 const ExpiryGracePeriod = 2200 * time.Millisecond
@@ -182,7 +184,7 @@
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	mirror.registerWatch(cancel)
-	changes, version, err := mirror.store.Watch(watching, mirror.kind, after, watchTimeout)
+	changes, version, err := mirror.store.Watch(watching, mirror.kind, after, WatchTimeout)
 	if mirror.unregisterWatch() {
 		return spool.ErrCompacted
 	}
@@ -190,7 +192,7 @@
 		return err
 	}
 	mirror.recordSuccess()
-	if len(changes) == 0 && mirror.timers.Now().Sub(began) < watchTimeout {
+	if len(changes) == 0 && mirror.timers.Now().Sub(began) < WatchTimeout {
 		return spool.ErrCompacted
 	}
 	changed := false
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -20,6 +21,7 @@
 	envelope *wire.Envelope
 	kind     string
 	bytes    int
+	isCopy   bool
 	state    heartbeatState
 }
 
@@ -85,7 +87,9 @@
 
 // push queues a message and reports whether it did. A heartbeat replaces a queued one in its place.
 func (queue *queue) push(envelope *wire.Envelope) bool {
-	added := queued{envelope: envelope, kind: Kind(envelope), bytes: proto.Size(envelope), state: stateOf(envelope)}
+	added := queued{
+		envelope: envelope, kind: Kind(envelope), bytes: proto.Size(envelope), isCopy: isCopy(envelope), state: stateOf(envelope),
+	}
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
 	if added.state.heartbeat {
@@ -115,30 +119,23 @@
 	if len(queue.waiting) >= maxQueuedEnvelopes {
 		return false
 	}
-	if !isCopy(added.envelope) {
+	if !added.isCopy {
 		return added.state.heartbeat || queue.bytes-queue.copyBytes()+added.bytes <= maxQueuedBytes-maxCopyBytes
 	}
 	if queue.copyBytes()+added.bytes <= maxCopyBytes {
 		return true
 	}
-	if queue.sending.kind == added.kind && isCopy(queue.sending.envelope) {
-		return false
-	}
-	for _, waiting := range queue.waiting {
-		if waiting.kind == added.kind && isCopy(waiting.envelope) {
-			return false
-		}
-	}
-	return true
+	sameCopy := func(other queued) bool { return other.isCopy && other.kind == added.kind }
+	return !sameCopy(queue.sending) && !slices.ContainsFunc(queue.waiting, sameCopy)
 }
 
 func (queue *queue) copyBytes() int {
 	bytes := 0
-	if queue.sending.envelope != nil && isCopy(queue.sending.envelope) {
+	if queue.sending.isCopy {
 		bytes = queue.sending.bytes
 	}
 	for _, waiting := range queue.waiting {
-		if isCopy(waiting.envelope) {
+		if waiting.isCopy {
 			bytes += waiting.bytes
 		}
 	}
