--- a/internal/bulk/serve.go
+++ b/internal/bulk/serve.go
@@ -4,7 +4,10 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"corianderspool.example/spool/internal/core/spread"
+	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/lend"
 	"corianderspool.example/spool/internal/wire"
 	"corianderspool.example/spool/pkg/spool"
@@ -29,6 +32,8 @@
 	packed, err := distributor.pack(newest, base)
 	if err != nil {
 		distributor.observer.Served(from, "failed", 0)
+		event.Log(distributor.logger, event.ConfigNotPacked, zap.String("Peer", string(from)),
+			zap.Uint64("Version", newest.Version), event.Cause(err))
 		return
 	}
 	domain, _ := distributor.peers.Locate(from)
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -97,6 +97,7 @@
 	ConfigFetchFailed   Number = 761
 	ConfigCorrupted     Number = 762
 	PeerMessagesDropped Number = 763
+	ConfigNotPacked     Number = 764
 
 	EvacuationStarted              Number = 770
 	EvacuationComplete             Number = 771
@@ -108,11 +109,12 @@
 
 	ServerWarmingUp Number = 780
 
-	StoreEraFirstSeen    Number = 785
-	StoreFellBack        Number = 786
-	StoreAnswerRejected  Number = 787
-	RegistrationRestored Number = 788
-	OlderConfigIgnored   Number = 789
+	RegistrationNotRestored Number = 784
+	StoreEraFirstSeen       Number = 785
+	StoreFellBack           Number = 786
+	StoreAnswerRejected     Number = 787
+	RegistrationRestored    Number = 788
+	OlderConfigIgnored      Number = 789
 
 	WaitRefused   Number = 790
 	LoanWithdrawn Number = 791
@@ -190,6 +192,7 @@
 	ConfigFetchFailed:              {Level: zapcore.InfoLevel, Text: "configuration not fetched from a proxy", PerSecond: peerLimit},
 	ConfigCorrupted:                {Level: zapcore.WarnLevel, Text: "proxy sent a wrong configuration", PerSecond: peerLimit},
 	PeerMessagesDropped:            {Level: zapcore.WarnLevel, Text: "messages to a proxy dropped", PerSecond: auditLimit},
+	ConfigNotPacked:                {Level: zapcore.ErrorLevel, Text: "configuration for a proxy not compressed", PerSecond: serverLimit},
 	EvacuationStarted:              {Level: zapcore.WarnLevel, Text: "failure domain evacuated"},
 	EvacuationComplete:             {Level: zapcore.InfoLevel, Text: "last request left the evacuated failure domain"},
 	EvacuationWithdrawn:            {Level: zapcore.InfoLevel, Text: "evacuation withdrawn"},
@@ -198,6 +201,7 @@
 	ClockJumped:                    {Level: zapcore.WarnLevel, Text: "VM was suspended", PerSecond: serverLimit},
 	EvacuationReadFailed:           {Level: zapcore.WarnLevel, Text: "reading the evacuations failed", PerSecond: serverLimit},
 	ServerWarmingUp:                {Level: zapcore.InfoLevel, Text: "backend server warms up", PerSecond: serverLimit},
+	RegistrationNotRestored:        {Level: zapcore.WarnLevel, Text: "registration of this proxy not written again", PerSecond: serverLimit},
 	StoreEraFirstSeen:              {Level: zapcore.InfoLevel, Text: "era of the store first seen"},
 	StoreFellBack:                  {Level: zapcore.WarnLevel, Text: "store fell back to an older copy"},
 	StoreAnswerRejected:            {Level: zapcore.WarnLevel, Text: "answer of the store with an older or malformed era not accepted", PerSecond: serverLimit},
--- a/internal/fleet/eras.go
+++ b/internal/fleet/eras.go
@@ -226,8 +226,12 @@
 		object.Version = stored.Version
 		_, err = members.proxy.adapter.Put(ctx, object)
 	}
-	event.Log(members.proxy.logger, event.RegistrationRestored, zap.Bool("Missing", missing), event.Cause(err))
-	return err
+	if err != nil {
+		event.Log(members.proxy.logger, event.RegistrationNotRestored, zap.Bool("Missing", missing), event.Cause(err))
+		return err
+	}
+	event.Log(members.proxy.logger, event.RegistrationRestored, zap.Bool("Missing", missing))
+	return nil
 }
 
 // ownEntry returns the entry of this VM.
