soak: start a proxy only if none runs on its VM

Two overlapping faults could stop the same proxy and both start it again. The first process was then forgotten: it stayed after the test, and the second one found its port taken, so that later faults of this VM hit a process that had ended. Three such processes were left by runs of the soak.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -181,10 +181,14 @@
 	return vm
 }
 
-// startVM starts a proxy's process, which appends to the log file of the VM.
+// startVM starts a proxy's process, which appends to the log file of the VM. It does nothing if one runs: two faults may stop the
+// same proxy, and both start it again.
 func (cluster *cluster) startVM(vm *vm) {
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
+	if vm.process != nil {
+		return
+	}
 	log, err := os.OpenFile(filepath.Join(cluster.dir, vm.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		cluster.Fatal(err)
