--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -37,6 +37,11 @@
 	NoReplica          Decision = "no replica answers"
 	ReplicaUnreachable Decision = "a replica that does not answer or is not registered may alone hold an acknowledged commit"
 	BehindAcked        Decision = "all replicas that answer lack an acknowledged commit"
+	NotCaughtUp        Decision = "the chosen server has not received all commits of the other replicas"
+	Superseded         Decision = "another promotion took effect meanwhile"
+	PrimaryAnswers     Decision = "the primary answers again"
+	NotSupervised      Decision = "another proxy supervises the group"
+	TokenExpired       Decision = "the fencing token is too old or of an older era"
 )
 
 // ChooseFailover returns the most advanced candidate if it provably holds every acknowledged commit.
@@ -96,6 +101,17 @@
 	return candidate.Near && !other.Near
 }
 
+// UnreachableReplicas reports whether so many replicas do not answer that they may confirm a commit alone.
+func UnreachableReplicas(candidates []Candidate, syncReplicas int) bool {
+	unreachable := 0
+	for _, candidate := range candidates {
+		if !candidate.Responded {
+			unreachable++
+		}
+	}
+	return unreachable >= max(1, syncReplicas)
+}
+
 // ChooseSwitchover returns the replica that takes over from a working primary: the one with the least lag that is not
 // leaving and not evacuated.
 func ChooseSwitchover(candidates []Candidate) (spool.Server, bool) {
--- /dev/null
+++ b/internal/core/elect/handover.go
@@ -0,0 +1,142 @@
+package elect
+
+import "corianderspool.example/spool/pkg/spool"
+
+// Cause is why a primary is replaced.
+type Cause int
+
+// Causes of a handover.
+const (
+	CausePlanned     Cause = iota // the primary works and is about to leave
+	CauseUnreachable              // no proxy reaches the primary
+	CauseStalled                  // the primary answers but completes no commit
+	CauseRetired                  // the primary works but is sent no new work any more
+)
+
+// ServerReport is what a server said of itself when it was last asked.
+type ServerReport struct {
+	Server    spool.Server
+	Answered  bool
+	Status    spool.ReplicaStatus
+	Evacuated bool // in an evacuated failure domain, so never promoted
+}
+
+// Handover is the known state of a group while one of its servers is about to be promoted.
+type Handover struct {
+	Cause         Cause
+	Primary       spool.Server      // that is replaced; empty if none is known
+	Chosen        spool.Server      // that is promoted
+	PauseTerm     spool.Term        // term in which the other replicas are paused, above the newest one at the start
+	SyncReplicas  int               // replicas that confirm a commit before it is acknowledged
+	Reports       []ServerReport    // of all servers that were registered when they were last asked
+	RegistryRead  bool              // the registry was read from the store for the reports and lists all running servers
+	Acked         spool.LogPosition // newest position known to have been acknowledged by any proxy
+	CommitsClosed bool              // until the promotion is complete no proxy acknowledges a commit of the primary above Acked
+	Supervised    bool              // this proxy still supervises the group
+	TokenUsable   bool              // no later holder of a fencing token acts yet
+}
+
+// Step is what a supervisor does next in a handover.
+type Step int
+
+// Steps of a handover.
+const (
+	StepWait    Step = iota // ask the servers again
+	StepPromote             // request the promotion
+	StepGiveUp              // resume the replicas and start again later
+)
+
+// Next returns the next step and its reason. A promotion is requested only if every commit that was or will be acknowledged
+// before it takes effect is on the chosen server: the servers that could confirm one without it are too few, or no proxy
+// acknowledges commits any more. A server can confirm one unless its own answer shows that it is paused.
+func (handover *Handover) Next() (Step, Decision) {
+	switch {
+	case !handover.Supervised:
+		return StepGiveUp, NotSupervised
+	case !handover.TokenUsable:
+		return StepGiveUp, TokenExpired
+	case handover.superseded():
+		return StepGiveUp, Superseded
+	case handover.Cause == CauseUnreachable && !handover.CommitsClosed && handover.primaryAnswers():
+		return StepGiveUp, PrimaryAnswers
+	}
+	chosen := handover.report(handover.Chosen)
+	if chosen == nil || chosen.Evacuated {
+		return StepGiveUp, NoReplica
+	}
+	if !chosen.Answered {
+		return StepWait, NoReplica
+	}
+	newest, independent := handover.others(chosen.Status.Received)
+	switch received := chosen.Status.Received; {
+	case received.Less(newest):
+		return handover.stepIfBehind(), NotCaughtUp
+	case received.Less(handover.Acked):
+		return handover.stepIfBehind(), BehindAcked
+	case independent < max(1, handover.SyncReplicas), handover.CommitsClosed:
+		return StepPromote, Safe
+	}
+	return StepWait, ReplicaUnreachable
+}
+
+// superseded reports whether a promotion took effect that this handover does not know.
+func (handover *Handover) superseded() bool {
+	for _, report := range handover.Reports {
+		if !report.Answered {
+			continue
+		}
+		leads := report.Server == handover.Primary
+		if report.Status.Primary != leads || report.Status.Term >= handover.PauseTerm {
+			return true
+		}
+	}
+	return false
+}
+
+// primaryAnswers reports whether the primary acts as such.
+func (handover *Handover) primaryAnswers() bool {
+	primary := handover.report(handover.Primary)
+	return primary != nil && primary.Answered && primary.Status.Primary
+}
+
+func (handover *Handover) report(server spool.Server) *ServerReport {
+	for i := range handover.Reports {
+		if handover.Reports[i].Server == server {
+			return &handover.Reports[i]
+		}
+	}
+	return nil
+}
+
+// others returns the newest position that the replicas except the chosen one have received, and how many servers may confirm
+// a commit that the chosen one lacks. One that is never promoted and stays ahead of the chosen one counts among them.
+func (handover *Handover) others(received spool.LogPosition) (newest spool.LogPosition, independent int) {
+	if !handover.RegistryRead {
+		independent++
+	}
+	for _, report := range handover.Reports {
+		if report.Server == handover.Primary || report.Server == handover.Chosen {
+			continue
+		}
+		ahead := report.Answered && received.Less(report.Status.Received)
+		switch {
+		case ahead && report.Evacuated && handover.Cause != CausePlanned:
+			independent++
+			continue
+		case !report.Answered || report.Status.PausedTerm < handover.PauseTerm:
+			independent++
+		}
+		if report.Answered {
+			newest = newest.Max(report.Status.Received)
+		}
+	}
+	return newest, independent
+}
+
+// stepIfBehind returns the step for a chosen server that lacks commits: while the primary works, it receives them soon.
+func (handover *Handover) stepIfBehind() Step {
+	if handover.Cause == CausePlanned || handover.Cause == CauseRetired {
+		return StepWait
+	}
+	return StepGiveUp
+}
--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -74,6 +74,7 @@
 	PeersPolledAboutPrimary    Number = 420
 	PeersPolledAboutCommits    Number = 422
 	ServerStatusFailed         Number = 421
+	HandoverDecided            Number = 423
 
 	ManifestAccepted Number = 501
 	ManifestRejected Number = 502
@@ -172,6 +173,7 @@
 	PeersPolledAboutCommits:        {Level: zapcore.WarnLevel, Text: "other proxies asked about commits", PerSecond: serverLimit},
 	PeersPolledAboutPrimary:        {Level: zapcore.WarnLevel, Text: "other proxies asked about a primary", PerSecond: serverLimit},
 	ServerStatusFailed:             {Level: zapcore.WarnLevel, Text: "status query to a backend server failed", PerSecond: serverLimit},
+	HandoverDecided:                {Level: zapcore.InfoLevel, Text: "handover decided", PerSecond: serverLimit},
 	ManifestAccepted:               {Level: zapcore.InfoLevel, Text: "manifest accepted"},
 	ManifestRejected:               {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
 	KeyWithdrawn:                   {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
--- a/internal/fake/linesrv/server.go
+++ b/internal/fake/linesrv/server.go
@@ -87,6 +87,11 @@
 	server.group.mutex.Lock()
 	server.down = true
 	server.group.mutex.Unlock()
+	server.Refuse()
+}
+
+// Refuse resets the connections of clients and refuses new ones until Start; the server stays up and receives the log.
+func (server *Server) Refuse() {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	_ = server.listener.Close()
--- a/internal/super/evacuate.go
+++ b/internal/super/evacuate.go
@@ -21,11 +21,11 @@
 	evacuation, now := supervisor.pool.Evacuation(), supervisor.timers.Now()
 	switch {
 	case evacuation.MaySwitchOver(primary.Domain, now):
-		supervisor.switchover(ctx, view, state)
+		supervisor.replacePrimary(ctx, view, state, elect.CausePlanned)
 	case evacuation.Settled(primary.Domain, now):
 		state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
 		state.poll.Complete = state.poll.Complete && evacuation.Answered(primary.Domain, now)
-		supervisor.failover(ctx, view, state)
+		supervisor.replacePrimary(ctx, view, state, elect.CauseRetired)
 	default:
 		supervisor.scheduleRetry(state)
 	}
@@ -33,26 +33,15 @@
 
 // tooLateToSwitchOver reports whether the primary's failure domain was evacuated so long ago that paused replicas there might not
 // be resumed in time; the wait for another holder's token may take longer than a switchover has.
-func (supervisor *Supervisor) tooLateToSwitchOver(view pool.GroupView) bool {
+func (supervisor *Supervisor) tooLateToSwitchOver(view pool.GroupView, cause elect.Cause) bool {
+	if cause != elect.CausePlanned {
+		return false
+	}
 	primary := findServer(view, view.Primary)
 	evacuation := supervisor.pool.Evacuation()
 	return primary != nil && evacuation.Closed(primary.Domain) && !evacuation.MaySwitchOver(primary.Domain, supervisor.timers.Now())
 }
 
-// evacuatedSince reports whether the failure domain of a server was evacuated after the view was taken.
-func (supervisor *Supervisor) evacuatedSince(view pool.GroupView, name spool.Server) bool {
-	server := findServer(view, name)
-	return server != nil && supervisor.pool.Evacuation().Closed(server.Domain)
-}
-
-// evacuatedAnswered reports whether all servers of evacuated failure domains answered. One that does not, usually because nothing
-// is sent to it any more, still confirms commits that the chosen server may lack.
-func evacuatedAnswered(candidates []elect.Candidate) bool {
-	return !slices.ContainsFunc(candidates, func(candidate elect.Candidate) bool {
-		return candidate.Evacuated && !candidate.Responded
-	})
-}
-
 // hasSuccessor reports whether a server other than the primary is outside the evacuated failure domains.
 func hasSuccessor(view pool.GroupView) bool {
 	return slices.ContainsFunc(view.Servers, func(server pool.ServerView) bool {
--- /dev/null
+++ b/internal/super/handover.go
@@ -0,0 +1,137 @@
+package super
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"corianderspool.example/spool/internal/core/elect"
+	"corianderspool.example/spool/internal/event"
+	"corianderspool.example/spool/internal/pool"
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// primaryTimeout limits a query to the primary that is replaced: a round trip between regions and a handshake.
+const primaryTimeout = 150 * time.Millisecond
+
+// handover is one attempt to promote a chosen server. It carries out the steps that elect.Handover decides.
+type handover struct {
+	*Supervisor
+	view      pool.GroupView // as of when the server was chosen
+	state     *groupState
+	cause     elect.Cause
+	chosen    spool.Server
+	token     acquiredToken
+	pauseTerm spool.Term
+}
+
+// replacePrimary chooses a server and promotes it if no acknowledged commit can be lost.
+func (supervisor *Supervisor) replacePrimary(ctx context.Context, view pool.GroupView, state *groupState, cause elect.Cause) {
+	chosen, term := supervisor.chooseServer(view, state, cause)
+	if chosen == "" {
+		supervisor.scheduleRetry(state)
+		return
+	}
+	token, waited, ok := supervisor.acquireToken(ctx, view, state)
+	if !ok {
+		return
+	}
+	if waited {
+		chosen, term = supervisor.chooseServer(view, state, cause)
+	}
+	if chosen == "" || supervisor.tooLateToSwitchOver(view, cause) {
+		supervisor.scheduleRetry(state)
+		return
+	}
+	handover := &handover{
+		Supervisor: supervisor, view: view, state: state, cause: cause, chosen: chosen, token: token, pauseTerm: term + 1,
+	}
+	if handover.secure() != elect.StepPromote {
+		supervisor.resumeReplicas(view, state)
+		supervisor.scheduleRetry(state)
+		return
+	}
+	handover.requestPromotion(ctx)
+}
+
+// secure asks the servers until the promotion may be requested or the handover is given up, and returns that step.
+func (handover *handover) secure() elect.Step {
+	deadline := handover.timers.Now().Add(catchUpTimeout)
+	for {
+		known := handover.ask()
+		step, decision := known.Next()
+		late := handover.timers.Now() > deadline
+		if step == elect.StepWait && !late {
+			time.Sleep(checkPeriod / 5)
+			continue
+		}
+		handover.logStep(&known, step, decision)
+		return step
+	}
+}
+
+// ask pauses the replicas, queries the others and returns what is known of the group then.
+func (handover *handover) ask() elect.Handover {
+	view := handover.pool.View(handover.view.Group)
+	return elect.Handover{
+		Cause: handover.cause, Primary: handover.view.Primary, Chosen: handover.chosen, PauseTerm: handover.pauseTerm,
+		SyncReplicas: view.SyncReplicas, Reports: handover.askServers(view), RegistryRead: handover.fleet.RegistryComplete(),
+		Acked: view.AckedPosition.Max(handover.state.poll.Acked), CommitsClosed: handover.cause != elect.CausePlanned && handover.state.poll.Complete,
+		Supervised: true, TokenUsable: handover.tokenUsable(),
+	}
+}
+
+// askServers pauses all servers of a view except the primary and the chosen one, whose status it queries, and returns what they
+// answered. A repeated PAUSE shows that a replica is still paused, or pauses it again after a restart.
+func (handover *handover) askServers(view pool.GroupView) []elect.ServerReport {
+	reports := make([]elect.ServerReport, len(view.Servers))
+	var asking sync.WaitGroup
+	for i, server := range view.Servers {
+		asking.Go(func() {
+			command, timeout := spool.Command{Verb: spool.VerbPause, Term: handover.pauseTerm}, statusTimeout
+			switch server.Server {
+			case handover.view.Primary:
+				command, timeout = spool.Command{Verb: spool.VerbStatus}, primaryTimeout
+			case handover.chosen:
+				command = spool.Command{Verb: spool.VerbStatus}
+			}
+			status, err := handover.sendCommand(view.Group, server.Server, timeout, command)
+			reports[i] = elect.ServerReport{Server: server.Server, Answered: err == nil, Status: status, Evacuated: server.Evacuated}
+			if command.Verb == spool.VerbPause {
+				event.Log(handover.logger, event.ReplicaPaused, zap.String("Group", string(view.Group)),
+					zap.String("Server", string(server.Server)), zap.Uint64("Term", uint64(handover.pauseTerm)),
+					zap.Uint64("Held", uint64(status.PausedTerm)), event.Cause(err))
+			}
+		})
+	}
+	for _, server := range view.Servers {
+		if server.Server != handover.view.Primary && server.Server != handover.chosen {
+			handover.state.paused[server.Server] = true
+		}
+	}
+	asking.Wait()
+	return reports
+}
+
+// tokenUsable reports whether the fencing token is young enough and of the store's present era.
+func (handover *handover) tokenUsable() bool {
+	return handover.timers.Now().Sub(handover.token.acquiredAt) <= maxTokenAge && handover.tokens.IsCurrent(handover.token.value)
+}
+
+// logStep logs the end of a handover's first part.
+func (handover *handover) logStep(known *elect.Handover, step elect.Step, decision elect.Decision) {
+	fields := []zap.Field{
+		zap.String("Group", string(handover.view.Group)), zap.String("Server", string(handover.chosen)),
+		zap.String("Replaced", string(handover.view.Primary)), zap.Bool("Promote", step == elect.StepPromote),
+		zap.String("Verdict", string(decision)), zap.Uint64("Term", uint64(handover.pauseTerm)),
+		zap.Bool("RegistryRead", known.RegistryRead), zap.Bool("CommitsClosed", known.CommitsClosed),
+		zap.Stringer("Acknowledged", known.Acked),
+		zap.Duration("TokenAge", handover.timers.Now().Sub(handover.token.acquiredAt)),
+	}
+	for _, report := range known.Reports {
+		fields = append(fields, zap.String("Server/"+string(report.Server), reportText(report)))
+	}
+	event.Log(handover.logger, event.HandoverDecided, fields...)
+}
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -132,7 +132,7 @@
 	case primary.Evacuated:
 		supervisor.replaceEvacuated(ctx, view, state, primary)
 	case primary.Leaving:
-		supervisor.switchover(ctx, view, state)
+		supervisor.replacePrimary(ctx, view, state, elect.CausePlanned)
 	default:
 		supervisor.checkPrimary(ctx, view, state, now)
 	}
@@ -174,7 +174,7 @@
 			event.Cause(err))
 	}
 	if supervisor.confirmFailure(view, state, view.Primary) {
-		supervisor.failover(ctx, view, state)
+		supervisor.replacePrimary(ctx, view, state, elect.CauseUnreachable)
 	} else if state.poll.Reached > 0 {
 		supervisor.checkCommits(ctx, view, state)
 	}
@@ -203,7 +203,7 @@
 		supervisor.resumeReplicas(view, state)
 		return
 	}
-	supervisor.failover(ctx, view, state)
+	supervisor.replacePrimary(ctx, view, state, elect.CauseStalled)
 }
 
 // confirmFailure polls the other proxies and reports whether the primary is to be replaced.
@@ -239,6 +239,6 @@
 		return
 	}
 	if supervisor.confirmFailure(view, state, "") {
-		supervisor.failover(ctx, view, state)
+		supervisor.replacePrimary(ctx, view, state, elect.CauseUnreachable)
 	}
 }
