--- a/internal/fake/linesrv/group.go
+++ b/internal/fake/linesrv/group.go
@@ -55,6 +55,19 @@
 	return group, nil
 }
 
+// Add starts a replica that holds the primary's log; it fails if it cannot listen.
+func (group *Group) Add(id spool.Server) (*Server, error) {
+	server := &Server{ID: id, group: group, MaxConnections: defaultMaxConnections, Slots: defaultSlots}
+	if err := server.Start(); err != nil {
+		return nil, err
+	}
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	server.receivedEntries, server.appliedEntries = len(group.log), len(group.log)
+	group.servers = append(group.servers, server)
+	return server, nil
+}
+
 // Close stops all servers.
 func (group *Group) Close() {
 	for _, server := range group.servers {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -347,6 +347,11 @@
 // Operator returns the team under which the proxy opens its own connections to servers.
 func (peers *peers) Operator() spool.Team { return peers.proxy.operator() }
 
+// RefreshRegistry reads the registered servers from the store.
+func (peers *peers) RefreshRegistry(ctx context.Context) error {
+	return peers.proxy.servers.Refresh(ctx)
+}
+
 // RegistryComplete reports whether the registry shows all running servers.
 func (peers *peers) RegistryComplete() bool {
 	return peers.proxy.reader.stable() && peers.proxy.servers.Stable()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -49,6 +49,10 @@
 	batchedAt  spool.Instant // when changes last arrived
 	batchDelay time.Duration // delay before the next watch
 
+	refreshing  sync.Mutex // held during a refresh
+	refreshedAt spool.Instant
+	refreshErr  error
+
 	mutex            sync.Mutex
 	objects          map[string]spool.Object
 	expiring         map[string]func() // stops the timer that reports the object as deleted
@@ -112,6 +116,25 @@
 	return nil
 }
 
+// Refresh lists the objects once more, whether or not this proxy watches the store. Concurrent calls share a list that began
+// after they did. It returns the store's error, which does not count as an outage.
+func (mirror *Mirror) Refresh(ctx context.Context) error {
+	requested := mirror.timers.Now()
+	mirror.refreshing.Lock()
+	defer mirror.refreshing.Unlock()
+	if mirror.refreshedAt > requested {
+		return mirror.refreshErr
+	}
+	mirror.refreshedAt = mirror.timers.Now()
+	objects, version, err := mirror.store.List(ctx, mirror.kind)
+	if err == nil {
+		mirror.noteEra(version)
+		mirror.replaceAll(objects, version)
+	}
+	mirror.refreshErr = err
+	return err
+}
+
 // NotifyVersion announces a version of the store. If the copy does not reach it within catchUpTimeout, the objects are
 // listed again: a watch may receive nothing while the store discards its history.
 func (mirror *Mirror) NotifyVersion(version spool.Version) {
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,59 +141,88 @@
 }
 
 // resumeReplicas resumes replication on the paused replicas.
-func (supervisor *Supervisor) resumeReplicas(view pool.GroupView, state *groupState) {
-	for server := range state.paused {
+func (supervisor *Supervisor) resumeReplicas(group spool.Group, state *groupState) {
+	paused := supervisor.pausedServers(state)
+	if len(paused) == 0 {
+		return
+	}
+	view := supervisor.pool.View(group)
+	for _, server := range paused {
 		if findServer(view, server) == nil {
-			delete(state.paused, server)
+			supervisor.setPaused(state, server, false)
 			continue
 		}
 		if !supervisor.commandable(view, server) {
 			continue // until the evacuation is withdrawn
 		}
-		_, err := supervisor.sendCommand(view.Group, server, statusTimeout, spool.Command{Verb: spool.VerbResume})
-		event.Log(supervisor.logger, event.ReplicaResumed, zap.String("Group", string(view.Group)),
+		_, err := supervisor.sendCommand(group, server, statusTimeout, spool.Command{Verb: spool.VerbResume})
+		event.Log(supervisor.logger, event.ReplicaResumed, zap.String("Group", string(group)),
 			zap.String("Server", string(server)), event.Cause(err))
 		if err == nil {
-			delete(state.paused, server)
+			supervisor.setPaused(state, server, false)
 		}
 	}
 }
 
+func (supervisor *Supervisor) pausedServers(state *groupState) []spool.Server {
+	supervisor.mutex.Lock()
+	defer supervisor.mutex.Unlock()
+	return slices.Sorted(maps.Keys(state.paused))
+}
+
+func (supervisor *Supervisor) setPaused(state *groupState, server spool.Server, paused bool) {
+	supervisor.mutex.Lock()
+	defer supervisor.mutex.Unlock()
+	if paused {
+		state.paused[server] = true
+	} else {
+		delete(state.paused, server)
+	}
+}
+
 func (supervisor *Supervisor) scheduleRetry(state *groupState) {
 	state.nextCheck = supervisor.timers.Now().Add(retryDelay)
 }
 
 // requestPromotion requests the promotion and waits until the chosen server acts as primary.
 func (handover *handover) requestPromotion(ctx context.Context) {
-	view, state := handover.view, handover.state
+	group, state := handover.view.Group, handover.state
 	state.promotionRequestedAt = handover.timers.Now()
+	stop, rounds := handover.keepSecure(ctx)
+	defer rounds.Wait()
+	defer stop()
 	err := handover.promoter.Promote(ctx, spool.Promotion{
-		Group: view.Group, Server: handover.chosen, Holder: handover.vm, Token: handover.token.value,
+		Group: group, Server: handover.chosen, Holder: handover.vm, Token: handover.token.value,
 	})
-	event.Log(handover.logger, event.PlatformPromotionRequested, zap.String("Group", string(view.Group)),
-		zap.String("Server", string(handover.chosen)), zap.String("Replaced", string(view.Primary)),
+	event.Log(handover.logger, event.PlatformPromotionRequested, zap.String("Group", string(group)),
+		zap.String("Server", string(handover.chosen)), zap.String("Replaced", string(handover.view.Primary)),
 		zap.Uint64("Token", handover.token.value), event.Cause(err))
 	if errors.Is(err, spool.ErrFenced) {
-		handover.resumeReplicas(view, state)
+		stop()
+		rounds.Wait()
+		handover.resumeReplicas(group, state)
 		handover.scheduleRetry(state)
 		return
 	}
-	handover.awaitPrimary(view, state, handover.chosen)
+	if handover.awaitPrimary() {
+		stop() // a round in progress pauses nothing, since the new primary's term is not below its own
+		handover.resumeReplicas(group, state)
+	}
 }
 
-// awaitPrimary waits until the chosen server acts as primary.
-func (supervisor *Supervisor) awaitPrimary(view pool.GroupView, state *groupState, chosen spool.Server) {
-	deadline := supervisor.timers.Now().Add(promotionTimeout)
-	for supervisor.timers.Now() < deadline {
+// awaitPrimary waits until the chosen server acts as primary and reports whether it does.
+func (handover *handover) awaitPrimary() bool {
+	deadline := handover.timers.Now().Add(promotionTimeout)
+	for handover.timers.Now() < deadline {
 		time.Sleep(checkPeriod / 3)
-		if supervisor.pool.ProbePrimary(view.Group, chosen, supervisor.fleet.Operator()) == nil {
-			state.probeFailedAt = 0
-			supervisor.resumeReplicas(view, state) // the new primary completes no commit until a replica receives
-			return
+		if handover.pool.ProbePrimary(handover.view.Group, handover.chosen, handover.fleet.Operator()) == nil {
+			handover.state.probeFailedAt = 0
+			return true
 		}
 	}
-	event.Log(supervisor.logger, event.PromotionUnconfirmed, zap.String("Group", string(view.Group)),
-		zap.String("Server", string(chosen)))
+	event.Log(handover.logger, event.PromotionUnconfirmed, zap.String("Group", string(handover.view.Group)),
+		zap.String("Server", string(handover.chosen)))
+	return false
 }
 
 func (supervisor *Supervisor) logDecision(
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -16,6 +16,12 @@
 // primaryTimeout limits a query to the primary that is replaced: a round trip between regions and a handshake.
 const primaryTimeout = 150 * time.Millisecond
 
+// refreshTimeout limits the read of the registered servers; a store fifty times slower than usual answers within 200 ms.
+const refreshTimeout = 300 * time.Millisecond
+
+// pausePeriod is the time between the rounds in which a promotion that was requested stays secured.
+const pausePeriod = 100 * time.Millisecond
+
 // handover is one attempt to promote a chosen server. It carries out the steps that elect.Handover decides.
 type handover struct {
 	*Supervisor
@@ -48,8 +54,8 @@
 	handover := &handover{
 		Supervisor: supervisor, view: view, state: state, cause: cause, chosen: chosen, token: token, pauseTerm: term + 1,
 	}
-	if handover.secure() != elect.StepPromote {
-		supervisor.resumeReplicas(view, state)
+	if handover.secure(ctx) != elect.StepPromote {
+		supervisor.resumeReplicas(view.Group, state)
 		supervisor.scheduleRetry(state)
 		return
 	}
@@ -57,10 +63,10 @@
 }
 
 // secure asks the servers until the promotion may be requested or the handover is given up, and returns that step.
-func (handover *handover) secure() elect.Step {
+func (handover *handover) secure(ctx context.Context) elect.Step {
 	deadline := handover.timers.Now().Add(catchUpTimeout)
 	for {
-		known := handover.ask()
+		known := handover.ask(ctx)
 		step, decision := known.Next()
 		late := handover.timers.Now() > deadline
 		if step == elect.StepWait && !late {
@@ -72,17 +78,38 @@
 	}
 }
 
-// ask pauses the replicas, queries the others and returns what is known of the group then.
-func (handover *handover) ask() elect.Handover {
+// ask reads the registered servers, pauses the replicas, queries the others and returns what is known of the group then.
+func (handover *handover) ask(ctx context.Context) elect.Handover {
+	refreshing, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	registryRead := handover.fleet.RefreshRegistry(refreshing) == nil && handover.fleet.RegistryComplete()
 	view := handover.pool.View(handover.view.Group)
 	return elect.Handover{
 		Cause: handover.cause, Primary: handover.view.Primary, Chosen: handover.chosen, PauseTerm: handover.pauseTerm,
-		SyncReplicas: view.SyncReplicas, Reports: handover.askServers(view), RegistryRead: handover.fleet.RegistryComplete(),
+		SyncReplicas: view.SyncReplicas, Reports: handover.askServers(view), RegistryRead: registryRead,
 		Acked: view.AckedPosition.Max(handover.state.poll.Acked), CommitsClosed: handover.cause != elect.CausePlanned && handover.state.poll.Complete,
 		Supervised: true, TokenUsable: handover.tokenUsable(),
 	}
 }
 
+// keepSecure repeats the round until it is stopped, so that servers which join or restart before the promotion takes effect are
+// paused as well.
+func (handover *handover) keepSecure(ctx context.Context) (stop func(), rounds *sync.WaitGroup) {
+	asking, cancel := context.WithCancel(ctx)
+	rounds = &sync.WaitGroup{}
+	rounds.Go(func() {
+		for {
+			select {
+			case <-asking.Done():
+				return
+			case <-time.After(pausePeriod):
+				handover.ask(asking)
+			}
+		}
+	})
+	return cancel, rounds
+}
+
 // askServers pauses all servers of a view except the primary and the chosen one, whose status it queries, and returns what they
 // answered. A repeated PAUSE shows that a replica is still paused, or pauses it again after a restart.
 func (handover *handover) askServers(view pool.GroupView) []elect.ServerReport {
@@ -108,7 +135,7 @@
 	}
 	for _, server := range view.Servers {
 		if server.Server != handover.view.Primary && server.Server != handover.chosen {
-			handover.state.paused[server.Server] = true
+			handover.setPaused(handover.state, server.Server, true)
 		}
 	}
 	asking.Wait()
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -32,6 +32,9 @@
 	PollPrimary(group spool.Group, primary spool.Server) elect.PeerPoll
 	// PollCommits asks all proxies for the outcomes of the commits that they sent to a primary.
 	PollCommits(group spool.Group, primary spool.Server) elect.PeerPoll
+	// RefreshRegistry reads the registered servers from the store and applies them to the pool; it fails if the store does not
+	// answer before the context ends.
+	RefreshRegistry(ctx context.Context) error
 	// RegistryComplete reports whether the store has answered for long enough that the registry lists all running servers.
 	RegistryComplete() bool
 	// Operator returns the team of the proxy's own connections.
@@ -188,7 +191,7 @@
 	own := supervisor.pool.CommitStats(view.Group)
 	cooledDown := state.promotionRequestedAt == 0 || now.Sub(state.promotionRequestedAt) > stallCooldown
 	if !cooledDown || own.Unanswered == 0 && state.poll.Commits.Unanswered == 0 || now < state.commitsPolledAt.Add(retryDelay) {
-		supervisor.resumeReplicas(view, state)
+		supervisor.resumeReplicas(view.Group, state)
 		return
 	}
 	state.commitsPolledAt = now
@@ -200,7 +203,7 @@
 		zap.Int("Unanswered", poll.Commits.Unanswered), zap.Duration("SinceUnanswered", poll.Commits.SinceFirst),
 		zap.Duration("SinceAnswered", poll.Commits.SinceAnswer), zap.Bool("Stall", stalled))
 	if !stalled {
-		supervisor.resumeReplicas(view, state)
+		supervisor.resumeReplicas(view.Group, state)
 		return
 	}
 	supervisor.replacePrimary(ctx, view, state, elect.CauseStalled)
--- a/internal/super/supervisor_test.go
+++ b/internal/super/supervisor_test.go
@@ -35,6 +35,8 @@
 
 func (fleet stubFleet) PollCommits(spool.Group, spool.Server) elect.PeerPoll { return fleet.poll }
 
+func (fleet stubFleet) RefreshRegistry(context.Context) error { return nil }
+
 func (fleet stubFleet) RegistryComplete() bool {
 	return fleet.registryComplete == nil || fleet.registryComplete.Load()
 }
@@ -50,6 +52,8 @@
 	pool       *pool.Pool
 	mutex      sync.Mutex
 	promotions []string
+	orderDelay time.Duration // from an accepted promotion until it takes effect
+	onOrder    func()        // called for each accepted promotion; may be nil
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -61,7 +65,14 @@
 		cluster.mutex.Lock()
 		defer cluster.mutex.Unlock()
 		cluster.promotions = append(cluster.promotions, server)
-		group.Promote(spool.Server(server))
+		if cluster.onOrder != nil {
+			cluster.onOrder()
+		}
+		if cluster.orderDelay == 0 {
+			group.Promote(spool.Server(server))
+		} else {
+			time.AfterFunc(cluster.orderDelay, func() { group.Promote(spool.Server(server)) })
+		}
 		return true
 	})
 	t.Cleanup(cluster.store.Close)
