--- a/internal/core/elect/handover.go
+++ b/internal/core/elect/handover.go
@@ -1,6 +1,14 @@
 package elect
 
-import "corianderspool.example/spool/pkg/spool"
+import (
+	"time"
+
+	"corianderspool.example/spool/pkg/spool"
+)
+
+// CommitHold is how long a proxy that was asked to close a primary's commits acknowledges none: until a promotion that is
+// requested soon after takes effect, which takes up to 1 s.
+const CommitHold = 3 * time.Second
 
 // Cause is why a primary is replaced.
 type Cause int
@@ -10,7 +18,8 @@
 	CausePlanned     Cause = iota // the primary works and is about to leave
 	CauseUnreachable              // no proxy reaches the primary
 	CauseStalled                  // the primary answers but completes no commit
-	CauseRetired                  // the primary works but is sent no new work any more
+	CauseRetired                  // the primary has been leaving for so long that it is sent no new work
+	CauseEvacuated                // the primary's failure domain is evacuated, so that it is sent nothing
 )
 
 // ServerReport is what a server said of itself when it was last asked.
@@ -135,8 +144,8 @@
 
 // stepIfBehind returns the step for a chosen server that lacks commits: while the primary works, it receives them soon.
 func (handover *Handover) stepIfBehind() Step {
-	if handover.Cause == CausePlanned || handover.Cause == CauseRetired {
-		return StepWait
+	if handover.Cause == CauseUnreachable || handover.Cause == CauseStalled {
+		return StepGiveUp
 	}
-	return StepGiveUp
+	return StepWait
 }
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -80,8 +80,8 @@
 	if answer.Refusal != nil {
 		return answer, session.recordRefusal(answer.Refusal, conn, statement.MinPosition)
 	}
-	if statement.Writes {
-		session.recordCommit(conn, answer.Position, sent)
+	if statement.Writes && !session.recordCommit(conn, answer.Position, sent) {
+		return unacknowledged(), false
 	}
 	return answer, false
 }
@@ -294,10 +294,20 @@
 	return spool.Refuse(spool.CodeNoSlot, "the primary completes no commits").WithRetryAfter(wait)
 }
 
-// recordCommit records an acknowledged commit.
-func (session *session) recordCommit(conn *pool.Conn, position spool.LogPosition, sent spool.Instant) {
+// unacknowledged returns the answer for a commit that a server completed while it was being replaced, so that it may be lost.
+func unacknowledged() spool.Answer {
+	return spool.Answer{Refusal: &spool.Refusal{
+		Verdict: spool.VerdictUnknown, Code: spool.CodeOutcomeUnknown, Message: "the primary is being replaced",
+	}, State: spool.TxIdle}
+}
+
+// recordCommit records a commit before it is acknowledged; it returns false if it must not be.
+func (session *session) recordCommit(conn *pool.Conn, position spool.LogPosition, sent spool.Instant) bool {
+	if !session.engine.pool.RecordCommit(session.route.Group, conn.Server(), position) {
+		return false
+	}
 	session.lastCommit = session.lastCommit.Max(position)
-	session.engine.pool.RecordCommit(session.route.Group, position)
 	watermark := fresh.Watermark{Position: position, SentAt: sent}
 	session.engine.pool.RecordPrimary(session.route.Group, conn.Server(), watermark)
+	return true
 }
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -49,8 +49,8 @@
 		answer.State = spool.TxOpen
 		return answer
 	}
-	if session.tx.wrote {
-		session.recordCommit(conn, answer.Position, sent)
+	if session.tx.wrote && !session.recordCommit(conn, answer.Position, sent) {
+		answer = unacknowledged()
 	}
 	session.tx = transaction{}
 	session.txConn.Store(nil)
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -31,7 +31,7 @@
 	if !poll.ConfirmsFailure() {
 		return poll
 	}
-	known := peers.pollMembers(group, server, false)
+	known := peers.pollMembers(group, server, &wire.ProbeRequest{})
 	poll.Reached += known.Reached
 	poll.Acked = poll.Acked.Max(known.Acked)
 	poll.Complete = known.Complete
@@ -40,13 +40,22 @@
 
 // PollCommits asks all registered proxies for the outcomes of the commits that they sent to a primary.
 func (peers *peers) PollCommits(group spool.Group, server spool.Server) elect.PeerPoll {
-	return peers.pollMembers(group, server, true)
+	return peers.pollMembers(group, server, &wire.ProbeRequest{HearAll: true})
+}
+
+// CloseCommits asks all registered proxies, this one included, to acknowledge no commit of a primary for elect.CommitHold. A
+// complete result has the newest position that any of them has acknowledged or will acknowledge until then.
+func (peers *peers) CloseCommits(group spool.Group, server spool.Server) elect.PeerPoll {
+	own := peers.proxy.pool.CloseCommits(group, server)
+	poll := peers.pollMembers(group, server, &wire.ProbeRequest{HearAll: true, CloseCommits: true})
+	poll.Acked = poll.Acked.Max(own)
+	return poll
 }
 
 // pollMembers asks all registered proxies what they know of a server; in a large fleet relays ask those of their failure
-// domains. The poll ends with the first proxy that reached the server unless waitForAll is set.
-func (peers *peers) pollMembers(group spool.Group, server spool.Server, waitForAll bool) elect.PeerPoll {
-	request := &wire.ProbeRequest{Group: string(group), Server: string(server), KnownOnly: true, HearAll: waitForAll}
+// domains. The poll ends with the first proxy that reached the server unless request.HearAll is set.
+func (peers *peers) pollMembers(group spool.Group, server spool.Server, request *wire.ProbeRequest) elect.PeerPoll {
+	request.Group, request.Server, request.KnownOnly = string(group), string(server), true
 	var poll elect.PeerPoll
 	if !peers.proxy.members.relayed() {
 		all := vmNames(peers.proxy.members.others())
@@ -160,21 +169,26 @@
 		reached = result == elect.ActsAsPrimary || result == elect.Overloaded
 	}
 	acked := peers.proxy.pool.AckedPosition(group)
+	if request.CloseCommits {
+		acked = peers.proxy.pool.CloseCommits(group, spool.Server(request.Server))
+	}
 	answer := &wire.ProbeAnswer{
 		Group: request.Group, Server: request.Server, Sequence: request.Sequence, Reached: reached,
 		AckedTerm: uint64(acked.Term), AckedNumber: uint64(acked.Number),
 	}
 	encodeCommitStats(answer, peers.proxy.pool.CommitStats(group))
 	if request.ForDomain {
-		peers.answerForDomain(answer, request.HearAll)
+		peers.answerForDomain(answer, request)
 	}
 	peers.transport.Send(from, &wire.Envelope{Body: &wire.Envelope_ProbeAnswer{ProbeAnswer: answer}})
 }
 
 // answerForDomain merges the answers of the other proxies in this failure domain into an answer.
-func (peers *peers) answerForDomain(answer *wire.ProbeAnswer, waitForAll bool) {
+func (peers *peers) answerForDomain(answer *wire.ProbeAnswer, asked *wire.ProbeRequest) {
 	others, live := peers.proxy.members.domainMembers()
-	request := &wire.ProbeRequest{Group: answer.Group, Server: answer.Server, KnownOnly: true, HearAll: waitForAll}
+	request := &wire.ProbeRequest{
+		Group: answer.Group, Server: answer.Server, KnownOnly: true, HearAll: asked.HearAll, CloseCommits: asked.CloseCommits,
+	}
 	answers := peers.gatherAnswers(request, others, live, domainTimeout)
 	acked, stats := ackedPosition(answer), decodeCommitStats(answer)
 	for _, other := range answers {
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -53,6 +53,7 @@
 	refreshDone          chan struct{} // closed when the refresh in progress ends; nil if there is none
 	dispatchTimerRunning bool
 	lastContact          spool.Instant // when a server last answered as primary
+	closed               commitClosure // of the primary that is being replaced
 
 	commitBreaker     place.CircuitBreaker
 	unansweredCommits int           // consecutive commits that the primary did not answer in time
@@ -81,7 +82,12 @@
 	if server.removed || pool.evacuation.Load().Closed(server.spec.Domain) || server.health.InBackoff(now) && now >= server.tunnelUntil {
 		return false
 	}
-	return server.leavingSince == 0 || now.Sub(server.leavingSince) < pool.leavingServeTime
+	return !pool.retired(server, now)
+}
+
+// retired reports whether a server has been leaving for so long that it is sent no new work.
+func (pool *Pool) retired(server *server, now spool.Instant) bool {
+	return server.leavingSince != 0 && now.Sub(server.leavingSince) >= pool.leavingServeTime
 }
 
 // primaryServer returns the presumed primary, or nil.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -226,22 +226,31 @@
 		zap.String("Server", string(server)), zap.String("Next", string(group.primary)))
 }
 
-// RecordCommit records the position of an acknowledged commit.
-func (pool *Pool) RecordCommit(name spool.Group, position spool.LogPosition) {
+// RecordCommit records the position of a commit that a server completed. It returns false if the commit must not be
+// acknowledged, since another server may be promoted without it.
+func (pool *Pool) RecordCommit(name spool.Group, server spool.Server, position spool.LogPosition) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
+	if group.closed.covers(server, position.Term, pool.timers.Now()) {
+		return false
+	}
 	group.ackedPosition = group.ackedPosition.Max(position)
 	group.unansweredCommits, group.lastAnswered = 0, pool.timers.Now()
 	group.commitBreaker.RecordSuccess()
+	return true
 }
 
 // MayCommit reports whether a commit, or a statement that a commit will follow, may be sent to the primary of a group, or how
-// long to wait before the next attempt: a primary that does not answer commits gets few of them.
+// long to wait before the next attempt: a primary that does not answer commits gets few of them, one that is being replaced none
+// while its commits are closed.
 func (pool *Pool) MayCommit(name spool.Group, isCommit bool) (wait time.Duration, allowed bool) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group, now := pool.group(name), pool.timers.Now()
+	if group.primary != "" && group.closed.covers(group.primary, group.term, now) {
+		return min(closedRetryAfter, group.closed.until.Sub(now)), false
+	}
 	if isCommit {
 		return group.commitBreaker.Allow(now)
 	}
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -28,6 +28,7 @@
 type ServerView struct {
 	spool.RegisteredServer
 	Leaving    bool
+	Retired    bool // it has been leaving for so long that it gets no new work
 	Evacuated  bool // its failure domain is evacuated
 	Cold       bool // it warms up and gets a limited number of requests
 	HomeRoutes int  // routes of the group that have home regions and may run there
@@ -48,7 +49,7 @@
 			continue
 		}
 		view.Servers = append(view.Servers, ServerView{
-			RegisteredServer: server.spec, Leaving: server.leavingSince != 0, RoundTrip: server.roundTrip,
+			RegisteredServer: server.spec, Leaving: server.leavingSince != 0, Retired: pool.retired(server, now), RoundTrip: server.roundTrip,
 			Cold: group.cold(server, now), Evacuated: evacuation.Closed(server.spec.Domain), HomeRoutes: pool.homeRoutes[name][server.spec.Domain],
 		})
 	}
--- a/internal/super/evacuate.go
+++ b/internal/super/evacuate.go
@@ -25,7 +25,7 @@
 	case evacuation.Settled(primary.Domain, now):
 		state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
 		state.poll.Complete = state.poll.Complete && evacuation.Answered(primary.Domain, now)
-		supervisor.replacePrimary(ctx, view, state, elect.CauseRetired)
+		supervisor.replacePrimary(ctx, view, state, elect.CauseEvacuated)
 	default:
 		supervisor.scheduleRetry(state)
 	}
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -32,9 +32,10 @@
 	}
 	var chosen spool.Server
 	var decision elect.Decision
-	if cause == elect.CausePlanned {
-		chosen, decision = supervisor.chooseSwitchover(candidates, view.SyncReplicas)
-	} else {
+	switch cause {
+	case elect.CausePlanned, elect.CauseRetired:
+		chosen, decision = supervisor.chooseSwitchover(candidates, view.SyncReplicas, state.poll.Complete && cause == elect.CauseRetired)
+	default:
 		acked = acked.Max(state.poll.Acked)
 		chosen, decision = elect.ChooseFailover(elect.FailoverState{
 			Candidates: candidates, RegistryIncomplete: !supervisor.fleet.RegistryComplete(), SyncReplicas: view.SyncReplicas,
@@ -46,13 +47,15 @@
 }
 
 // chooseSwitchover returns the server that takes over from a working primary, or none: without the answers of the other
-// replicas no promotion follows, so that no fencing token is needed.
-func (supervisor *Supervisor) chooseSwitchover(candidates []elect.Candidate, syncReplicas int) (spool.Server, elect.Decision) {
+// replicas no promotion follows unless the primary's commits can be closed, so that no fencing token is needed.
+func (supervisor *Supervisor) chooseSwitchover(
+	candidates []elect.Candidate, syncReplicas int, mayClose bool,
+) (spool.Server, elect.Decision) {
 	chosen, found := elect.ChooseSwitchover(candidates)
 	switch {
 	case !found:
 		return "", elect.NoReplica
-	case !supervisor.fleet.RegistryComplete() || elect.UnreachableReplicas(candidates, syncReplicas):
+	case !mayClose && (!supervisor.fleet.RegistryComplete() || elect.UnreachableReplicas(candidates, syncReplicas)):
 		return "", elect.ReplicaUnreachable
 	}
 	return chosen, elect.Safe
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 // refreshTimeout limits the read of the registered servers; a store fifty times slower than usual answers within 200 ms.
 const refreshTimeout = 300 * time.Millisecond
 
+// promotionTime is the longest time from a request until the promotion takes effect.
+const promotionTime = time.Second
+
 // pausePeriod is the time between the rounds in which a promotion that was requested stays secured.
 const pausePeriod = 100 * time.Millisecond
 
@@ -31,6 +35,9 @@
 	chosen    spool.Server
 	token     acquiredToken
 	pauseTerm spool.Term
+
+	acked       spool.LogPosition // newest position that any proxy has acknowledged, as far as known
+	closedUntil spool.Instant     // until then no proxy acknowledges commits of the primary above acked; zero if some may
 }
 
 // replacePrimary chooses a server and promotes it if no acknowledged commit can be lost.
@@ -53,6 +60,13 @@
 	}
 	handover := &handover{
 		Supervisor: supervisor, view: view, state: state, cause: cause, chosen: chosen, token: token, pauseTerm: term + 1,
+		acked: view.AckedPosition,
+	}
+	if cause != elect.CausePlanned {
+		handover.acked = handover.acked.Max(state.poll.Acked)
+	}
+	if cause == elect.CauseEvacuated && state.poll.Complete {
+		handover.closedUntil = math.MaxInt64
 	}
 	if handover.secure(ctx) != elect.StepPromote {
 		supervisor.resumeReplicas(view.Group, state)
@@ -69,6 +83,9 @@
 		known := handover.ask(ctx)
 		step, decision := known.Next()
 		late := handover.timers.Now() > deadline
+		if step == elect.StepWait && decision == elect.ReplicaUnreachable && handover.closeCommits() {
+			continue
+		}
 		if step == elect.StepWait && !late {
 			time.Sleep(checkPeriod / 5)
 			continue
@@ -87,11 +104,27 @@
 	return elect.Handover{
 		Cause: handover.cause, Primary: handover.view.Primary, Chosen: handover.chosen, PauseTerm: handover.pauseTerm,
 		SyncReplicas: view.SyncReplicas, Reports: handover.askServers(view), RegistryRead: registryRead,
-		Acked: view.AckedPosition.Max(handover.state.poll.Acked), CommitsClosed: handover.cause != elect.CausePlanned && handover.state.poll.Complete,
+		Acked: handover.acked, CommitsClosed: handover.closedUntil >= handover.timers.Now().Add(promotionTime),
 		Supervised: true, TokenUsable: handover.tokenUsable(),
 	}
 }
 
+// closeCommits closes the primary's commits at all proxies once, so that the servers that do not answer confirm none that is
+// acknowledged. It reports whether it did; those of a primary that works and is needed stay open.
+func (handover *handover) closeCommits() bool {
+	if handover.cause == elect.CausePlanned || handover.cause == elect.CauseEvacuated || handover.closedUntil != 0 {
+		return false
+	}
+	began := handover.timers.Now()
+	poll := handover.fleet.CloseCommits(handover.view.Group, handover.view.Primary)
+	handover.acked = handover.acked.Max(poll.Acked)
+	if !poll.Complete || handover.cause == elect.CauseUnreachable && poll.Reached > 0 {
+		return false
+	}
+	handover.closedUntil = began.Add(elect.CommitHold)
+	return true
+}
+
 // keepSecure repeats the round until it is stopped, so that servers which join or restart before the promotion takes effect are
 // paused as well.
 func (handover *handover) keepSecure(ctx context.Context) (stop func(), rounds *sync.WaitGroup) {
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -32,6 +32,8 @@
 	PollPrimary(group spool.Group, primary spool.Server) elect.PeerPoll
 	// PollCommits asks all proxies for the outcomes of the commits that they sent to a primary.
 	PollCommits(group spool.Group, primary spool.Server) elect.PeerPoll
+	// CloseCommits asks all registered proxies, this one included, to acknowledge no commit of a primary for elect.CommitHold.
+	CloseCommits(group spool.Group, primary spool.Server) elect.PeerPoll
 	// RefreshRegistry reads the registered servers from the store and applies them to the pool; it fails if the store does not
 	// answer before the context ends.
 	RefreshRegistry(ctx context.Context) error
@@ -134,6 +136,9 @@
 		supervisor.handleMissingPrimary(ctx, view, state)
 	case primary.Evacuated:
 		supervisor.replaceEvacuated(ctx, view, state, primary)
+	case primary.Retired:
+		state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
+		supervisor.replacePrimary(ctx, view, state, elect.CauseRetired)
 	case primary.Leaving:
 		supervisor.replacePrimary(ctx, view, state, elect.CausePlanned)
 	default:
--- a/internal/super/switchover_test.go
+++ b/internal/super/switchover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/internal/core/elect"
 )
 
 // TestSwitchoverWaitsForReplicaThatRefusesProxies guards against the loss of commits that a replica confirms although it is not
@@ -20,3 +22,21 @@
 	qt.Assert(t, cluster.group.Server("c").Start(), qt.IsNil)
 	cluster.eventually(func() bool { return len(cluster.promotedServers()) == 1 })
 }
+
+// TestRetiredPrimaryIsReplacedOnceCommitsAreClosed guards against a group without a primary: a replica stays out of reach until the
+// leaving primary is sent no new work. It is then replaced if no proxy acknowledges its commits any more.
+func TestRetiredPrimaryIsReplacedOnceCommitsAreClosed(t *testing.T) {
+	for _, complete := range []bool{false, true} {
+		cluster := newCluster(t)
+		cluster.pool.SetDrain(0)
+		cluster.group.Server("c").Refuse()
+		cluster.startSupervisor("vm1", stubFleet{poll: elect.PeerPoll{Complete: complete, Reached: 2}})
+		cluster.register("a", true)
+		if complete {
+			cluster.eventually(func() bool { return len(cluster.promotedServers()) == 1 })
+			continue
+		}
+		time.Sleep(1500 * time.Millisecond)
+		qt.Assert(t, cluster.promotedServers(), qt.HasLen, 0)
+	}
+}
