--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"corianderspool.example/spool/internal/core/drain"
 	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/internal/guard"
 	"corianderspool.example/spool/internal/pool"
@@ -38,7 +39,8 @@
 	regions    map[spool.Domain]string
 	homes      atomic.Pointer[place.HomeRegions] // nil if the configuration has none
 	draining   atomic.Bool
-	configured chan struct{} // closed when the first configuration is set
+	stopping   atomic.Pointer[drain.Schedule] // nil until the proxy is told to stop
+	configured chan struct{}                  // closed when the first configuration is set
 
 	mutex    sync.Mutex
 	sessions map[*session]struct{}
@@ -102,6 +104,12 @@
 	return sessions
 }
 
+// Stop announces a planned stop: statements that may not be finished in time are refused from now on. Drain ends the sessions.
+func (engine *Engine) Stop(schedule drain.Schedule) {
+	engine.stopping.Store(&schedule)
+	engine.draining.Store(true)
+}
+
 // Drain ends sessions as they become idle; it returns when all have ended or the context ends.
 func (engine *Engine) Drain(ctx context.Context) {
 	engine.draining.Store(true)
@@ -119,7 +127,7 @@
 	}
 }
 
-// CloseSessions closes the connections of the remaining sessions.
+// CloseSessions closes the connections of the sessions that remain at the end of a planned stop.
 func (engine *Engine) CloseSessions() {
 	for _, session := range engine.sessionList() {
 		_ = session.caller.Close() // the grace period is over
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -187,6 +187,9 @@
 	}
 	setup = append(setup, begin...)
 	deadline := time.Now().Add(setupTimeout)
+	if statement.deadline.Before(deadline) {
+		deadline = statement.deadline
+	}
 	sent := engine.timers.Now()
 	if len(setup) > 0 {
 		engine.pool.AwaitEvacuation(sent)
--- a/internal/engine/execute.go
+++ b/internal/engine/execute.go
@@ -95,6 +95,9 @@
 	}
 	session.route = route
 	session.setTeam(team)
+	if refusal := session.checkStopping(); refusal != nil {
+		return refusal
+	}
 	if team == "" {
 		return nil // an open route without a key has no rate limit
 	}
@@ -146,7 +149,7 @@
 	var answer spool.Answer
 	switch {
 	case session.state == spool.TxOpen:
-		statement.deadline = time.Now().Add(session.route.Timeout)
+		statement.deadline = session.statementDeadline()
 		answer = session.runInTx(ctx, statement)
 	case command.Verb == spool.VerbCommit:
 		return session.refuse(spool.Refuse(spool.CodeProtocol, "no transaction is open"))
@@ -155,7 +158,7 @@
 			session.logRefusal(command, refusal)
 			return session.refuse(refusal)
 		}
-		statement.deadline = time.Now().Add(session.route.Timeout)
+		statement.deadline = session.statementDeadline()
 		answer = session.runSingle(ctx, statement)
 		session.finishToken(false)
 	}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -201,7 +201,10 @@
 		session.endEvacuatedTx()
 		return false
 	}
-	if session.tx.conn != nil && !session.engine.draining.Load() {
+	if session.engine.draining.Load() {
+		return session.endIdleTx()
+	}
+	if session.tx.conn != nil {
 		event.Log(session.engine.logger, event.IdleTransactionRolledBack, zap.String("Route", session.routeName),
 			zap.String("Server", string(session.tx.conn.Server())))
 		reason := "the transaction was idle for too long"
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -17,7 +17,10 @@
 		return session.failTxWith(statement, spool.Answer{Refusal: refusal})
 	}
 	command := statement.Command
-	refusal := session.checkCommitAllowed(statement)
+	refusal := session.checkStopping()
+	if refusal == nil {
+		refusal = session.checkCommitAllowed(statement)
+	}
 	if refusal != nil {
 		return session.failTxWith(statement, spool.Answer{Refusal: session.rolledBack(refusal)})
 	}
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/bulk"
+	"corianderspool.example/spool/internal/core/drain"
 	"corianderspool.example/spool/internal/engine"
 	"corianderspool.example/spool/internal/event"
 	"corianderspool.example/spool/internal/lend"
@@ -27,16 +28,14 @@
 )
 
 const (
-	gcPercent           = 40                      // heap growth that starts a garbage collection; CPU time is cheaper than memory here
-	memoryFraction      = 0.6                     // of the memory limit that the garbage collector aims to stay below
-	sameDomainRTT       = 1 * time.Millisecond    // round trip within a failure domain
-	sameRegionRTT       = 3 * time.Millisecond    // round trip between failure domains of a region
-	otherRegionRTT      = 40 * time.Millisecond   // round trip between regions
-	drainFraction       = 0.8                     // of the grace period, after which remaining sessions are closed
-	cleanupInterval     = 5 * time.Second         // between checks for entries of proxies that are gone
-	acceptRetryDelay    = 20 * time.Millisecond   // after a failed accept, such as one without a free descriptor
-	readinessLag        = 2500 * time.Millisecond // two failed readiness probes, one per second: until then new callers arrive
-	reservedDescriptors = 300                     // for servers, peers, the store and files
+	gcPercent           = 40                    // heap growth that starts a garbage collection; CPU time is cheaper than memory here
+	memoryFraction      = 0.6                   // of the memory limit that the garbage collector aims to stay below
+	sameDomainRTT       = 1 * time.Millisecond  // round trip within a failure domain
+	sameRegionRTT       = 3 * time.Millisecond  // round trip between failure domains of a region
+	otherRegionRTT      = 40 * time.Millisecond // round trip between regions
+	cleanupInterval     = 5 * time.Second       // between checks for entries of proxies that are gone
+	acceptRetryDelay    = 20 * time.Millisecond // after a failed accept, such as one without a free descriptor
+	reservedDescriptors = 300                   // for servers, peers, the store and files
 )
 
 // Proxy is one running proxy of a fleet.
@@ -220,7 +219,7 @@
 	}
 }
 
-// drain lets sessions finish within a part of the grace period and closes the rest.
+// drain ends the sessions within the grace period, each after the answer to its request, and then closes the connections.
 func (proxy *Proxy) drain(listener net.Listener) {
 	proxy.mutex.Lock()
 	proxy.draining = true
@@ -228,18 +227,25 @@
 	proxy.lender.Close()
 	proxy.peers.notifyAll() // the heartbeats announce the shutdown
 	event.Log(proxy.logger, event.ProxyDraining, zap.Int("Sessions", proxy.engine.SessionCount()))
-	grace := time.Duration(float64(proxy.settings.Bounds.Grace) * drainFraction)
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	began := time.Now()
-	proxy.engine.Drain(ctx)
-	if remaining := readinessLag - time.Since(began); remaining > 0 {
+	schedule := drain.Schedule{Began: proxy.timers.Now(), Grace: proxy.settings.Bounds.Grace}
+	proxy.engine.Stop(schedule)
+	accepting, stopAccepting := proxy.until(schedule.AcceptUntil())
+	defer stopAccepting()
+	proxy.engine.Drain(accepting)
+	if remaining := schedule.MinAccept().Sub(proxy.timers.Now()); remaining > 0 {
 		time.Sleep(remaining)
-		proxy.engine.Drain(ctx)
+		proxy.engine.Drain(accepting)
 	}
 	_ = listener.Close() // no more callers are accepted
+	ctx, cancel := proxy.until(schedule.End())
+	defer cancel()
 	proxy.engine.Drain(ctx)
 	proxy.lender.Drain(ctx)
 	proxy.engine.CloseSessions()
 	proxy.pool.Close(ctx)
 }
+
+// until returns a context that ends at an instant.
+func (proxy *Proxy) until(instant spool.Instant) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), instant.Sub(proxy.timers.Now()))
+}
