--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -16,12 +16,12 @@
 	Evacuated  bool // in an evacuated failure domain, so never promoted
 	HomeRoutes int  // routes of the group that have home regions and may run there
 	Cold       bool // it warms up and gets a limited number of requests
+	Ordered    bool // an earlier request may still promote it, so that pausing it could lose commits
 }
 
 // FailoverState is the known state of a group whose primary is to be replaced.
 type FailoverState struct {
 	Candidates         []Candidate       // all registered servers except the primary
-	Preferred          spool.Server      // chosen earlier; wins among equal candidates
 	RegistryIncomplete bool              // the registry may lack a running server
 	SyncReplicas       int               // replicas that confirm a commit before it is acknowledged
 	Acked              spool.LogPosition // newest position known to have been acknowledged by any proxy
@@ -40,13 +40,12 @@
 	NotCaughtUp        Decision = "the chosen server has not received all commits of the other replicas"
 	Superseded         Decision = "another promotion took effect meanwhile"
 	PrimaryAnswers     Decision = "the primary answers again"
-	NotSupervised      Decision = "another proxy supervises the group"
 	TokenExpired       Decision = "the fencing token is too old or of an older era"
 )
 
 // ChooseFailover returns the most advanced candidate if it provably holds every acknowledged commit.
 func ChooseFailover(state FailoverState) (spool.Server, Decision) {
-	best := mostAdvanced(state.Candidates, state.Preferred)
+	best := mostAdvanced(state.Candidates)
 	if best == nil {
 		return "", NoReplica
 	}
@@ -69,26 +68,29 @@
 	return best.Server, Safe
 }
 
-func mostAdvanced(candidates []Candidate, preferred spool.Server) *Candidate {
+func mostAdvanced(candidates []Candidate) *Candidate {
 	var best *Candidate
 	for i := range candidates {
 		candidate := &candidates[i]
 		if !candidate.Responded || candidate.Evacuated {
 			continue
 		}
-		if best == nil || ranksHigher(candidate, best) || candidate.Server == preferred && !ranksHigher(best, candidate) {
+		if best == nil || ranksHigher(candidate, best) {
 			best = candidate
 		}
 	}
 	return best
 }
 
-// ranksHigher prefers the longer log, then a server that is not leaving, then one in the home regions of more routes, then one
+// ranksHigher prefers the longer log, then one that an earlier request may still promote, then a server that is not leaving, then one in the home regions of more routes, then one
 // that does not warm up, then a near one.
 func ranksHigher(candidate, other *Candidate) bool {
 	if candidate.Status.Received != other.Status.Received {
 		return other.Status.Received.Less(candidate.Status.Received)
 	}
+	if candidate.Ordered != other.Ordered {
+		return candidate.Ordered
+	}
 	if candidate.Leaving != other.Leaving {
 		return !candidate.Leaving
 	}
@@ -112,8 +114,8 @@
 	return unreachable >= max(1, syncReplicas)
 }
 
-// ChooseSwitchover returns the replica that takes over from a working primary: the one with the least lag that is not
-// leaving and not evacuated.
+// ChooseSwitchover returns the replica that takes over from a working primary, which is not leaving and not evacuated: the one
+// that an earlier request may still promote, else the one with the least lag.
 func ChooseSwitchover(candidates []Candidate) (spool.Server, bool) {
 	var best *Candidate
 	for i := range candidates {
@@ -121,6 +123,9 @@
 		if !candidate.Responded || candidate.Leaving || candidate.Evacuated {
 			continue
 		}
+		if candidate.Ordered {
+			return candidate.Server, true
+		}
 		if best == nil || ranksHigher(candidate, best) {
 			best = candidate
 		}
--- a/internal/core/elect/handover.go
+++ b/internal/core/elect/handover.go
@@ -41,7 +41,6 @@
 	RegistryRead  bool              // the registry was read from the store for the reports and lists all running servers
 	Acked         spool.LogPosition // newest position known to have been acknowledged by any proxy
 	CommitsClosed bool              // until the promotion is complete no proxy acknowledges a commit of the primary above Acked
-	Supervised    bool              // this proxy still supervises the group
 	TokenUsable   bool              // no later holder of a fencing token acts yet
 }
 
@@ -60,8 +59,6 @@
 // acknowledges commits any more. A server can confirm one unless its own answer shows that it is paused.
 func (handover *Handover) Next() (Step, Decision) {
 	switch {
-	case !handover.Supervised:
-		return StepGiveUp, NotSupervised
 	case !handover.TokenUsable:
 		return StepGiveUp, TokenExpired
 	case handover.superseded():
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -241,6 +241,7 @@
 	defer cancel()
 	proxy.engine.Drain(ctx)
 	proxy.lender.Drain(ctx)
+	proxy.supervisor.Drain(ctx)
 	proxy.engine.CloseSessions()
 	proxy.pool.Close(ctx)
 }
--- a/internal/super/fencing.go
+++ b/internal/super/fencing.go
@@ -25,12 +25,27 @@
 // maxTokenAttempts limits the attempts to acquire a token, which fail on conflicts with other holders and on lost answers.
 const maxTokenAttempts = 4
 
+// TokenOption configures the acquisition of a token.
+type TokenOption func(*tokenRequest)
+
+// tokenRequest is what is stored with a token.
+type tokenRequest struct {
+	choose func(earlier spool.Server) spool.Server
+}
+
+// WithTarget stores the server that the holder is going to promote, which choose returns. Earlier is the server of the previous
+// token if a request with it may still take effect, else empty.
+func WithTarget(choose func(earlier spool.Server) spool.Server) TokenOption {
+	return func(request *tokenRequest) { request.choose = choose }
+}
+
 // tokenBody is the stored holder of a group's fencing token.
 type tokenBody struct {
 	Holder spool.VM
 	Token  uint64
-	Taken  int64  // Unix milliseconds by the holder's clock
-	Nonce  uint64 // distinguishes an own update whose answer was lost from that of another proxy
+	Taken  int64        // Unix milliseconds by the holder's clock
+	Nonce  uint64       // distinguishes an own update whose answer was lost from that of another proxy
+	Target spool.Server `json:",omitempty"` // that the holder is going to promote
 }
 
 // FencingTokens issues fencing tokens, which increase with each acquisition.
@@ -50,11 +65,17 @@
 // Next acquires the next token of a group, which no other holder ever receives; recent means that another holder acquired
 // the previous one within recentTokenAge, or may have if an answer of the store was lost or the store fell back. A token holds
 // the era of the store in its upper half, so that it exceeds all tokens of earlier eras, also those that the store lost.
-func (fencingTokens *FencingTokens) Next(ctx context.Context, group spool.Group) (token uint64, recent bool, err error) {
+func (fencingTokens *FencingTokens) Next(
+	ctx context.Context, group spool.Group, options ...TokenOption,
+) (token uint64, recent bool, err error) {
+	request := tokenRequest{choose: func(earlier spool.Server) spool.Server { return earlier }}
+	for _, option := range options {
+		option(&request)
+	}
 	nonce := fencingTokens.nonce()
 	var lastErr error
 	for range maxTokenAttempts {
-		token, recent, err = fencingTokens.attempt(ctx, group, nonce)
+		token, recent, err = fencingTokens.attempt(ctx, group, nonce, request)
 		if err == nil {
 			return token, recent, nil
 		}
@@ -63,7 +84,9 @@
 	return 0, false, eris.Wrapf(lastErr, "acquire the fencing token of group %s", group)
 }
 
-func (fencingTokens *FencingTokens) attempt(ctx context.Context, group spool.Group, nonce uint64) (uint64, bool, error) {
+func (fencingTokens *FencingTokens) attempt(
+	ctx context.Context, group spool.Group, nonce uint64, request tokenRequest,
+) (uint64, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, tokenAttemptTimeout)
 	defer cancel()
 	object, err := fencingTokens.store.Get(ctx, KindFencingToken, string(group))
@@ -77,6 +100,7 @@
 			return 0, false, eris.Wrap(err, "decode the fencing token")
 		}
 		if body.Nonce == nonce && body.Holder == fencingTokens.vm && fencingTokens.IsCurrent(body.Token) {
+			request.choose(body.Target)
 			return body.Token, true, nil // the own update, whose answer was lost; it overwrote the previous holder
 		}
 	}
@@ -85,8 +109,13 @@
 	era := fencingTokens.store.Era()
 	eraRecent := fencingTokens.eraStart.observe(era, now)
 	recent = recent || eraRecent && eraOfToken(body.Token) < era // a fall-back may have removed another holder's token
+	var earlier spool.Server
+	if recent {
+		earlier = body.Target
+	}
 	next := tokenBody{
 		Holder: fencingTokens.vm, Token: max(body.Token, firstToken(era)) + 1, Taken: now.UnixMilli(), Nonce: nonce,
+		Target: request.choose(earlier),
 	}
 	text, err := json.Marshal(next)
 	if err != nil {
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -40,34 +40,32 @@
 	closedUntil spool.Instant     // until then no proxy acknowledges commits of the primary above acked; zero if some may
 }
 
-// replacePrimary chooses a server and promotes it if no acknowledged commit can be lost.
+// replacePrimary chooses a server and promotes it if no acknowledged commit can be lost. It acts only within maxTokenAge of a
+// token; after a token of another holder it first waits until that holder's promotion is complete.
 func (supervisor *Supervisor) replacePrimary(ctx context.Context, view pool.GroupView, state *groupState, cause elect.Cause) {
-	chosen, term := supervisor.chooseServer(view, state, cause)
-	if chosen == "" {
+	selection := supervisor.selectServer(view, state, cause)
+	if selection.chosen == "" {
 		supervisor.scheduleRetry(state)
 		return
 	}
-	token, waited, ok := supervisor.acquireToken(ctx, view, state)
-	if !ok {
-		return
-	}
-	if waited {
-		chosen, term = supervisor.chooseServer(view, state, cause)
+	token, recent, err := supervisor.acquireToken(ctx, selection, view, state, cause)
+	if err == nil && recent {
+		time.Sleep(otherHolderWait)
+		selection = supervisor.selectServer(view, state, cause)
+		token, recent, err = supervisor.acquireToken(ctx, selection, view, state, cause)
 	}
-	if chosen == "" || supervisor.tooLateToSwitchOver(view, cause) {
+	if err != nil || recent || selection.chosen == "" || supervisor.tooLateToSwitchOver(view, cause) {
 		supervisor.scheduleRetry(state)
 		return
 	}
 	handover := &handover{
-		Supervisor: supervisor, view: view, state: state, cause: cause, chosen: chosen, token: token, pauseTerm: term + 1,
-		acked: view.AckedPosition,
-	}
-	if cause != elect.CausePlanned {
-		handover.acked = handover.acked.Max(state.poll.Acked)
+		Supervisor: supervisor, view: view, state: state, cause: cause, chosen: selection.chosen, token: token,
+		pauseTerm: selection.term + 1, acked: selection.acked,
 	}
 	if cause == elect.CauseEvacuated && state.poll.Complete {
 		handover.closedUntil = math.MaxInt64
 	}
+	handover.resumeChosen(selection)
 	if handover.secure(ctx) != elect.StepPromote {
 		supervisor.resumeReplicas(view.Group, state)
 		supervisor.scheduleRetry(state)
@@ -76,6 +74,15 @@
 	handover.requestPromotion(ctx)
 }
 
+// resumeChosen resumes the chosen server if a supervisor that ended midway left it paused, so that it receives what the others do.
+func (handover *handover) resumeChosen(selection *selection) {
+	for _, candidate := range selection.candidates {
+		if candidate.Server == handover.chosen && candidate.Status.PausedTerm != 0 {
+			handover.resume(handover.view.Group, handover.chosen)
+		}
+	}
+}
+
 // secure asks the servers until the promotion may be requested or the handover is given up, and returns that step.
 func (handover *handover) secure(ctx context.Context) elect.Step {
 	deadline := handover.timers.Now().Add(catchUpTimeout)
@@ -105,7 +112,7 @@
 		Cause: handover.cause, Primary: handover.view.Primary, Chosen: handover.chosen, PauseTerm: handover.pauseTerm,
 		SyncReplicas: view.SyncReplicas, Reports: handover.askServers(view), RegistryRead: registryRead,
 		Acked: handover.acked, CommitsClosed: handover.closedUntil >= handover.timers.Now().Add(promotionTime),
-		Supervised: true, TokenUsable: handover.tokenUsable(),
+		TokenUsable: handover.tokenUsable(),
 	}
 }
 
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -21,7 +21,7 @@
 	retryDelay       = 300 * time.Millisecond  // after an attempt that ended without a promotion request
 	maxTokenAge      = 800 * time.Millisecond  // of a fencing token at the request; later another holder may have acted
 	stallCooldown    = 10 * time.Second        // from a promotion request to the next failover because of stalled commits
-	otherHolderWait  = 1300 * time.Millisecond // after another holder's token: its request and promotion are complete by then
+	otherHolderWait  = 2 * time.Second         // after another holder's token: its request and promotion are complete by then
 )
 
 // Fleet is the supervisor's access to the other proxies and the registry.
@@ -54,6 +54,8 @@
 	timers   spool.Timers
 	logger   *zap.Logger
 
+	checks sync.WaitGroup // in progress
+
 	mutex  sync.Mutex
 	states map[spool.Group]*groupState
 }
@@ -68,6 +70,7 @@
 	commitsPolledAt      spool.Instant  // when the other proxies were last polled about commits
 	poll                 elect.PeerPoll // newest answers of the other proxies about the primary
 	promotionRequestedAt spool.Instant  // newest promotion request; zero if there was none
+	ordered              order          // that may still be carried out
 }
 
 // New returns a supervisor that takes its fencing tokens from fencingTokens.
@@ -88,6 +91,20 @@
 	stop()
 }
 
+// Drain waits until the handovers in progress have ended, so that they leave no replica paused, or until the context ends. The
+// fleet must have told other proxies to supervise before.
+func (supervisor *Supervisor) Drain(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		supervisor.checks.Wait()
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 func (supervisor *Supervisor) checkGroups(ctx context.Context, now spool.Instant) {
 	for _, group := range supervisor.pool.Groups() {
 		_, domain := supervisor.pool.Primary(group)
@@ -98,12 +115,12 @@
 		if state == nil {
 			continue
 		}
-		go func() {
+		supervisor.checks.Go(func() {
 			supervisor.checkGroup(ctx, group, state)
 			supervisor.mutex.Lock()
 			state.busy = false
 			supervisor.mutex.Unlock()
-		}()
+		})
 	}
 }
 
@@ -196,7 +213,7 @@
 	own := supervisor.pool.CommitStats(view.Group)
 	cooledDown := state.promotionRequestedAt == 0 || now.Sub(state.promotionRequestedAt) > stallCooldown
 	if !cooledDown || own.Unanswered == 0 && state.poll.Commits.Unanswered == 0 || now < state.commitsPolledAt.Add(retryDelay) {
-		supervisor.resumeReplicas(view.Group, state)
+		supervisor.settle(ctx, view, state)
 		return
 	}
 	state.commitsPolledAt = now
@@ -208,7 +225,7 @@
 		zap.Int("Unanswered", poll.Commits.Unanswered), zap.Duration("SinceUnanswered", poll.Commits.SinceFirst),
 		zap.Duration("SinceAnswered", poll.Commits.SinceAnswer), zap.Bool("Stall", stalled))
 	if !stalled {
-		supervisor.resumeReplicas(view.Group, state)
+		supervisor.settle(ctx, view, state)
 		return
 	}
 	supervisor.replacePrimary(ctx, view, state, elect.CauseStalled)
