--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -169,8 +169,9 @@
 	Reached   int               // answers of proxies that reach the primary
 	Unreached int               // answers of proxies that do not reach the primary
 	Acked     spool.LogPosition // newest position at which any proxy acknowledged a commit
-	Complete  bool              // every registered proxy answered
+	Complete  bool              // every registered proxy answered, and Acked is the newest position that any has ever acknowledged
 	Commits   CommitStats       // outcomes of the commits that they sent to the primary
+	Known     AckedKnowledge    // of all that answered
 }
 
 // AddAnswer adds the answer of a proxy.
--- a/internal/engine/closure_test.go
+++ b/internal/engine/closure_test.go
@@ -16,14 +16,14 @@
 	fixture := newFixture(t)
 	caller := fixture.connect("primary", "key-red")
 	caller.expect("WRITE item one", "DONE", "I")
-	acked := fixture.pool.AckedPosition("g1")
+	acked := fixture.pool.Acked("g1").Position
 	fixture.group.Server("a").WorkTime = 300 * time.Millisecond
 	answered := make(chan linecl.Reply, 1)
 	go func() { answered <- caller.Query("WRITE item two") }()
 	time.Sleep(100 * time.Millisecond)
-	c.Assert(fixture.pool.CloseCommits("g1", "a"), qt.Equals, acked)
+	c.Assert(fixture.pool.CloseCommits("g1", "a").Position, qt.Equals, acked)
 	c.Assert((<-answered).Code, qt.Equals, "INDOUBT")
-	c.Assert(fixture.pool.AckedPosition("g1"), qt.Equals, acked)
+	c.Assert(fixture.pool.Acked("g1").Position, qt.Equals, acked)
 	caller.expect("WRITE item three", "BUSY", "I")
 	caller.expect("READ item", "DONE", "I")
 	fixture.group.Promote("b")
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -306,7 +306,7 @@
 
 // recordCommit records a commit before it is acknowledged; it returns false if it must not be.
 func (session *session) recordCommit(conn *pool.Conn, position spool.LogPosition, sent spool.Instant) bool {
-	if !session.engine.pool.RecordCommit(session.route.Group, conn.Server(), position) {
+	if !session.engine.pool.RecordCommit(session.route.Group, conn.Server(), position, sent) {
 		return false
 	}
 	session.lastCommit = session.lastCommit.Max(position)
--- a/internal/fleet/closure_test.go
+++ b/internal/fleet/closure_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"corianderspool.example/spool/pkg/spool"
 )
 
 // TestCrashedPrimaryIsReplacedWithoutAReplica guards against a group that stays without a primary because a replica does not
@@ -12,11 +14,30 @@
 func TestCrashedPrimaryIsReplacedWithoutAReplica(t *testing.T) {
 	cluster := newCluster(t, 3)
 	caller := cluster.connect(0, "primary", "key-red")
-	qt.Assert(t, caller.execute("WRITE item first"), qt.Equals, "")
 	time.Sleep(2 * time.Second) // until the proxies supervise groups
+	qt.Assert(t, caller.execute("WRITE item first"), qt.Equals, "")
 	cluster.group.Server("c").Refuse()
 	cluster.group.Server("a").Kill()
 	cluster.waitUntil(func() bool { return cluster.group.Primary() == "b" })
 	cluster.waitUntil(func() bool { return caller.execute("WRITE item last") == "" })
 	qt.Assert(t, cluster.group.WrittenValues("item")[0], qt.Equals, "first")
 }
+
+// TestRestartedProxyDoesNotVouchForCommits guards against the loss of commits that a proxy acknowledged before it restarted: with
+// the primary gone, the replica that does not answer may alone hold them.
+func TestRestartedProxyDoesNotVouchForCommits(t *testing.T) {
+	cluster := newCluster(t, 3)
+	caller := cluster.connect(1, "primary", "key-red")
+	qt.Assert(t, caller.execute("WRITE item first"), qt.Equals, "")
+	cluster.stopFuncs[1]()
+	cluster.start(1)
+	cluster.waitUntil(func() bool { return cluster.ready(1) })
+	time.Sleep(2 * time.Second) // until the proxies supervise groups
+	cluster.group.Server("c").Refuse()
+	cluster.group.Server("a").Kill()
+	time.Sleep(4 * time.Second)
+	qt.Assert(t, cluster.group.Primary(), qt.Equals, spool.Server("a"))
+	qt.Assert(t, cluster.group.Server("c").Start(), qt.IsNil)
+	cluster.waitUntil(func() bool { return cluster.group.Primary() != "a" })
+	qt.Assert(t, cluster.group.WrittenValues("item"), qt.DeepEquals, []string{"first"})
+}
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -48,7 +48,7 @@
 func (peers *peers) CloseCommits(group spool.Group, server spool.Server) elect.PeerPoll {
 	own := peers.proxy.pool.CloseCommits(group, server)
 	poll := peers.pollMembers(group, server, &wire.ProbeRequest{HearAll: true, CloseCommits: true})
-	poll.Acked = poll.Acked.Max(own)
+	poll.Acked = poll.Acked.Max(own.Position)
 	return poll
 }
 
@@ -56,7 +56,8 @@
 // domains. The poll ends with the first proxy that reached the server unless request.HearAll is set.
 func (peers *peers) pollMembers(group spool.Group, server spool.Server, request *wire.ProbeRequest) elect.PeerPoll {
 	request.Group, request.Server, request.KnownOnly = string(group), string(server), true
-	var poll elect.PeerPoll
+	own := peers.proxy.pool.Acked(group)
+	poll := elect.PeerPoll{Acked: own.Position, Known: own.Knowledge}
 	if !peers.proxy.members.relayed() {
 		all := vmNames(peers.proxy.members.others())
 		answers := peers.gatherAnswers(request, all, len(peers.proxy.members.liveMembers()), probeTimeout)
@@ -64,16 +65,17 @@
 			mergeAnswer(&poll, answer)
 		}
 		poll.Commits.Merge(peers.proxy.pool.CommitStats(group))
-		poll.Asked, poll.Complete = len(all), len(answers) == len(all)
+		poll.Asked, poll.Complete = len(all), len(answers) == len(all) && poll.Known.IsComplete()
 		return poll
 	}
 	request.ForDomain = true
 	relays, domains := peers.proxy.members.domainRelays()
-	own := peers.proxy.settings.Domain
-	complete := map[string]bool{string(own): domains[own] == 1}
+	domain := peers.proxy.settings.Domain
+	complete := map[string]bool{string(domain): domains[domain] == 1}
 	mostComplete := map[string]*wire.ProbeAnswer{} // by failure domain: both of its relays count the same commits
 	for _, answer := range peers.gatherAnswers(request, relays, len(relays), probeTimeout) {
 		poll.AddAnswer(answer.Reached, ackedPosition(answer))
+		poll.Known.Merge(decodeKnowledge(answer))
 		if known := mostComplete[answer.Domain]; known == nil || known.Answered < answer.Answered {
 			mostComplete[answer.Domain] = answer
 		}
@@ -85,7 +87,7 @@
 		poll.Commits.Merge(decodeCommitStats(answer)) // the relay of this proxy's failure domain includes its commits
 	}
 	poll.Asked = len(relays)
-	poll.Complete = len(complete) == len(domains) && complete[string(own)]
+	poll.Complete = len(complete) == len(domains) && complete[string(domain)] && poll.Known.IsComplete()
 	return poll
 }
 
@@ -93,6 +95,15 @@
 func mergeAnswer(poll *elect.PeerPoll, answer *wire.ProbeAnswer) {
 	poll.AddAnswer(answer.Reached, ackedPosition(answer))
 	poll.Commits.Merge(decodeCommitStats(answer))
+	poll.Known.Merge(decodeKnowledge(answer))
+}
+
+func decodeKnowledge(answer *wire.ProbeAnswer) elect.AckedKnowledge {
+	return elect.AckedKnowledge{Uninformed: time.Duration(answer.UninformedNanos), AckedAge: time.Duration(answer.AckedAgeNanos)}
+}
+
+func encodeKnowledge(answer *wire.ProbeAnswer, known elect.AckedKnowledge) {
+	answer.UninformedNanos, answer.AckedAgeNanos = int64(known.Uninformed), int64(known.AckedAge)
 }
 
 func decodeCommitStats(answer *wire.ProbeAnswer) elect.CommitStats {
@@ -168,14 +179,15 @@
 		result := elect.ClassifyProbe(peers.proxy.pool.ProbePrimary(group, server, peers.proxy.operator()))
 		reached = result == elect.ActsAsPrimary || result == elect.Overloaded
 	}
-	acked := peers.proxy.pool.AckedPosition(group)
+	acked := peers.proxy.pool.Acked(group)
 	if request.CloseCommits {
 		acked = peers.proxy.pool.CloseCommits(group, spool.Server(request.Server))
 	}
 	answer := &wire.ProbeAnswer{
 		Group: request.Group, Server: request.Server, Sequence: request.Sequence, Reached: reached,
-		AckedTerm: uint64(acked.Term), AckedNumber: uint64(acked.Number),
+		AckedTerm: uint64(acked.Position.Term), AckedNumber: uint64(acked.Position.Number),
 	}
+	encodeKnowledge(answer, acked.Knowledge)
 	encodeCommitStats(answer, peers.proxy.pool.CommitStats(group))
 	if request.ForDomain {
 		peers.answerForDomain(answer, request)
@@ -190,12 +202,14 @@
 		Group: answer.Group, Server: answer.Server, KnownOnly: true, HearAll: asked.HearAll, CloseCommits: asked.CloseCommits,
 	}
 	answers := peers.gatherAnswers(request, others, live, domainTimeout)
-	acked, stats := ackedPosition(answer), decodeCommitStats(answer)
+	acked, stats, known := ackedPosition(answer), decodeCommitStats(answer), decodeKnowledge(answer)
 	for _, other := range answers {
 		stats.Merge(decodeCommitStats(other))
 		answer.Reached = answer.Reached || other.Reached
 		acked = acked.Max(ackedPosition(other))
+		known.Merge(decodeKnowledge(other))
 	}
+	encodeKnowledge(answer, known)
 	answer.AckedTerm, answer.AckedNumber = uint64(acked.Term), uint64(acked.Number)
 	encodeCommitStats(answer, stats)
 	answer.Domain = string(peers.proxy.settings.Domain)
--- a/internal/lend/lender.go
+++ b/internal/lend/lender.go
@@ -192,7 +192,7 @@
 	}
 	loan.txWrote = loan.txWrote || command.Writes
 	if loan.txWrote && answer.State == spool.TxIdle && command.Verb != spool.VerbRollback {
-		pool.RecordCommit(group, loan.conn.Server(), answer.Position) // the borrower may be asked for its newest commit before the answer reaches it
+		pool.RecordCommit(group, loan.conn.Server(), answer.Position, sent) // the borrower may be asked for its newest commit before the answer reaches it
 	}
 	loan.txWrote = loan.txWrote && answer.State == spool.TxOpen
 }
--- a/internal/pool/closure.go
+++ b/internal/pool/closure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderspool.example/spool/internal/core/elect"
+	"corianderspool.example/spool/internal/core/fresh"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -25,12 +26,47 @@
 	return server == closure.server || closure.server == "" && term <= closure.term
 }
 
+// Acked is the newest commit of a group that a proxy knows to have been acknowledged.
+type Acked struct {
+	Position  spool.LogPosition
+	Knowledge elect.AckedKnowledge
+}
+
+// Acked returns the newest commit of a group that this proxy knows to have acknowledged.
+func (pool *Pool) Acked(name spool.Group) Acked {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.acked(pool.group(name))
+}
+
+func (pool *Pool) acked(group *group) Acked {
+	now, acked := pool.timers.Now(), Acked{Position: group.ackedPosition}
+	if !group.informed && !pool.firstStart {
+		acked.Knowledge.Uninformed = max(1, now.Sub(pool.started))
+	}
+	if group.ackedSent != 0 {
+		acked.Knowledge.AckedAge = max(1, now.Sub(group.ackedSent))
+	}
+	return acked
+}
+
+// inform adopts the position of the first watermark since the start, which covers what an earlier process acknowledged.
+func (pool *Pool) inform(group *group, watermark fresh.Watermark) {
+	if !group.informed && !pool.firstStart && watermark.SentAt >= pool.started {
+		group.informed = true
+		group.ackedPosition = group.ackedPosition.Max(watermark.Position)
+	}
+}
+
+// WithFirstStart tells that no earlier process of this proxy has acknowledged commits.
+func WithFirstStart(firstStart bool) Option { return func(pool *Pool) { pool.firstStart = firstStart } }
+
 // CloseCommits stops acknowledging commits of a server, or of every server of the terms known so far if none is named, for
-// elect.CommitHold. It returns the position of the newest commit that this proxy acknowledged.
-func (pool *Pool) CloseCommits(name spool.Group, server spool.Server) spool.LogPosition {
+// elect.CommitHold. It returns the newest commit that this proxy acknowledged.
+func (pool *Pool) CloseCommits(name spool.Group, server spool.Server) Acked {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
 	group.closed = commitClosure{server: server, term: group.term, until: pool.timers.Now().Add(elect.CommitHold)}
-	return group.ackedPosition
+	return pool.acked(group)
 }
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -48,6 +48,8 @@
 	term                 spool.Term   // newest term seen
 	watermarks           fresh.Watermarks
 	ackedPosition        spool.LogPosition // newest commit that this proxy acknowledged
+	ackedSent            spool.Instant     // when it was sent
+	informed             bool              // ackedPosition covers what an earlier process acknowledged
 	waiters              *queue.Queue[*waiter]
 	probing              bool
 	refreshDone          chan struct{} // closed when the refresh in progress ends; nil if there is none
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -47,7 +47,9 @@
 	restricted       atomic.Bool                      // home regions are set
 	observer         Observer
 	warmupTokens     WarmupTokens
-	coldUntil        atomic.Int64 // latest instant at which any server warms up
+	coldUntil        atomic.Int64  // latest instant at which any server warms up
+	started          spool.Instant // when this process began
+	firstStart       bool          // no earlier process of this proxy has acknowledged commits
 
 	mutex        sync.Mutex
 	groups       map[spool.Group]*group
@@ -99,6 +101,7 @@
 		sameRegion: func(left, right spool.Domain) bool { return left == right }, dialTunnel: noTunnel, lenders: disabled{}, watermarkSource: disabled{}, warmupTokens: disabled{}, observer: disabled{},
 		groups: map[spool.Group]*group{}, proxyDomains: []spool.Domain{""},
 	}
+	pool.started = timers.Now()
 	for _, option := range options {
 		option(pool)
 	}
@@ -208,6 +211,7 @@
 	defer pool.mutex.Unlock()
 	now := pool.timers.Now()
 	group := pool.group(name)
+	pool.inform(group, watermark)
 	if group.setPrimary(server, watermark, now) {
 		pool.divideConnections(group)
 		event.Log(pool.logger, event.PrimaryFound, zap.String("Group", string(name)),
@@ -226,16 +230,16 @@
 		zap.String("Server", string(server)), zap.String("Next", string(group.primary)))
 }
 
-// RecordCommit records the position of a commit that a server completed. It returns false if the commit must not be
+// RecordCommit records the position of a commit that a server completed and when it was sent. It returns false if the commit must not be
 // acknowledged, since another server may be promoted without it.
-func (pool *Pool) RecordCommit(name spool.Group, server spool.Server, position spool.LogPosition) bool {
+func (pool *Pool) RecordCommit(name spool.Group, server spool.Server, position spool.LogPosition, sent spool.Instant) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
 	if group.closed.covers(server, position.Term, pool.timers.Now()) {
 		return false
 	}
-	group.ackedPosition = group.ackedPosition.Max(position)
+	group.ackedPosition, group.ackedSent = group.ackedPosition.Max(position), max(group.ackedSent, sent)
 	group.unansweredCommits, group.lastAnswered = 0, pool.timers.Now()
 	group.commitBreaker.RecordSuccess()
 	return true
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -69,13 +69,6 @@
 	return names
 }
 
-// AckedPosition returns the position of the newest commit of a group that this proxy acknowledged.
-func (pool *Pool) AckedPosition(name spool.Group) spool.LogPosition {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	return pool.group(name).ackedPosition
-}
-
 // ProbePrimary returns an error unless the server acts as the primary of a group now.
 func (pool *Pool) ProbePrimary(name spool.Group, server spool.Server, team spool.Team) error {
 	registered := pool.findServer(name, server)
--- a/internal/pool/watermark.go
+++ b/internal/pool/watermark.go
@@ -85,7 +85,9 @@
 func (pool *Pool) RecordWatermark(name spool.Group, watermark fresh.Watermark) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	pool.group(name).watermarks.Add(watermark)
+	group := pool.group(name)
+	group.watermarks.Add(watermark)
+	pool.inform(group, watermark)
 }
 
 // Primary returns the presumed primary of a group and its failure domain, or empty names.
