--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -93,23 +93,25 @@
 }
 
 // acquireToken acquires a fencing token and stores the chosen server with it. The server that a recent token of another holder
-// names is chosen if it can be. Recent is true if that holder may still act, so that this token must not be used.
+// names is chosen if it can be. Recent is true if that holder may still act, so that this token must not be used: its server is not
+// the primary yet. The age counts from before the store was called.
 func (supervisor *Supervisor) acquireToken(
 	ctx context.Context, selection *selection, view pool.GroupView, state *groupState, cause elect.Cause,
 ) (token acquiredToken, recent bool, err error) {
-	began := supervisor.timers.Now()
+	token.acquiredAt = supervisor.timers.Now()
+	completed := false
 	token.value, recent, err = supervisor.tokens.Next(ctx, view.Group, WithTarget(func(earlier spool.Server) spool.Server {
-		if earlier != "" && earlier != selection.chosen {
-			state.ordered.remember(earlier, began)
+		completed = earlier != "" && earlier == view.Primary
+		if earlier != "" && earlier != selection.chosen && !completed {
+			state.ordered.remember(earlier, token.acquiredAt)
 			supervisor.choose(selection, view, state, cause)
 		}
 		return selection.chosen
 	}))
-	token.acquiredAt = supervisor.timers.Now()
 	if err != nil {
 		event.Log(supervisor.logger, event.PromotionRequestFailed, zap.String("Group", string(view.Group)), event.Cause(err))
 	}
-	return token, recent, err
+	return token, recent && !completed, err
 }
 
 // queryCandidates queries the status of all servers except the primary.
--- a/internal/super/fencing.go
+++ b/internal/super/fencing.go
@@ -105,12 +105,12 @@
 		}
 	}
 	now := time.Now()
-	recent := !missing && body.Holder != fencingTokens.vm && now.Sub(time.UnixMilli(body.Taken)).Abs() < recentTokenAge
+	otherRecent := !missing && body.Holder != fencingTokens.vm && now.Sub(time.UnixMilli(body.Taken)).Abs() < recentTokenAge
 	era := fencingTokens.store.Era()
 	eraRecent := fencingTokens.eraStart.observe(era, now)
-	recent = recent || eraRecent && eraOfToken(body.Token) < era // a fall-back may have removed another holder's token
+	fellBack := eraRecent && eraOfToken(body.Token) < era // which may have removed another holder's token
 	var earlier spool.Server
-	if recent {
+	if otherRecent && !fellBack {
 		earlier = body.Target
 	}
 	next := tokenBody{
@@ -133,5 +133,5 @@
 	if !fencingTokens.IsCurrent(next.Token) {
 		return 0, false, spool.ErrEraChanged
 	}
-	return next.Token, recent, nil
+	return next.Token, otherRecent || fellBack, nil
 }
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -98,6 +98,9 @@
 			continue
 		}
 		handover.logStep(&known, step, decision)
+		if decision == elect.NotCaughtUp {
+			handover.state.ordered = order{} // pausing a server that receives nothing makes no difference
+		}
 		return step
 	}
 }
--- a/internal/super/order_test.go
+++ b/internal/super/order_test.go
@@ -111,3 +111,18 @@
 	time.Sleep(2500 * time.Millisecond)
 	qt.Assert(t, cluster.promotedServers(), qt.HasLen, 1)
 }
+
+// TestCompletedPromotionIsNotWaitedFor guards against an outage that is longer by the wait for another holder, although the server
+// that it promoted has been the primary since.
+func TestCompletedPromotionIsNotWaitedFor(t *testing.T) {
+	cluster := newCluster(t)
+	tokens := super.NewFencingTokens(cluster.client, "vm0", rand.Uint64)
+	_, _, err := tokens.Next(context.Background(), "g1", super.WithTarget(func(spool.Server) spool.Server { return "a" }))
+	qt.Assert(t, err, qt.IsNil)
+	cluster.startSupervisor("vm1", stubFleet{poll: allUnreachable})
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	cluster.group.Server("a").Kill()
+	cluster.eventually(func() bool { return cluster.group.Primary() != "a" })
+	qt.Assert(t, time.Since(began) < 1500*time.Millisecond, qt.IsTrue) // a detection and a promotion take half of that
+}
