--- a/internal/pool/closure.go
+++ b/internal/pool/closure.go
@@ -18,9 +18,9 @@
 	until  spool.Instant
 }
 
-// covers reports whether a commit of a server at a position must not be acknowledged.
-func (closure *commitClosure) covers(server spool.Server, term spool.Term, now spool.Instant) bool {
-	if now >= closure.until {
+// covers reports whether a commit that was sent to a server of a term must not be acknowledged, however late the answer comes.
+func (closure *commitClosure) covers(server spool.Server, term spool.Term, sent spool.Instant) bool {
+	if sent >= closure.until {
 		return false
 	}
 	return server == closure.server || closure.server == "" && term <= closure.term
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -230,13 +230,13 @@
 		zap.String("Server", string(server)), zap.String("Next", string(group.primary)))
 }
 
-// RecordCommit records the position of a commit that a server completed and when it was sent. It returns false if the commit must not be
-// acknowledged, since another server may be promoted without it.
+// RecordCommit records the position of a commit that a server completed and when it was sent. It returns false if the commit must
+// not be acknowledged, since another server may be promoted without it.
 func (pool *Pool) RecordCommit(name spool.Group, server spool.Server, position spool.LogPosition, sent spool.Instant) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
-	if group.closed.covers(server, position.Term, pool.timers.Now()) {
+	if group.closed.covers(server, position.Term, sent) {
 		return false
 	}
 	group.ackedPosition, group.ackedSent = group.ackedPosition.Max(position), max(group.ackedSent, sent)
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -198,14 +198,17 @@
 	return slices.Sorted(maps.Keys(state.paused))
 }
 
-func (supervisor *Supervisor) setPaused(state *groupState, server spool.Server, paused bool) {
+// setPaused records whether a server may be paused, and reports a change.
+func (supervisor *Supervisor) setPaused(state *groupState, server spool.Server, paused bool) (changed bool) {
 	supervisor.mutex.Lock()
 	defer supervisor.mutex.Unlock()
+	changed = state.paused[server] != paused
 	if paused {
 		state.paused[server] = true
 	} else {
 		delete(state.paused, server)
 	}
+	return changed
 }
 
 func (supervisor *Supervisor) scheduleRetry(state *groupState) {
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -169,18 +169,13 @@
 			}
 			status, err := handover.sendCommand(view.Group, server.Server, timeout, command)
 			reports[i] = elect.ServerReport{Server: server.Server, Answered: err == nil, Status: status, Evacuated: server.Evacuated}
-			if command.Verb == spool.VerbPause {
+			if command.Verb == spool.VerbPause && handover.setPaused(handover.state, server.Server, true) {
 				event.Log(handover.logger, event.ReplicaPaused, zap.String("Group", string(view.Group)),
 					zap.String("Server", string(server.Server)), zap.Uint64("Term", uint64(handover.pauseTerm)),
 					zap.Uint64("Held", uint64(status.PausedTerm)), event.Cause(err))
 			}
 		})
 	}
-	for _, server := range view.Servers {
-		if server.Server != handover.view.Primary && server.Server != handover.chosen {
-			handover.setPaused(handover.state, server.Server, true)
-		}
-	}
 	asking.Wait()
 	return reports
 }
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -14,6 +14,7 @@
 )
 
 const (
+	drainPeriod      = 20 * time.Millisecond   // between checks for handovers in progress
 	checkPeriod      = 150 * time.Millisecond  // between checks of each group
 	probeAfterIdle   = 250 * time.Millisecond  // time without contact after which a primary is probed; five round trips
 	statusTimeout    = 500 * time.Millisecond  // of a status query: a round trip and the queued work ahead of it
@@ -54,8 +55,6 @@
 	timers   spool.Timers
 	logger   *zap.Logger
 
-	checks sync.WaitGroup // in progress
-
 	mutex  sync.Mutex
 	states map[spool.Group]*groupState
 }
@@ -91,18 +90,23 @@
 	stop()
 }
 
-// Drain waits until the handovers in progress have ended, so that they leave no replica paused, or until the context ends. The
-// fleet must have told other proxies to supervise before.
+// Drain waits until no group is checked, so that no handover ends midway and leaves replicas paused, or until the context ends. This
+// proxy must not supervise any group by then.
 func (supervisor *Supervisor) Drain(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		supervisor.checks.Wait()
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	for supervisor.isChecking() && ctx.Err() == nil {
+		time.Sleep(drainPeriod)
+	}
+}
+
+func (supervisor *Supervisor) isChecking() bool {
+	supervisor.mutex.Lock()
+	defer supervisor.mutex.Unlock()
+	for _, state := range supervisor.states {
+		if state.busy {
+			return true
+		}
 	}
+	return false
 }
 
 func (supervisor *Supervisor) checkGroups(ctx context.Context, now spool.Instant) {
@@ -115,12 +119,12 @@
 		if state == nil {
 			continue
 		}
-		supervisor.checks.Go(func() {
+		go func() {
 			supervisor.checkGroup(ctx, group, state)
 			supervisor.mutex.Lock()
 			state.busy = false
 			supervisor.mutex.Unlock()
-		})
+		}()
 	}
 }
 
