--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -96,11 +96,11 @@
 // names is chosen if it can be. Recent is true if that holder may still act, so that this token must not be used: its server is not
 // the primary yet. The age counts from before the store was called.
 func (supervisor *Supervisor) acquireToken(
-	ctx context.Context, selection *selection, view pool.GroupView, state *groupState, cause elect.Cause,
+	ctx context.Context, selection *selection, view pool.GroupView, state *groupState, cause elect.Cause, options ...TokenOption,
 ) (token acquiredToken, recent bool, err error) {
 	token.acquiredAt = supervisor.timers.Now()
 	completed := false
-	token.value, recent, err = supervisor.tokens.Next(ctx, view.Group, WithTarget(func(earlier spool.Server) spool.Server {
+	options = append(options, WithTarget(func(earlier spool.Server) spool.Server {
 		completed = earlier != "" && earlier == view.Primary
 		if earlier != "" && earlier != selection.chosen && !completed {
 			state.ordered.remember(earlier, token.acquiredAt)
@@ -108,6 +108,7 @@
 		}
 		return selection.chosen
 	}))
+	token.value, recent, err = supervisor.tokens.Next(ctx, view.Group, options...)
 	if err != nil {
 		event.Log(supervisor.logger, event.PromotionRequestFailed, zap.String("Group", string(view.Group)), event.Cause(err))
 	}
--- a/internal/super/fencing.go
+++ b/internal/super/fencing.go
@@ -28,9 +28,19 @@
 // TokenOption configures the acquisition of a token.
 type TokenOption func(*tokenRequest)
 
-// tokenRequest is what is stored with a token.
+// tokenRequest holds the options of an acquisition.
 type tokenRequest struct {
-	choose func(earlier spool.Server) spool.Server
+	choose  func(earlier spool.Server) spool.Server
+	renewed uint64 // token that must be the newest one; zero if any may be
+}
+
+// errTokenSuperseded means that another holder acquired a token since.
+var errTokenSuperseded = errors.New("another holder acquired a fencing token")
+
+// WithRenewal acquires a token only if the given one is still the newest of its group. Two holders that wait for each other would
+// otherwise supersede each other without end.
+func WithRenewal(token uint64) TokenOption {
+	return func(request *tokenRequest) { request.renewed = token }
 }
 
 // WithTarget stores the server that the holder is going to promote, which choose returns. Earlier is the server of the previous
@@ -76,8 +86,8 @@
 	var lastErr error
 	for range maxTokenAttempts {
 		token, recent, err = fencingTokens.attempt(ctx, group, nonce, request)
-		if err == nil {
-			return token, recent, nil
+		if err == nil || errors.Is(err, errTokenSuperseded) {
+			return token, recent, err
 		}
 		lastErr = err
 	}
@@ -99,11 +109,14 @@
 		if err := json.Unmarshal(object.Body, &body); err != nil {
 			return 0, false, eris.Wrap(err, "decode the fencing token")
 		}
-		if body.Nonce == nonce && body.Holder == fencingTokens.vm && fencingTokens.IsCurrent(body.Token) {
+		if own := body.Nonce == nonce && body.Holder == fencingTokens.vm; own && fencingTokens.IsCurrent(body.Token) {
 			request.choose(body.Target)
-			return body.Token, true, nil // the own update, whose answer was lost; it overwrote the previous holder
+			return body.Token, request.renewed == 0, nil // the own update, whose answer was lost; it overwrote the previous holder
 		}
 	}
+	if request.renewed != 0 && request.renewed != body.Token {
+		return 0, false, errTokenSuperseded
+	}
 	now := time.Now()
 	otherRecent := !missing && body.Holder != fencingTokens.vm && now.Sub(time.UnixMilli(body.Taken)).Abs() < recentTokenAge
 	era := fencingTokens.store.Era()
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"sync"
 	"time"
@@ -52,7 +53,11 @@
 	if err == nil && recent {
 		time.Sleep(otherHolderWait)
 		selection = supervisor.selectServer(view, state, cause)
-		token, recent, err = supervisor.acquireToken(ctx, selection, view, state, cause)
+		token, recent, err = supervisor.acquireToken(ctx, selection, view, state, cause, WithRenewal(token.value))
+	}
+	if errors.Is(err, errTokenSuperseded) {
+		state.nextCheck = supervisor.timers.Now().Add(otherHolderWait) // the other holder acts meanwhile
+		return
 	}
 	if err != nil || recent || selection.chosen == "" || supervisor.tooLateToSwitchOver(view, cause) {
 		supervisor.scheduleRetry(state)
--- a/internal/super/order_test.go
+++ b/internal/super/order_test.go
@@ -126,3 +126,18 @@
 	cluster.eventually(func() bool { return cluster.group.Primary() != "a" })
 	qt.Assert(t, time.Since(began) < 1500*time.Millisecond, qt.IsTrue) // a detection and a promotion take half of that
 }
+
+// TestTwoSupervisorsDoNotWaitForEachOther guards against a primary that is never replaced: two supervisors find the recent token of
+// a third one, and each waits for the other.
+func TestTwoSupervisorsDoNotWaitForEachOther(t *testing.T) {
+	cluster := newCluster(t)
+	tokens := super.NewFencingTokens(cluster.client, "vm0", rand.Uint64)
+	_, _, err := tokens.Next(context.Background(), "g1")
+	qt.Assert(t, err, qt.IsNil)
+	cluster.group.Server("a").Kill()
+	cluster.startSupervisor("vm1", stubFleet{poll: allUnreachable})
+	cluster.startSupervisor("vm-two", stubFleet{poll: allUnreachable})
+	cluster.eventually(func() bool { return cluster.group.Primary() != "a" })
+	time.Sleep(2500 * time.Millisecond)
+	qt.Assert(t, cluster.promotedServers(), qt.HasLen, 1)
+}
