--- a/internal/pool/closure.go
+++ b/internal/pool/closure.go
@@ -26,13 +26,13 @@
 	return server == closure.server || closure.server == "" && term <= closure.term
 }
 
-// Acked is the newest commit of a group that a proxy knows to have been acknowledged.
+// Acked is a position that covers every commit of a group that a proxy has acknowledged.
 type Acked struct {
 	Position  spool.LogPosition
 	Knowledge elect.AckedKnowledge
 }
 
-// Acked returns the newest commit of a group that this proxy knows to have acknowledged.
+// Acked returns a position that covers every commit of a group that this proxy has acknowledged.
 func (pool *Pool) Acked(name spool.Group) Acked {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -40,7 +40,7 @@
 }
 
 func (pool *Pool) acked(group *group) Acked {
-	now, acked := pool.timers.Now(), Acked{Position: group.ackedPosition}
+	now, acked := pool.timers.Now(), Acked{Position: group.ackedPosition.Max(group.inherited)}
 	if !group.informed && !pool.firstStart {
 		acked.Knowledge.Uninformed = max(1, now.Sub(pool.started))
 	}
@@ -50,11 +50,10 @@
 	return acked
 }
 
-// inform adopts the position of the first watermark since the start, which covers what an earlier process acknowledged.
+// inform records the position of the first watermark since the start, which covers what an earlier process acknowledged.
 func (pool *Pool) inform(group *group, watermark fresh.Watermark) {
 	if !group.informed && !pool.firstStart && watermark.SentAt >= pool.started {
-		group.informed = true
-		group.ackedPosition = group.ackedPosition.Max(watermark.Position)
+		group.informed, group.inherited = true, watermark.Position
 	}
 }
 
@@ -62,7 +61,7 @@
 func WithFirstStart(firstStart bool) Option { return func(pool *Pool) { pool.firstStart = firstStart } }
 
 // CloseCommits stops acknowledging commits of a server, or of every server of the terms known so far if none is named, for
-// elect.CommitHold. It returns the newest commit that this proxy acknowledged.
+// elect.CommitHold. It returns a position that covers every commit that this proxy has acknowledged.
 func (pool *Pool) CloseCommits(name spool.Group, server spool.Server) Acked {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
