--- a/internal/fake/regsrv/server_test.go
+++ b/internal/fake/regsrv/server_test.go
@@ -192,13 +192,16 @@
 	ctx := context.Background()
 	server := startServer(c, regsrv.WithPrimary(1), regsrv.WithSlots(2), regsrv.WithConnectionLimit(4))
 	done := make(chan error, 4)
+	begin := make(chan struct{}) // closed once all are connected, so that the statements overlap however long a login takes
 	for range 4 {
 		connection := connect(c, server)
 		go func() {
+			<-begin
 			_, err := connection.Exec(ctx, "SLEEP 30")
 			done <- err
 		}()
 	}
+	close(begin)
 	_, err := pgx.Connect(ctx, connectURL(server))
 	c.Assert(sqlState(err), qt.Equals, "53300")
 	for range 4 {
