--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -25,7 +25,8 @@
 	RegistryIncomplete bool              // the registry may lack a running server
 	SyncReplicas       int               // replicas that confirm a commit before it is acknowledged
 	Acked              spool.LogPosition // newest position known to have been acknowledged by any proxy
-	AckedComplete      bool              // Acked covers all registered proxies, asked after the primary stopped answering
+	AckedBound         spool.LogPosition // at or above every acknowledged commit, if AckedComplete
+	AckedComplete      bool              // every registered proxy was asked for AckedBound after the primary stopped answering
 }
 
 // Decision is the reason why a candidate was chosen or not.
@@ -62,8 +63,13 @@
 		}
 	}
 	covered := unreachable < max(1, state.SyncReplicas) // one of the replicas that responded holds every acknowledged commit
-	if !covered && !state.AckedComplete {
+	switch {
+	case covered:
+		return best.Server, Safe
+	case !state.AckedComplete:
 		return "", ReplicaUnreachable
+	case best.Status.Received.Less(state.AckedBound):
+		return "", BehindAcked
 	}
 	return best.Server, Safe
 }
@@ -164,14 +170,15 @@
 
 // PeerPoll aggregates the answers of the other proxies about a group's primary.
 type PeerPoll struct {
-	NoPeers   bool              // no other proxy is registered
-	Asked     int               // live proxies that were asked
-	Reached   int               // answers of proxies that reach the primary
-	Unreached int               // answers of proxies that do not reach the primary
-	Acked     spool.LogPosition // newest position at which any proxy acknowledged a commit
-	Complete  bool              // every registered proxy answered, and Acked is the newest position that any has ever acknowledged
-	Commits   CommitStats       // outcomes of the commits that they sent to the primary
-	Known     AckedKnowledge    // of all that answered
+	NoPeers    bool              // no other proxy is registered
+	Asked      int               // live proxies that were asked
+	Reached    int               // answers of proxies that reach the primary
+	Unreached  int               // answers of proxies that do not reach the primary
+	Acked      spool.LogPosition // newest position at which any proxy is known to have acknowledged a commit
+	AckedBound spool.LogPosition // at or above every commit that any proxy has ever acknowledged, if Complete
+	Complete   bool              // every registered proxy answered, and AckedBound is known
+	Commits    CommitStats       // outcomes of the commits that they sent to the primary
+	Known      AckedKnowledge    // of all that answered
 }
 
 // AddAnswer adds the answer of a proxy.
--- a/internal/core/elect/handover.go
+++ b/internal/core/elect/handover.go
@@ -40,7 +40,8 @@
 	Reports       []ServerReport    // of all servers that were registered when they were last asked
 	RegistryRead  bool              // the registry was read from the store for the reports and lists all running servers
 	Acked         spool.LogPosition // newest position known to have been acknowledged by any proxy
-	CommitsClosed bool              // until the promotion is complete no proxy acknowledges a commit of the primary above Acked
+	AckedBound    spool.LogPosition // at or above every commit that any proxy acknowledges, if CommitsClosed
+	CommitsClosed bool              // until the promotion is complete no proxy acknowledges further commits of the primary
 	TokenUsable   bool              // no later holder of a fencing token acts yet
 }
 
@@ -79,10 +80,14 @@
 		return handover.stepIfBehind(), NotCaughtUp
 	case received.Less(handover.Acked):
 		return handover.stepIfBehind(), BehindAcked
-	case independent < max(1, handover.SyncReplicas), handover.CommitsClosed:
+	case independent < max(1, handover.SyncReplicas):
 		return StepPromote, Safe
+	case !handover.CommitsClosed:
+		return StepWait, ReplicaUnreachable
+	case received.Less(handover.AckedBound):
+		return handover.stepIfBehind(), BehindAcked
 	}
-	return StepWait, ReplicaUnreachable
+	return StepPromote, Safe
 }
 
 // superseded reports whether a promotion took effect that this handover does not know.
--- a/internal/core/elect/handovermodel_test.go
+++ b/internal/core/elect/handovermodel_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -28,15 +29,25 @@
 	term    spool.Term
 	acked   int
 	closed  bool // no proxy acknowledges commits
-	told    int  // newest acknowledged position that the proxies told when they closed the commits
+	bound   int  // newest position that the proxies may have acknowledged, as told when they closed the commits
+
+	now, ackedAt, restartedAt, toldAt int // numbers of events; zero if there was none
+	known                             int // newest acknowledged position that the proxies remember
+	told                              int // position that the primary told the supervisor
 
 	handover   *Handover // nil while the supervisor has begun none
 	isOrdered  bool
-	skipJoined bool // the supervisor does not learn of servers that join after it began
+	rules      earlierRules
 	promotions int
 	violation  string
 }
 
+// earlierRules turns off what the supervisor learned to do.
+type earlierRules struct {
+	skipJoined     bool // it does not learn of servers that join after it began
+	trustRestarted bool // it relies on what restarted proxies know
+}
+
 // decide is the rule under test: it returns the step for what the supervisor knows.
 type decide func(handover Handover) Step
 
@@ -58,8 +69,9 @@
 
 // step applies one event; choose returns a number below its argument.
 func (model *handoverModel) step(choose func(int) int, rule decide) {
+	model.now++
 	server := model.servers[choose(len(model.servers))]
-	switch choose(12) {
+	switch choose(14) {
 	case 0, 1, 2:
 		model.commit(server)
 	case 3, 4:
@@ -81,7 +93,38 @@
 		model.ask(rule)
 	case 11:
 		model.takeEffect()
+	case 12:
+		model.restartProxies()
+	case 13:
+		if !model.primary.hidden {
+			model.told, model.toldAt = model.primary.received, model.now
+		}
+	}
+}
+
+// restartProxies restarts all proxies, the supervisor included, unless a promotion is requested: they forget what they closed.
+func (model *handoverModel) restartProxies() {
+	if model.isOrdered {
+		return
+	}
+	model.handover, model.closed = nil, false
+	model.known, model.ackedAt, model.told, model.toldAt = 0, 0, 0, 0
+	model.restartedAt = model.now
+}
+
+// ackedBound returns a position at or above every acknowledged commit, if the proxies know one.
+func (model *handoverModel) ackedBound() (bound int, known bool) {
+	knowledge := AckedKnowledge{}
+	if model.restartedAt != 0 && !model.rules.trustRestarted {
+		knowledge.Restarted = time.Duration(model.now - model.restartedAt)
+	}
+	if model.ackedAt != 0 {
+		knowledge.AckedAge = time.Duration(model.now - model.ackedAt)
 	}
+	position, known := knowledge.Bound(model.position(model.known), 0, func(age time.Duration) (spool.LogPosition, bool) {
+		return model.position(model.told), model.toldAt != 0 && time.Duration(model.now-model.toldAt) <= age
+	})
+	return int(position.Number), known
 }
 
 // commit acknowledges a write that one replica has received, together with all writes before it.
@@ -93,6 +136,7 @@
 	confirming.received = model.primary.received
 	if !model.closed {
 		model.acked = model.primary.received
+		model.known, model.ackedAt = model.acked, model.now
 	}
 }
 
@@ -118,9 +162,9 @@
 		server.joined = false
 	}
 	model.handover = &Handover{Cause: cause, Primary: primary, Chosen: chosen.name, PauseTerm: term + 1, SyncReplicas: 1}
-	model.closed, model.told = false, 0
+	model.closed, model.bound = false, 0
 	if cause != CausePlanned && primary == model.primary.name && choose(2) == 0 {
-		model.closed, model.told = true, model.acked
+		model.bound, model.closed = model.ackedBound()
 	}
 }
 
@@ -130,10 +174,10 @@
 		return
 	}
 	known := *model.handover
-	known.RegistryRead, known.TokenUsable = !model.skipJoined, true
-	known.CommitsClosed, known.Acked = model.closed, model.position(model.told)
+	known.RegistryRead, known.TokenUsable = !model.rules.skipJoined, true
+	known.CommitsClosed, known.AckedBound = model.closed, model.position(model.bound)
 	for _, server := range model.servers {
-		if server.joined && model.skipJoined {
+		if server.joined && model.rules.skipJoined {
 			continue
 		}
 		known.Reports = append(known.Reports, model.report(server))
@@ -191,7 +235,7 @@
 }
 
 // search plays random orders of events and returns the first violation of a rule, and the number of promotions.
-func search(rule decide, skipJoined bool) (violation string, promotions int) {
+func search(rule decide, rules earlierRules) (violation string, promotions int) {
 	const (
 		runs   = 20_000
 		events = 60
@@ -199,7 +243,7 @@
 	for seed := range runs {
 		random := rand.New(rand.NewPCG(uint64(seed), 1))
 		model := newHandoverModel()
-		model.skipJoined = skipJoined
+		model.rules = rules
 		for range events {
 			model.step(random.IntN, rule)
 			if model.violation != "" {
@@ -225,18 +269,18 @@
 }
 
 // TestNoOrderOfEventsLosesACommit guards against a promotion that loses an acknowledged commit while servers join, restart, are
-// out of the proxies' reach and not of the primary's, and supervisors end midway or act on an old view.
+// out of the proxies' reach and not of the primary's, proxies restart, and supervisors end midway or act on an old view.
 func TestNoOrderOfEventsLosesACommit(t *testing.T) {
-	for _, skipJoined := range []bool{false, true} {
-		violation, promotions := search(nextStep, skipJoined)
+	for _, rules := range []earlierRules{{}, {skipJoined: true}} {
+		violation, promotions := search(nextStep, rules)
 		qt.Check(t, violation, qt.Equals, "")
 		qt.Check(t, promotions > 1000, qt.IsTrue, qt.Commentf("%d", promotions))
 	}
 }
 
 // TestModelFindsTheLossesOfEarlierRules shows that the model finds the losses of each rule that an earlier version followed: a
-// server out of reach counts as paused, a server that joined is not looked for, roles and terms in the answers are not used, and
-// acknowledged positions count although the primary may commit again.
+// server out of reach counts as paused, a server that joined is not looked for, roles and terms in the answers are not used,
+// acknowledged positions count although the primary may commit again, and so do those of proxies that have restarted.
 func TestModelFindsTheLossesOfEarlierRules(t *testing.T) {
 	for name, rule := range map[string]decide{
 		"unreachable counts as paused": without(func(known *Handover) {
@@ -254,9 +298,13 @@
 				status.PausedTerm = known.PauseTerm
 			}
 		}),
-		"commits stay open": without(func(known *Handover) { known.CommitsClosed = known.Cause != CausePlanned }),
+		"commits stay open":        without(func(known *Handover) { known.CommitsClosed = known.Cause != CausePlanned }),
+		"restarted proxies vouch":  nextStep,
+		"the bound is not checked": without(func(known *Handover) { known.AckedBound = spool.LogPosition{} }),
 	} {
-		violation, _ := search(rule, name == "joined servers are not looked for")
+		violation, _ := search(rule, earlierRules{
+			skipJoined: name == "joined servers are not looked for", trustRestarted: name == "restarted proxies vouch",
+		})
 		qt.Check(t, violation, qt.Not(qt.Equals), "", qt.Commentf(name))
 		t.Logf("%s: %s", name, violation)
 	}
--- a/internal/fake/linesrv/group.go
+++ b/internal/fake/linesrv/group.go
@@ -170,7 +170,7 @@
 	group.primary.receivedEntries, group.primary.appliedEntries = len(group.log), len(group.log)
 	confirmed := false
 	for _, server := range group.servers {
-		if server == group.primary || server.pausedTerm > 0 || server.down || group.primaryIsolated {
+		if server == group.primary || server.pausedTerm > 0 || server.down || server.deaf || group.primaryIsolated {
 			continue
 		}
 		server.receivedEntries = len(group.log)
--- a/internal/fake/linesrv/server.go
+++ b/internal/fake/linesrv/server.go
@@ -35,8 +35,9 @@
 	appliedEntries     int
 	pausedTerm         uint64 // highest term in which replication was paused; zero if it runs
 	down               bool
-	answersToLose      int // number of next answers that are lost after the statement ran
-	statementsToRefuse int // number of next statements that are refused as BUSY
+	deaf               bool // receives no log entries
+	answersToLose      int  // number of next answers that are lost after the statement ran
+	statementsToRefuse int  // number of next statements that are refused as BUSY
 	busySlots          int
 
 	listener net.Listener
@@ -190,6 +191,13 @@
 	return server.down
 }
 
+// StopReceiving makes a replica receive no further log entries, as if its connection to the primary hung.
+func (server *Server) StopReceiving() {
+	server.group.mutex.Lock()
+	defer server.group.mutex.Unlock()
+	server.deaf = true
+}
+
 // SetLagging sets whether received log entries stay unapplied; false applies those received so far.
 func (server *Server) SetLagging(lagging bool) {
 	server.group.mutex.Lock()
--- a/internal/fleet/closure_test.go
+++ b/internal/fleet/closure_test.go
@@ -24,14 +24,14 @@
 }
 
 // TestRestartedProxyDoesNotVouchForCommits guards against the loss of commits that a proxy acknowledged before it restarted: with
-// the primary gone, the replica that does not answer may alone hold them.
+// the primary gone and the other replica behind, the replica that does not answer alone holds them.
 func TestRestartedProxyDoesNotVouchForCommits(t *testing.T) {
 	cluster := newCluster(t, 3)
 	caller := cluster.connect(1, "primary", "key-red")
 	qt.Assert(t, caller.execute("WRITE item first"), qt.Equals, "")
-	cluster.stopFuncs[1]()
-	cluster.start(1)
-	cluster.waitUntil(func() bool { return cluster.ready(1) })
+	cluster.group.Server("b").StopReceiving()
+	qt.Assert(t, caller.execute("WRITE item second"), qt.Equals, "")
+	cluster.restart(1)
 	time.Sleep(2 * time.Second) // until the proxies supervise groups
 	cluster.group.Server("c").Refuse()
 	cluster.group.Server("a").Kill()
@@ -39,5 +39,21 @@
 	qt.Assert(t, cluster.group.Primary(), qt.Equals, spool.Server("a"))
 	qt.Assert(t, cluster.group.Server("c").Start(), qt.IsNil)
 	cluster.waitUntil(func() bool { return cluster.group.Primary() != "a" })
+	qt.Assert(t, cluster.group.WrittenValues("item"), qt.DeepEquals, []string{"first", "second"})
+}
+
+// TestIdleGroupIsServedAfterProxiesRestart guards against a group without writes that gets no primary after its proxies restarted:
+// the position that the primary told a supervisor since shows that the replica which answers holds all commits.
+func TestIdleGroupIsServedAfterProxiesRestart(t *testing.T) {
+	cluster := newCluster(t, 3)
+	caller := cluster.connect(1, "primary", "key-red")
+	qt.Assert(t, caller.execute("WRITE item first"), qt.Equals, "")
+	for i := range cluster.settings {
+		cluster.restart(i)
+	}
+	time.Sleep(2 * time.Second) // until the proxies supervise groups
+	cluster.group.Server("c").Refuse()
+	cluster.group.Server("a").Kill()
+	cluster.waitUntil(func() bool { return cluster.group.Primary() == "b" })
 	qt.Assert(t, cluster.group.WrittenValues("item"), qt.DeepEquals, []string{"first"})
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -165,6 +165,14 @@
 	}
 }
 
+// restart stops a proxy, starts it again and waits until it is ready.
+func (cluster *cluster) restart(index int) {
+	cluster.Helper()
+	cluster.stopFuncs[index]()
+	cluster.start(index)
+	cluster.waitUntil(func() bool { return cluster.ready(index) })
+}
+
 func (cluster *cluster) ready(index int) bool {
 	response, err := http.Get("http://" + cluster.settings[index].Readiness + "/ready")
 	if err != nil {
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -34,7 +34,7 @@
 	known := peers.pollMembers(group, server, &wire.ProbeRequest{})
 	poll.Reached += known.Reached
 	poll.Acked = poll.Acked.Max(known.Acked)
-	poll.Complete = known.Complete
+	poll.AckedBound, poll.Complete = known.AckedBound, known.Complete
 	return poll
 }
 
@@ -48,7 +48,7 @@
 func (peers *peers) CloseCommits(group spool.Group, server spool.Server) elect.PeerPoll {
 	own := peers.proxy.pool.CloseCommits(group, server)
 	poll := peers.pollMembers(group, server, &wire.ProbeRequest{HearAll: true, CloseCommits: true})
-	poll.Acked = poll.Acked.Max(own.Position)
+	poll.Acked, poll.AckedBound = poll.Acked.Max(own.Position), poll.AckedBound.Max(own.Position)
 	return poll
 }
 
@@ -56,7 +56,7 @@
 // domains. The poll ends with the first proxy that reached the server unless request.HearAll is set.
 func (peers *peers) pollMembers(group spool.Group, server spool.Server, request *wire.ProbeRequest) elect.PeerPoll {
 	request.Group, request.Server, request.KnownOnly = string(group), string(server), true
-	own := peers.proxy.pool.Acked(group)
+	asked, own := peers.proxy.timers.Now(), peers.proxy.pool.Acked(group)
 	poll := elect.PeerPoll{Acked: own.Position, Known: own.Knowledge}
 	if !peers.proxy.members.relayed() {
 		all := vmNames(peers.proxy.members.others())
@@ -65,7 +65,8 @@
 			mergeAnswer(&poll, answer)
 		}
 		poll.Commits.Merge(peers.proxy.pool.CommitStats(group))
-		poll.Asked, poll.Complete = len(all), len(answers) == len(all) && poll.Known.IsComplete()
+		poll.Asked = len(all)
+		peers.boundAcked(group, &poll, asked, len(answers) == len(all))
 		return poll
 	}
 	request.ForDomain = true
@@ -87,10 +88,19 @@
 		poll.Commits.Merge(decodeCommitStats(answer)) // the relay of this proxy's failure domain includes its commits
 	}
 	poll.Asked = len(relays)
-	poll.Complete = len(complete) == len(domains) && complete[string(domain)] && poll.Known.IsComplete()
+	peers.boundAcked(group, &poll, asked, len(complete) == len(domains) && complete[string(domain)])
 	return poll
 }
 
+// boundAcked completes the result of a poll that began at an instant and that all registered proxies answered or did not.
+func (peers *peers) boundAcked(group spool.Group, poll *elect.PeerPoll, began spool.Instant, allAnswered bool) {
+	now := peers.proxy.timers.Now()
+	bound, known := poll.Known.Bound(poll.Acked, now.Sub(began), func(age time.Duration) (spool.LogPosition, bool) {
+		return peers.proxy.pool.KnownReadPosition(group, now.Add(-age))
+	})
+	poll.AckedBound, poll.Complete = bound, allAnswered && known
+}
+
 // mergeAnswer adds an answer to the result of a poll.
 func mergeAnswer(poll *elect.PeerPoll, answer *wire.ProbeAnswer) {
 	poll.AddAnswer(answer.Reached, ackedPosition(answer))
@@ -99,11 +109,11 @@
 }
 
 func decodeKnowledge(answer *wire.ProbeAnswer) elect.AckedKnowledge {
-	return elect.AckedKnowledge{Uninformed: time.Duration(answer.UninformedNanos), AckedAge: time.Duration(answer.AckedAgeNanos)}
+	return elect.AckedKnowledge{Restarted: time.Duration(answer.UninformedNanos), AckedAge: time.Duration(answer.AckedAgeNanos)}
 }
 
 func encodeKnowledge(answer *wire.ProbeAnswer, known elect.AckedKnowledge) {
-	answer.UninformedNanos, answer.AckedAgeNanos = int64(known.Uninformed), int64(known.AckedAge)
+	answer.UninformedNanos, answer.AckedAgeNanos = int64(known.Restarted), int64(known.AckedAge)
 }
 
 func decodeCommitStats(answer *wire.ProbeAnswer) elect.CommitStats {
--- a/internal/pool/closure.go
+++ b/internal/pool/closure.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"corianderspool.example/spool/internal/core/elect"
-	"corianderspool.example/spool/internal/core/fresh"
 	"corianderspool.example/spool/pkg/spool"
 )
 
@@ -26,13 +25,13 @@
 	return server == closure.server || closure.server == "" && term <= closure.term
 }
 
-// Acked is a position that covers every commit of a group that a proxy has acknowledged.
+// Acked is the newest commit of a group that a proxy has acknowledged.
 type Acked struct {
 	Position  spool.LogPosition
 	Knowledge elect.AckedKnowledge
 }
 
-// Acked returns a position that covers every commit of a group that this proxy has acknowledged.
+// Acked returns the newest commit of a group that this proxy has acknowledged since its start.
 func (pool *Pool) Acked(name spool.Group) Acked {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -40,9 +39,9 @@
 }
 
 func (pool *Pool) acked(group *group) Acked {
-	now, acked := pool.timers.Now(), Acked{Position: group.ackedPosition.Max(group.inherited)}
-	if !group.informed && !pool.firstStart {
-		acked.Knowledge.Uninformed = max(1, now.Sub(pool.started))
+	now, acked := pool.timers.Now(), Acked{Position: group.ackedPosition}
+	if !pool.firstStart {
+		acked.Knowledge.Restarted = max(1, now.Sub(pool.started))
 	}
 	if group.ackedSent != 0 {
 		acked.Knowledge.AckedAge = max(1, now.Sub(group.ackedSent))
@@ -50,18 +49,11 @@
 	return acked
 }
 
-// inform records the position of the first watermark since the start, which covers what an earlier process acknowledged.
-func (pool *Pool) inform(group *group, watermark fresh.Watermark) {
-	if !group.informed && !pool.firstStart && watermark.SentAt >= pool.started {
-		group.informed, group.inherited = true, watermark.Position
-	}
-}
-
 // WithFirstStart tells that no earlier process of this proxy has acknowledged commits.
 func WithFirstStart(firstStart bool) Option { return func(pool *Pool) { pool.firstStart = firstStart } }
 
 // CloseCommits stops acknowledging commits of a server, or of every server of the terms known so far if none is named, for
-// elect.CommitHold. It returns a position that covers every commit that this proxy has acknowledged.
+// elect.CommitHold. It returns the newest commit that this proxy has acknowledged.
 func (pool *Pool) CloseCommits(name spool.Group, server spool.Server) Acked {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -49,8 +49,6 @@
 	watermarks           fresh.Watermarks
 	ackedPosition        spool.LogPosition // newest commit that this proxy acknowledged
 	ackedSent            spool.Instant     // when it was sent
-	inherited            spool.LogPosition // covers what an earlier process acknowledged, if informed
-	informed             bool
 	waiters              *queue.Queue[*waiter]
 	probing              bool
 	refreshDone          chan struct{} // closed when the refresh in progress ends; nil if there is none
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -211,7 +211,6 @@
 	defer pool.mutex.Unlock()
 	now := pool.timers.Now()
 	group := pool.group(name)
-	pool.inform(group, watermark)
 	if group.setPrimary(server, watermark, now) {
 		pool.divideConnections(group)
 		event.Log(pool.logger, event.PrimaryFound, zap.String("Group", string(name)),
--- a/internal/pool/watermark.go
+++ b/internal/pool/watermark.go
@@ -85,9 +85,7 @@
 func (pool *Pool) RecordWatermark(name spool.Group, watermark fresh.Watermark) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	group := pool.group(name)
-	group.watermarks.Add(watermark)
-	pool.inform(group, watermark)
+	pool.group(name).watermarks.Add(watermark)
 }
 
 // Primary returns the presumed primary of a group and its failure domain, or empty names.
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -65,7 +65,7 @@
 	default:
 		selection.chosen, decision = elect.ChooseFailover(elect.FailoverState{
 			Candidates: selection.candidates, RegistryIncomplete: !supervisor.fleet.RegistryComplete(), SyncReplicas: view.SyncReplicas,
-			Acked: selection.acked, AckedComplete: state.poll.Complete,
+			Acked: selection.acked, AckedBound: state.poll.AckedBound, AckedComplete: state.poll.Complete,
 		})
 	}
 	return decision
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -38,7 +38,8 @@
 	pauseTerm spool.Term
 
 	acked       spool.LogPosition // newest position that any proxy has acknowledged, as far as known
-	closedUntil spool.Instant     // until then no proxy acknowledges commits of the primary above acked; zero if some may
+	ackedBound  spool.LogPosition // at or above every commit that any proxy acknowledges while closed
+	closedUntil spool.Instant     // until then no proxy acknowledges commits of the primary above ackedBound; zero if some may
 }
 
 // replacePrimary chooses a server and promotes it if no acknowledged commit can be lost. It acts only within maxTokenAge of a
@@ -68,7 +69,7 @@
 		pauseTerm: selection.term + 1, acked: selection.acked,
 	}
 	if cause == elect.CauseEvacuated && state.poll.Complete {
-		handover.closedUntil = math.MaxInt64
+		handover.closedUntil, handover.ackedBound = math.MaxInt64, state.poll.AckedBound
 	}
 	handover.resumeChosen(selection)
 	if handover.secure(ctx) != elect.StepPromote {
@@ -119,7 +120,7 @@
 	return elect.Handover{
 		Cause: handover.cause, Primary: handover.view.Primary, Chosen: handover.chosen, PauseTerm: handover.pauseTerm,
 		SyncReplicas: view.SyncReplicas, Reports: handover.askServers(view), RegistryRead: registryRead,
-		Acked: handover.acked, CommitsClosed: handover.closedUntil >= handover.timers.Now().Add(promotionTime),
+		Acked: handover.acked, AckedBound: handover.ackedBound, CommitsClosed: handover.closedUntil >= handover.timers.Now().Add(promotionTime),
 		TokenUsable: handover.tokenUsable(),
 	}
 }
@@ -136,7 +137,7 @@
 	if !poll.Complete || handover.cause == elect.CauseUnreachable && poll.Reached > 0 {
 		return false
 	}
-	handover.closedUntil = began.Add(elect.CommitHold)
+	handover.closedUntil, handover.ackedBound = began.Add(elect.CommitHold), poll.AckedBound
 	return true
 }
 
