--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -43,6 +43,7 @@
 type group struct {
 	name                 spool.Group
 	limits               spool.GroupLimits
+	configured           bool // the configuration has the group; an entry of a server may name another one
 	servers              map[spool.Server]*server
 	primary              spool.Server // empty if not known
 	term                 spool.Term   // newest term seen
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -125,13 +125,16 @@
 	pool.leavingServeTime = max(0, drain-drainMargin)
 }
 
-// SetLimits applies the limits of groups.
+// SetLimits applies the limits of all groups of the configuration.
 func (pool *Pool) SetLimits(limits map[spool.Group]spool.GroupLimits) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	for _, group := range pool.groups {
+		group.configured = false
+	}
 	for name, limit := range limits {
 		group := pool.group(name)
-		group.limits = limit
+		group.limits, group.configured = limit, true
 		for _, server := range group.servers {
 			pool.recordWarmup(group, server, pool.timers.Now())
 		}
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -57,13 +57,15 @@
 	return view
 }
 
-// Groups returns the names of the groups that have servers or limits.
+// Groups returns the names of the groups of the configuration.
 func (pool *Pool) Groups() []spool.Group {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	names := make([]spool.Group, 0, len(pool.groups))
-	for name := range pool.groups {
-		names = append(names, name)
+	for name, group := range pool.groups {
+		if group.configured {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	return names
--- a/internal/super/supervisor_test.go
+++ b/internal/super/supervisor_test.go
@@ -134,6 +134,27 @@
 
 var allUnreachable = elect.PeerPoll{Asked: 3, Unreached: 3}
 
+// TestGroupWithoutConfigurationIsNotSupervised guards against connections to an address that only an odd entry of the registry
+// names, and against promotions in a group that no configuration has.
+func TestGroupWithoutConfigurationIsNotSupervised(t *testing.T) {
+	cluster := newCluster(t)
+	unknown, err := linesrv.NewGroup("unknown", "x", "y")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(unknown.Close)
+	for _, server := range unknown.Servers() {
+		cluster.pool.SetServer(spool.RegisteredServer{
+			Server: server.ID, Group: "unknown", Address: server.Address, Domain: "d", Slots: 5, StartMillis: 1,
+		})
+	}
+	unknown.Server("x").Refuse()
+	cluster.startSupervisor("vm1", stubFleet{poll: allUnreachable})
+	time.Sleep(1500 * time.Millisecond)
+	qt.Check(t, cluster.promotedServers(), qt.HasLen, 0)
+	qt.Check(t, unknown.Server("y").LastArrival().Line, qt.Equals, "")
+	cluster.group.Server("a").Kill()
+	cluster.eventually(func() bool { return cluster.group.Primary() != "a" })
+}
+
 func TestCrashedPrimaryIsReplaced(t *testing.T) {
 	cluster := newCluster(t)
 	cluster.startSupervisor("vm1", stubFleet{poll: allUnreachable})
