--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -75,6 +75,8 @@
 	PeersPolledAboutCommits    Number = 422
 	ServerStatusFailed         Number = 421
 	HandoverDecided            Number = 423
+	GroupTakenOver             Number = 424
+	GroupTakeoverFailed        Number = 425
 
 	ManifestAccepted Number = 501
 	ManifestRejected Number = 502
@@ -174,6 +176,8 @@
 	PeersPolledAboutPrimary:        {Level: zapcore.WarnLevel, Text: "other proxies asked about a primary", PerSecond: serverLimit},
 	ServerStatusFailed:             {Level: zapcore.WarnLevel, Text: "status query to a backend server failed", PerSecond: serverLimit},
 	HandoverDecided:                {Level: zapcore.InfoLevel, Text: "handover decided", PerSecond: serverLimit},
+	GroupTakenOver:                 {Level: zapcore.InfoLevel, Text: "group taken over midway", PerSecond: serverLimit},
+	GroupTakeoverFailed:            {Level: zapcore.WarnLevel, Text: "fencing token of a group not read", PerSecond: serverLimit},
 	ManifestAccepted:               {Level: zapcore.InfoLevel, Text: "manifest accepted"},
 	ManifestRejected:               {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
 	KeyWithdrawn:                   {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
--- a/internal/fake/linesrv/server.go
+++ b/internal/fake/linesrv/server.go
@@ -83,10 +83,10 @@
 	return nil
 }
 
-// Kill stops the server and closes its connections.
+// Kill stops the server and closes its connections; a replica that starts again receives the log even if it was paused.
 func (server *Server) Kill() {
 	server.group.mutex.Lock()
-	server.down = true
+	server.down, server.pausedTerm = true, 0
 	server.group.mutex.Unlock()
 	server.Refuse()
 }
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -102,7 +102,7 @@
 	completed := false
 	options = append(options, WithTarget(func(earlier spool.Server) spool.Server {
 		completed = earlier != "" && earlier == view.Primary
-		if earlier != "" && earlier != selection.chosen && !completed {
+		if earlier != "" && !completed {
 			state.ordered.remember(earlier, token.acquiredAt)
 			supervisor.choose(selection, view, state, cause)
 		}
--- a/internal/super/fencing.go
+++ b/internal/super/fencing.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -65,14 +66,17 @@
 	nonce func() uint64
 
 	eraStart eraStart
+
+	mutex  sync.Mutex
+	issued map[spool.Group]uint64 // newest token of each group that this process acquired
 }
 
 // NewFencingTokens returns an issuer whose tokens are kept in a store.
 func NewFencingTokens(store spool.Store, vm spool.VM, nonce func() uint64) *FencingTokens {
-	return &FencingTokens{store: store, vm: vm, nonce: nonce}
+	return &FencingTokens{store: store, vm: vm, nonce: nonce, issued: map[spool.Group]uint64{}}
 }
 
-// Next acquires the next token of a group, which no other holder ever receives; recent means that another holder acquired
+// Next acquires the next token of a group, which no other holder ever receives; recent means that another process acquired
 // the previous one within recentTokenAge, or may have if an answer of the store was lost or the store fell back. A token holds
 // the era of the store in its upper half, so that it exceeds all tokens of earlier eras, also those that the store lost.
 func (fencingTokens *FencingTokens) Next(
@@ -86,6 +90,9 @@
 	var lastErr error
 	for range maxTokenAttempts {
 		token, recent, err = fencingTokens.attempt(ctx, group, nonce, request)
+		if err == nil {
+			fencingTokens.recordIssued(group, token)
+		}
 		if err == nil || errors.Is(err, errTokenSuperseded) {
 			return token, recent, err
 		}
@@ -99,26 +106,20 @@
 ) (uint64, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, tokenAttemptTimeout)
 	defer cancel()
-	object, err := fencingTokens.store.Get(ctx, KindFencingToken, string(group))
+	object, body, err := fencingTokens.read(ctx, group)
 	missing := errors.Is(err, spool.ErrNotFound)
 	if err != nil && !missing {
 		return 0, false, err
 	}
-	var body tokenBody
-	if !missing {
-		if err := json.Unmarshal(object.Body, &body); err != nil {
-			return 0, false, eris.Wrap(err, "decode the fencing token")
-		}
-		if own := body.Nonce == nonce && body.Holder == fencingTokens.vm; own && fencingTokens.IsCurrent(body.Token) {
-			request.choose(body.Target)
-			return body.Token, request.renewed == 0, nil // the own update, whose answer was lost; it overwrote the previous holder
-		}
+	if own := !missing && body.Nonce == nonce && body.Holder == fencingTokens.vm; own && fencingTokens.IsCurrent(body.Token) {
+		request.choose(body.Target)
+		return body.Token, request.renewed == 0, nil // the own update, whose answer was lost; it overwrote the previous holder
 	}
 	if request.renewed != 0 && request.renewed != body.Token {
 		return 0, false, errTokenSuperseded
 	}
 	now := time.Now()
-	otherRecent := !missing && body.Holder != fencingTokens.vm && now.Sub(time.UnixMilli(body.Taken)).Abs() < recentTokenAge
+	otherRecent := !missing && fencingTokens.isOtherRecent(group, &body, now)
 	era := fencingTokens.store.Era()
 	eraRecent := fencingTokens.eraStart.observe(era, now)
 	fellBack := eraRecent && eraOfToken(body.Token) < era // which may have removed another holder's token
@@ -148,3 +149,49 @@
 	}
 	return next.Token, otherRecent || fellBack, nil
 }
+
+// PendingTarget returns the server that a recent request of another holder, or of an earlier process of this proxy, may still
+// promote; an empty name if there is none.
+func (fencingTokens *FencingTokens) PendingTarget(ctx context.Context, group spool.Group) (spool.Server, error) {
+	ctx, cancel := context.WithTimeout(ctx, tokenAttemptTimeout)
+	defer cancel()
+	_, body, err := fencingTokens.read(ctx, group)
+	if errors.Is(err, spool.ErrNotFound) {
+		return "", nil
+	}
+	if err != nil {
+		return "", eris.Wrapf(err, "read the fencing token of group %s", group)
+	}
+	if !fencingTokens.isOtherRecent(group, &body, time.Now()) {
+		return "", nil
+	}
+	return body.Target, nil
+}
+
+// read returns the stored holder of a group's token, or spool.ErrNotFound.
+func (fencingTokens *FencingTokens) read(ctx context.Context, group spool.Group) (spool.Object, tokenBody, error) {
+	var body tokenBody
+	object, err := fencingTokens.store.Get(ctx, KindFencingToken, string(group))
+	if err != nil {
+		return object, body, err
+	}
+	if err := json.Unmarshal(object.Body, &body); err != nil {
+		return object, body, eris.Wrap(err, "decode the fencing token")
+	}
+	return object, body, nil
+}
+
+// isOtherRecent reports whether another process acquired the stored token within recentTokenAge. An earlier process of this
+// proxy is another one: what it requested may still take effect.
+func (fencingTokens *FencingTokens) isOtherRecent(group spool.Group, body *tokenBody, now time.Time) bool {
+	fencingTokens.mutex.Lock()
+	own := body.Holder == fencingTokens.vm && body.Token == fencingTokens.issued[group]
+	fencingTokens.mutex.Unlock()
+	return !own && now.Sub(time.UnixMilli(body.Taken)).Abs() < recentTokenAge
+}
+
+func (fencingTokens *FencingTokens) recordIssued(group spool.Group, token uint64) {
+	fencingTokens.mutex.Lock()
+	defer fencingTokens.mutex.Unlock()
+	fencingTokens.issued[group] = token
+}
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +53,7 @@
 	}
 	token, recent, err := supervisor.acquireToken(ctx, selection, view, state, cause)
 	if err == nil && recent {
-		time.Sleep(otherHolderWait)
+		supervisor.awaitOtherHolder(ctx, view, state, cause, selection)
 		selection = supervisor.selectServer(view, state, cause)
 		token, recent, err = supervisor.acquireToken(ctx, selection, view, state, cause, WithRenewal(token.value))
 	}
@@ -64,10 +65,8 @@
 		supervisor.scheduleRetry(state)
 		return
 	}
-	handover := &handover{
-		Supervisor: supervisor, view: view, state: state, cause: cause, chosen: selection.chosen, token: token,
-		pauseTerm: selection.term + 1, acked: selection.acked,
-	}
+	handover := supervisor.newHandover(view, state, cause, selection)
+	handover.token = token
 	if cause == elect.CauseEvacuated && state.poll.Complete {
 		handover.closedUntil, handover.ackedBound = math.MaxInt64, state.poll.AckedBound
 	}
@@ -80,6 +79,30 @@
 	handover.requestPromotion(ctx)
 }
 
+// newHandover returns a handover to the chosen server, without a token yet.
+func (supervisor *Supervisor) newHandover(
+	view pool.GroupView, state *groupState, cause elect.Cause, selection *selection,
+) *handover {
+	return &handover{
+		Supervisor: supervisor, view: view, state: state, cause: cause, chosen: selection.chosen,
+		pauseTerm: selection.term + 1, acked: selection.acked,
+	}
+}
+
+// awaitOtherHolder waits until what another holder of the token requested has taken effect. If that promotes the chosen server,
+// the other replicas are paused meanwhile, unless an evacuation limits how long they may be.
+func (supervisor *Supervisor) awaitOtherHolder(
+	ctx context.Context, view pool.GroupView, state *groupState, cause elect.Cause, selection *selection,
+) {
+	evacuated := slices.ContainsFunc(view.Servers, func(server pool.ServerView) bool { return server.Evacuated })
+	if selection.chosen != "" && selection.chosen == state.ordered.pending(supervisor.timers.Now()) && !evacuated {
+		stop, rounds := supervisor.newHandover(view, state, cause, selection).keepSecure(ctx)
+		defer rounds.Wait()
+		defer stop()
+	}
+	time.Sleep(otherHolderWait)
+}
+
 // resumeChosen resumes the chosen server if a supervisor that ended midway left it paused, so that it receives what the others do.
 func (handover *handover) resumeChosen(selection *selection) {
 	for _, candidate := range selection.candidates {
--- a/internal/super/order.go
+++ b/internal/super/order.go
@@ -33,6 +33,9 @@
 // settle ends what earlier handovers began while the primary works. A promotion that may still be carried out is requested
 // again, so that it takes effect while the replicas are paused; otherwise the replicas are resumed.
 func (supervisor *Supervisor) settle(ctx context.Context, view pool.GroupView, state *groupState) {
+	if !supervisor.takeOver(ctx, view, state) {
+		return
+	}
 	server := findServer(view, state.ordered.pending(supervisor.timers.Now()))
 	if server == nil || server.Server == view.Primary || server.Evacuated {
 		state.ordered = order{}
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -62,6 +62,9 @@
 // groupState is the supervisor's state of a group.
 type groupState struct {
 	busy                 bool
+	checkedAt            spool.Instant // when the newest check ended
+	takenOver            bool          // it is known what an earlier supervisor left behind
+	nextTakeover         spool.Instant // earliest time of the next attempt to find out
 	probeFailedAt        spool.Instant // first failed probe of the primary since it last answered; zero if none failed
 	nextCheck            spool.Instant // earliest time of the next check
 	paused               map[spool.Server]bool
@@ -122,7 +125,7 @@
 		go func() {
 			supervisor.checkGroup(ctx, group, state)
 			supervisor.mutex.Lock()
-			state.busy = false
+			state.busy, state.checkedAt = false, supervisor.timers.Now()
 			supervisor.mutex.Unlock()
 		}()
 	}
@@ -141,6 +144,7 @@
 		return nil
 	}
 	known.busy = true
+	known.takenOver = known.takenOver && now.Sub(known.checkedAt) < takeoverAfter
 	return known
 }
 
