--- a/internal/core/elect/handover.go
+++ b/internal/core/elect/handover.go
@@ -20,6 +20,7 @@
 	CauseStalled                  // the primary answers but completes no commit
 	CauseRetired                  // the primary has been leaving for so long that it is sent no new work
 	CauseEvacuated                // the primary's failure domain is evacuated, so that it is sent nothing
+	CauseOrdered                  // the primary works, but an earlier request may still promote the chosen server
 )
 
 // ServerReport is what a server said of itself when it was last asked.
--- a/internal/core/elect/handovermodel_test.go
+++ b/internal/core/elect/handovermodel_test.go
@@ -154,7 +154,7 @@
 		primary, term = "a", 1
 	}
 	chosen := model.servers[choose(len(model.servers))]
-	cause := []Cause{CausePlanned, CauseUnreachable, CauseStalled, CauseRetired, CauseEvacuated}[choose(5)]
+	cause := []Cause{CausePlanned, CauseUnreachable, CauseStalled, CauseRetired, CauseEvacuated, CauseOrdered}[choose(6)]
 	if model.isOrdered || chosen.name == primary || cause == CauseUnreachable && !model.primary.hidden {
 		return
 	}
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -59,8 +59,8 @@
 		}
 	}
 	switch cause {
-	case elect.CausePlanned, elect.CauseRetired:
-		mayClose := state.poll.Complete && cause == elect.CauseRetired
+	case elect.CausePlanned, elect.CauseRetired, elect.CauseOrdered:
+		mayClose := state.poll.Complete && cause != elect.CausePlanned
 		selection.chosen, decision = supervisor.chooseSwitchover(selection.candidates, view.SyncReplicas, mayClose)
 	default:
 		selection.chosen, decision = elect.ChooseFailover(elect.FailoverState{
--- a/internal/super/order.go
+++ b/internal/super/order.go
@@ -31,7 +31,8 @@
 }
 
 // settle ends what earlier handovers began while the primary works. A promotion that may still be carried out is requested
-// again, so that it takes effect while the replicas are paused; otherwise the replicas are resumed.
+// again, so that it takes effect while the replicas are paused or the primary's commits are closed; otherwise the replicas are
+// resumed.
 func (supervisor *Supervisor) settle(ctx context.Context, view pool.GroupView, state *groupState) {
 	if !supervisor.takeOver(ctx, view, state) {
 		return
@@ -42,5 +43,6 @@
 		supervisor.resumeReplicas(view.Group, state)
 		return
 	}
-	supervisor.replacePrimary(ctx, view, state, elect.CausePlanned)
+	state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
+	supervisor.replacePrimary(ctx, view, state, elect.CauseOrdered)
 }
--- a/internal/super/order_test.go
+++ b/internal/super/order_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"corianderspool.example/spool/internal/clock"
+	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/internal/super"
 	"corianderspool.example/spool/pkg/spool"
 	"corianderspool.example/spool/platform"
@@ -54,6 +55,38 @@
 	cluster.eventually(func() bool { return len(cluster.group.PausedServers()) == 0 })
 }
 
+// closingFleet counts how often the commits of a primary were closed.
+type closingFleet struct {
+	stubFleet
+	closures *atomic.Int64
+}
+
+func (fleet closingFleet) CloseCommits(group spool.Group, primary spool.Server) elect.PeerPoll {
+	fleet.closures.Add(1)
+	return fleet.stubFleet.CloseCommits(group, primary)
+}
+
+// TestUnansweredOrderTakesEffectWhileCommitsAreClosed guards against the loss of commits by a request that the platform carries out
+// late: the closure on which it relied has ended, the primary works again, and a replica that does not answer confirms commits.
+func TestUnansweredOrderTakesEffectWhileCommitsAreClosed(t *testing.T) {
+	cluster := newCluster(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	promoter := &latePromoter{Promoter: cluster.client}
+	fleet := closingFleet{stubFleet{poll: elect.PeerPoll{Asked: 3, Unreached: 3, Complete: true}}, &atomic.Int64{}}
+	cluster.group.Server("a").Refuse()
+	cluster.group.Server("c").Refuse()
+	tokens := super.NewFencingTokens(cluster.client, "vm1", rand.Uint64)
+	began := time.Now()
+	go super.New("vm1", cluster.pool, platform.ServerDialer{}, tokens, promoter, fleet, clock.Real{}, zap.NewNop()).Run(ctx)
+	cluster.eventually(func() bool { return promoter.requests.Load() == 1 })
+	qt.Assert(t, fleet.closures.Load(), qt.Equals, int64(1))
+	qt.Assert(t, cluster.group.Server("a").Start(), qt.IsNil)
+	cluster.eventually(func() bool { return cluster.group.Primary() == "b" })
+	qt.Assert(t, time.Since(began) < orderLateness, qt.IsTrue)
+	qt.Assert(t, fleet.closures.Load(), qt.Equals, int64(2))
+}
+
 // TestTokenTellsTheServerOfARecentHolder guards against two holders that promote different servers in turn: a request of the
 // first may still be carried out when the second pauses its server.
 func TestTokenTellsTheServerOfARecentHolder(t *testing.T) {
--- a/internal/super/takeover.go
+++ b/internal/super/takeover.go
@@ -34,11 +34,12 @@
 		return false
 	}
 	state.takenOver = true
-	if target != "" && target != view.Primary {
+	pending := target != "" && target != view.Primary
+	if pending {
 		state.ordered.remember(target, now)
 	}
 	paused := supervisor.findPaused(view, state)
-	if target != "" || len(paused) > 0 {
+	if pending || len(paused) > 0 {
 		event.Log(supervisor.logger, event.GroupTakenOver, zap.String("Group", string(view.Group)),
 			zap.String("Primary", string(view.Primary)), zap.String("Target", string(target)), zap.Strings("Paused", paused))
 	}
