--- a/internal/engine/closure_test.go
+++ b/internal/engine/closure_test.go
@@ -21,7 +21,7 @@
 	answered := make(chan linecl.Reply, 1)
 	go func() { answered <- caller.Query("WRITE item two") }()
 	time.Sleep(100 * time.Millisecond)
-	c.Assert(fixture.pool.CloseCommits("g1", "a").Position, qt.Equals, acked)
+	c.Assert(fixture.pool.CloseCommits("g1", "a", 1).Position, qt.Equals, acked)
 	c.Assert((<-answered).Code, qt.Equals, "INDOUBT")
 	c.Assert(fixture.pool.Acked("g1").Position, qt.Equals, acked)
 	caller.expect("WRITE item three", "BUSY", "I")
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -43,11 +43,11 @@
 	return peers.pollMembers(group, server, &wire.ProbeRequest{HearAll: true})
 }
 
-// CloseCommits asks all registered proxies, this one included, to acknowledge no commit of a primary for elect.CommitHold. A
-// complete result has the newest position that any of them has acknowledged or will acknowledge until then.
-func (peers *peers) CloseCommits(group spool.Group, server spool.Server) elect.PeerPoll {
-	own := peers.proxy.pool.CloseCommits(group, server)
-	poll := peers.pollMembers(group, server, &wire.ProbeRequest{HearAll: true, CloseCommits: true})
+// CloseCommits asks all registered proxies, this one included, to acknowledge no commit of a primary and of terms up to its own
+// for elect.CommitHold. A complete result has the newest position that any of them has acknowledged or will acknowledge until then.
+func (peers *peers) CloseCommits(group spool.Group, server spool.Server, term spool.Term) elect.PeerPoll {
+	own := peers.proxy.pool.CloseCommits(group, server, term)
+	poll := peers.pollMembers(group, server, &wire.ProbeRequest{HearAll: true, CloseCommits: true, Term: uint64(term)})
 	poll.Acked, poll.AckedBound = poll.Acked.Max(own.Position), poll.AckedBound.Max(own.Position)
 	return poll
 }
@@ -191,7 +191,7 @@
 	}
 	acked := peers.proxy.pool.Acked(group)
 	if request.CloseCommits {
-		acked = peers.proxy.pool.CloseCommits(group, spool.Server(request.Server))
+		acked = peers.proxy.pool.CloseCommits(group, spool.Server(request.Server), spool.Term(request.Term))
 	}
 	answer := &wire.ProbeAnswer{
 		Group: request.Group, Server: request.Server, Sequence: request.Sequence, Reached: reached,
@@ -209,7 +209,8 @@
 func (peers *peers) answerForDomain(answer *wire.ProbeAnswer, asked *wire.ProbeRequest) {
 	others, live := peers.proxy.members.domainMembers()
 	request := &wire.ProbeRequest{
-		Group: answer.Group, Server: answer.Server, KnownOnly: true, HearAll: asked.HearAll, CloseCommits: asked.CloseCommits,
+		Group: answer.Group, Server: answer.Server, KnownOnly: true, HearAll: asked.HearAll,
+		CloseCommits: asked.CloseCommits, Term: asked.Term,
 	}
 	answers := peers.gatherAnswers(request, others, live, domainTimeout)
 	acked, stats, known := ackedPosition(answer), decodeCommitStats(answer), decodeKnowledge(answer)
--- a/internal/pool/closure.go
+++ b/internal/pool/closure.go
@@ -10,19 +10,28 @@
 // closedRetryAfter is the retry hint to callers whose commit was refused because the primary is being replaced.
 const closedRetryAfter = 500 * time.Millisecond
 
-// commitClosure is a primary whose commits are not acknowledged while it is being replaced.
+// commitClosure is a primary whose commits are not acknowledged while it is being replaced. A primary that starts again has
+// another ID but leads the same term.
 type commitClosure struct {
-	server spool.Server // empty means any server of a term up to the one below
-	term   spool.Term
+	server spool.Server // empty if it is not known
+	term   spool.Term   // newest term that is covered
 	until  spool.Instant
 }
 
 // covers reports whether a commit that was sent to a server of a term must not be acknowledged, however late the answer comes.
 func (closure *commitClosure) covers(server spool.Server, term spool.Term, sent spool.Instant) bool {
-	if sent >= closure.until {
+	return sent < closure.until && (server == closure.server || term <= closure.term)
+}
+
+// commitsClosed reports whether the presumed primary is one whose commits are not acknowledged.
+func (group *group) commitsClosed(now spool.Instant) bool {
+	if group.primary == "" {
 		return false
 	}
-	return server == closure.server || closure.server == "" && term <= closure.term
+	if group.primaryTerm == 0 { // it may have been promoted meanwhile
+		return group.primary == group.closed.server && now < group.closed.until
+	}
+	return group.closed.covers(group.primary, group.primaryTerm, now)
 }
 
 // Acked is the newest commit of a group that a proxy has acknowledged.
@@ -52,12 +61,16 @@
 // WithFirstStart tells that no earlier process of this proxy has acknowledged commits.
 func WithFirstStart(firstStart bool) Option { return func(pool *Pool) { pool.firstStart = firstStart } }
 
-// CloseCommits stops acknowledging commits of a server, or of every server of the terms known so far if none is named, for
-// elect.CommitHold. It returns the newest commit that this proxy has acknowledged.
-func (pool *Pool) CloseCommits(name spool.Group, server spool.Server) Acked {
+// CloseCommits stops acknowledging commits of a server, and of all servers in terms up to the given one, for elect.CommitHold. A
+// term of zero, which older versions ask for, stands for the newest one that this proxy knows. It returns the newest commit
+// that this proxy has acknowledged.
+func (pool *Pool) CloseCommits(name spool.Group, server spool.Server, term spool.Term) Acked {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
-	group.closed = commitClosure{server: server, term: group.term, until: pool.timers.Now().Add(elect.CommitHold)}
+	if term == 0 {
+		term = group.term
+	}
+	group.closed = commitClosure{server: server, term: term, until: pool.timers.Now().Add(elect.CommitHold)}
 	return pool.acked(group)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -170,7 +170,7 @@
 	}
 	if becamePrimary {
 		registered.notPrimarySince = 0
-		group.primary = spec.Server
+		group.presumePrimary(spec.Server)
 	}
 	if group.primary == "" {
 		group.adoptRegisteredPrimary(now)
@@ -199,7 +199,7 @@
 		closing = append(closing, server.removeIdle()...)
 		delete(group.servers, name)
 		if group.primary == name {
-			group.primary = ""
+			group.presumePrimary("")
 			group.adoptRegisteredPrimary(pool.timers.Now())
 		}
 		event.Log(pool.logger, event.ServerRemoved, zap.String("Group", string(group.name)),
@@ -254,7 +254,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group, now := pool.group(name), pool.timers.Now()
-	if group.primary != "" && group.closed.covers(group.primary, group.term, now) {
+	if group.commitsClosed(now) {
 		return min(closedRetryAfter, group.closed.until.Sub(now)), false
 	}
 	if isCommit {
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -155,7 +155,7 @@
 		return false
 	}
 	began := handover.timers.Now()
-	poll := handover.fleet.CloseCommits(handover.view.Group, handover.view.Primary)
+	poll := handover.fleet.CloseCommits(handover.view.Group, handover.view.Primary, handover.pauseTerm-1)
 	handover.acked = handover.acked.Max(poll.Acked)
 	if !poll.Complete || handover.cause == elect.CauseUnreachable && poll.Reached > 0 {
 		return false
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -33,8 +33,9 @@
 	PollPrimary(group spool.Group, primary spool.Server) elect.PeerPoll
 	// PollCommits asks all proxies for the outcomes of the commits that they sent to a primary.
 	PollCommits(group spool.Group, primary spool.Server) elect.PeerPoll
-	// CloseCommits asks all registered proxies, this one included, to acknowledge no commit of a primary for elect.CommitHold.
-	CloseCommits(group spool.Group, primary spool.Server) elect.PeerPoll
+	// CloseCommits asks all registered proxies, this one included, to acknowledge no commit of a primary and of terms up to its
+	// own for elect.CommitHold.
+	CloseCommits(group spool.Group, primary spool.Server, term spool.Term) elect.PeerPoll
 	// RefreshRegistry reads the registered servers from the store and applies them to the pool; it fails if the store does not
 	// answer before the context ends.
 	RefreshRegistry(ctx context.Context) error
