--- a/internal/super/supervisor_test.go
+++ b/internal/super/supervisor_test.go
@@ -35,7 +35,9 @@
 
 func (fleet stubFleet) PollCommits(spool.Group, spool.Server) elect.PeerPoll { return fleet.poll }
 
-func (fleet stubFleet) CloseCommits(spool.Group, spool.Server, spool.Term) elect.PeerPoll { return fleet.poll }
+func (fleet stubFleet) CloseCommits(spool.Group, spool.Server, spool.Term) elect.PeerPoll {
+	return fleet.poll
+}
 
 func (fleet stubFleet) RefreshRegistry(context.Context) error { return nil }
 
