--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -44,6 +44,7 @@
 	evacuate      time.Duration
 	adjust        func(index int, settings *spool.FleetSettings) // before the start; nil for none
 	logger        *zap.Logger
+	adapter       func(adapter spool.Adapter) spool.Adapter // nil to use the platform's as it is
 }
 
 // domainOf returns the failure domain of a server.
@@ -153,7 +154,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		adapter := platform.New(settings, sock.Dialer(sock.DefaultUserTimeout))
+		var adapter spool.Adapter = platform.New(settings, sock.Dialer(sock.DefaultUserTimeout))
+		if cluster.layout.adapter != nil {
+			adapter = cluster.layout.adapter(adapter)
+		}
 		done <- fleet.New(settings, adapter, clock.Real{}, cluster.layout.logger).Run(ctx)
 	}()
 	var once sync.Once
--- a/internal/fleet/proxy.go
+++ b/internal/fleet/proxy.go
@@ -78,6 +78,7 @@
 
 // New returns a proxy that has not started.
 func New(settings spool.FleetSettings, adapter spool.Adapter, timers spool.Timers, logger *zap.Logger) *Proxy {
+	adapter = guardedAdapter{adapter, logger}
 	proxy := &Proxy{settings: settings, adapter: adapter, timers: timers, logger: logger, limiter: newLimiter(settings.VM, timers)}
 	proxy.started = timers.Now()
 	proxy.dial = sock.Dialer(sock.DefaultUserTimeout)
