--- a/internal/pool/closure.go
+++ b/internal/pool/closure.go
@@ -13,9 +13,10 @@
 // commitClosure is a primary whose commits are not acknowledged while it is being replaced. A primary that starts again has
 // another ID but leads the same term.
 type commitClosure struct {
-	server spool.Server // empty if it is not known
-	term   spool.Term   // newest term that is covered
-	until  spool.Instant
+	server  spool.Server // empty if it is not known
+	address string       // where it starts again; empty if it is not known
+	term    spool.Term   // newest term that is covered
+	until   spool.Instant
 }
 
 // covers reports whether a commit that was sent to a server of a term must not be acknowledged, however late the answer comes.
@@ -23,15 +24,14 @@
 	return sent < closure.until && (server == closure.server || term <= closure.term)
 }
 
-// commitsClosed reports whether the presumed primary is one whose commits are not acknowledged.
+// commitsClosed reports whether the presumed primary is the one whose commits are not acknowledged. Its term does not tell: the
+// position of a server that was just promoted is of the term before until its first commit.
 func (group *group) commitsClosed(now spool.Instant) bool {
-	if group.primary == "" {
+	primary := group.primaryServer()
+	if primary == nil || now >= group.closed.until {
 		return false
 	}
-	if group.primaryTerm == 0 { // it may have been promoted meanwhile
-		return group.primary == group.closed.server && now < group.closed.until
-	}
-	return group.closed.covers(group.primary, group.primaryTerm, now)
+	return primary.name == group.closed.server || group.closed.address != "" && primary.spec.Address == group.closed.address
 }
 
 // Acked is the newest commit of a group that a proxy has acknowledged.
@@ -72,5 +72,8 @@
 		term = group.term
 	}
 	group.closed = commitClosure{server: server, term: term, until: pool.timers.Now().Add(elect.CommitHold)}
+	if closed := group.servers[server]; closed != nil {
+		group.closed.address = closed.spec.Address
+	}
 	return pool.acked(group)
 }
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -46,7 +46,6 @@
 	configured           bool // the configuration has the group; an entry of a server may name another one
 	servers              map[spool.Server]*server
 	primary              spool.Server // empty if not known
-	primaryTerm          spool.Term   // in which the primary last acted as such; zero if it has not since it is presumed to be
 	term                 spool.Term   // newest term seen
 	watermarks           fresh.Watermarks
 	ackedPosition        spool.LogPosition // newest commit that this proxy acknowledged
@@ -114,7 +113,7 @@
 	if changed {
 		group.commitBreaker, group.unansweredCommits, group.lastAnswered = place.CircuitBreaker{}, 0, 0
 	}
-	group.primary, group.primaryTerm = name, group.term
+	group.primary = name
 	return changed
 }
 
@@ -124,24 +123,17 @@
 		server.notPrimarySince = now
 	}
 	if group.primary == name {
-		group.presumePrimary("")
+		group.primary = ""
 		group.adoptRegisteredPrimary(now)
 	}
 }
 
-// presumePrimary presumes a server to be the primary that has not acted as such yet.
-func (group *group) presumePrimary(name spool.Server) {
-	if group.primary != name {
-		group.primary, group.primaryTerm = name, 0
-	}
-}
-
 // adoptRegisteredPrimary presumes that the server registered as primary is the primary, unless it refused to act as such
 // recently.
 func (group *group) adoptRegisteredPrimary(now spool.Instant) {
 	for name, server := range group.servers {
 		if server.spec.Primary && !server.removed && (server.notPrimarySince == 0 || now.Sub(server.notPrimarySince) > notPrimaryTTL) {
-			group.presumePrimary(name)
+			group.primary = name
 			return
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -170,7 +170,7 @@
 	}
 	if becamePrimary {
 		registered.notPrimarySince = 0
-		group.presumePrimary(spec.Server)
+		group.primary = spec.Server
 	}
 	if group.primary == "" {
 		group.adoptRegisteredPrimary(now)
@@ -199,7 +199,7 @@
 		closing = append(closing, server.removeIdle()...)
 		delete(group.servers, name)
 		if group.primary == name {
-			group.presumePrimary("")
+			group.primary = ""
 			group.adoptRegisteredPrimary(pool.timers.Now())
 		}
 		event.Log(pool.logger, event.ServerRemoved, zap.String("Group", string(group.name)),
