--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -45,6 +45,7 @@
 	limits               spool.GroupLimits
 	configured           bool // the configuration has the group; an entry of a server may name another one
 	servers              map[spool.Server]*server
+	departed             departedServers
 	primary              spool.Server // empty if not known
 	term                 spool.Term   // newest term seen
 	watermarks           fresh.Watermarks
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -153,7 +153,9 @@
 	group := pool.group(spec.Group)
 	registered := group.servers[spec.Server]
 	if registered == nil {
-		registered = &server{name: spec.Server, group: spec.Group, roundTrip: pool.roundTrip(spec.Domain)}
+		registered = &server{
+			name: spec.Server, group: spec.Group, roundTrip: pool.roundTrip(spec.Domain), leavingSince: group.departed.leavingSince(spec.Server, now),
+		}
 		group.servers[spec.Server] = registered
 	}
 	if registered.spec.StartMillis != 0 && registered.spec.StartMillis != spec.StartMillis {
@@ -198,6 +200,7 @@
 		server.removed = true
 		closing = append(closing, server.removeIdle()...)
 		delete(group.servers, name)
+		group.departed.add(name, server.leavingSince)
 		if group.primary == name {
 			group.primary = ""
 			group.adoptRegisteredPrimary(pool.timers.Now())
