--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -63,6 +63,7 @@
 	sessions   map[spool.VM]*yamux.Session
 	lastOpened map[spool.VM]time.Time // when a stream was last opened on a session
 	accepted   map[*yamux.Session]struct{}
+	listener   net.Listener // nil before Listen
 }
 
 // Option configures a transport.
@@ -126,10 +127,9 @@
 // Listen accepts connections from other proxies until Close.
 func (transport *Transport) Listen(listener net.Listener, handler Handler) {
 	transport.handler = handler
-	go func() {
-		<-transport.ctx.Done()
-		_ = listener.Close()
-	}()
+	transport.mutex.Lock()
+	transport.listener = listener
+	transport.mutex.Unlock()
 	go transport.closeIdle()
 	go transport.acceptLoop(listener)
 }
@@ -331,11 +331,14 @@
 	return session, nil
 }
 
-// Close closes all connections.
+// Close closes all connections and the listener, so that the next process can listen at its address at once.
 func (transport *Transport) Close() {
 	transport.cancel()
 	transport.mutex.Lock()
 	defer transport.mutex.Unlock()
+	if transport.listener != nil {
+		_ = transport.listener.Close()
+	}
 	for _, session := range transport.sessions {
 		_ = session.Close()
 	}
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// TestCloseReleasesTheAddress guards against a proxy that cannot listen after a restart, because the listener of the one before is
+// closed later than it ends.
+func TestCloseReleasesTheAddress(t *testing.T) {
+	c := qt.New(t)
+	fixture := newFixture(c)
+	for range 50 {
+		transport, _ := fixture.start(c, "b")
+		transport.Close()
+		listener, err := net.Listen("tcp", fixture.addresses["b"])
+		c.Assert(err, qt.IsNil)
+		c.Assert(listener.Close(), qt.IsNil)
+	}
+}
+
 func TestStreamsCarryData(t *testing.T) {
 	c := qt.New(t)
 	fixture := newFixture(c)
