--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -73,6 +73,12 @@
 	return proxy.storeReached && !proxy.draining && proxy.revision > 0
 }
 
+func (proxy *Proxy) reachesStore() bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.storeReached
+}
+
 func (proxy *Proxy) setStoreReached(reached bool) {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -197,7 +197,8 @@
 }
 
 // recordCall records the result of a call, reports when the store becomes unreachable or reachable, and returns the number
-// of consecutive failures.
+// of consecutive failures. A successful call shows that the store is reached, whichever calls failed before: a proxy that counts
+// as not reaching it watches nothing and would not find out otherwise.
 func (reader *reader) recordCall(err error) int {
 	failed := err != nil && !errors.Is(err, spool.ErrNotFound)
 	reader.mutex.Lock()
@@ -211,7 +212,7 @@
 	if after == maxFailedCalls {
 		reader.observer.StoreReachable(false, err)
 	}
-	if after == 0 && before >= maxFailedCalls {
+	if after == 0 && (before >= maxFailedCalls || !reader.proxy.reachesStore()) {
 		reader.observer.StoreReachable(true, nil)
 	}
 	return after
