--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -88,8 +88,8 @@
 	return best
 }
 
-// ranksHigher prefers the longer log, then one that an earlier request may still promote, then a server that is not leaving, then one in the home regions of more routes, then one
-// that does not warm up, then a near one.
+// ranksHigher prefers the longer log, then a server that an earlier request may still promote, then one that is not leaving, then
+// one in the home regions of more routes, then one that does not warm up, then a near one.
 func ranksHigher(candidate, other *Candidate) bool {
 	if candidate.Status.Received != other.Status.Received {
 		return other.Status.Received.Less(candidate.Status.Received)
