--- a/review/testdata/standin2/main.go
+++ b/review/testdata/standin2/main.go
@@ -33,8 +33,9 @@
 	process                           *exec.Cmd
 }
 
-func freePort() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// freePort returns a free address; deployments that play side by side have a loopback address each.
+func freePort(host string) string {
+	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		panic(err)
 	}
@@ -42,9 +43,9 @@
 	return listener.Addr().String()
 }
 
-func (proxy *proxy) start(dir, program, store string, seeds []string) error {
+func (proxy *proxy) start(dir, program, host, store string, seeds []string) error {
 	settings := map[string]any{
-		"node-name": proxy.name, "role": "proxy", "instance-class": "front", "serves": []string{"front", "control"}, "ip": "127.0.0.1",
+		"node-name": proxy.name, "role": "proxy", "instance-class": "front", "serves": []string{"front", "control"}, "ip": host,
 		"zone": proxy.zone, "region": zones[proxy.zone], "zones": zones,
 		"listen-addrs": map[string]string{"front": proxy.front, "ready": proxy.ready, "control": proxy.control},
 		"port-range":   []int{0, 0}, "seeds": seeds, "bootstrap": true, "loss-counts": false,
@@ -114,13 +115,14 @@
 	program := flag.String("program", "target/corianderspool", "the project's program")
 	path := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	scenario := flag.String("scenario", "cut", "the disruption")
+	host := flag.String("host", "127.0.0.1", "loopback address of the proxies")
 	dir := flag.String("dir", "", "folder for settings and logs")
 	seconds := flag.Int("seconds", 100, "length of the play")
 	flag.Parse()
-	os.Exit(play(*program, *path, *scenario, *dir, *seconds))
+	os.Exit(play(*program, *host, *path, *scenario, *dir, *seconds))
 }
 
-func play(program, path, scenario, dir string, seconds int) int {
+func play(program, host, path, scenario, dir string, seconds int) int {
 	record, err := newRecord(path)
 	if err != nil {
 		fmt.Println(err)
@@ -157,14 +159,14 @@
 	var seeds []string
 	for i := range 3 {
 		zone := zoneNames[i%3]
-		proxy := &proxy{name: fmt.Sprintf("front-%s-%d", zone, i/3+1), zone: zone, front: freePort(), ready: freePort(), control: freePort()}
+		proxy := &proxy{name: fmt.Sprintf("front-%s-%d", zone, i/3+1), zone: zone, front: freePort(host), ready: freePort(host), control: freePort(host)}
 		deployment.proxies = append(deployment.proxies, proxy)
 		if i < 3 {
 			seeds = append(seeds, proxy.control)
 		}
 	}
 	for _, proxy := range deployment.proxies {
-		if err := proxy.start(dir, program, listener.Addr().String(), seeds); err != nil {
+		if err := proxy.start(dir, program, host, listener.Addr().String(), seeds); err != nil {
 			fmt.Println(err)
 			return exitNotRun
 		}
@@ -175,7 +177,7 @@
 	}
 	stop, served := make(chan struct{}), &atomic.Int64{}
 	for i, proxy := range deployment.proxies {
-		for j := range 4 {
+		for j := range 8 {
 			client := &client{name: fmt.Sprintf("c%d%d", i, j), front: proxy.front, group: group, record: record, pause: 300 * time.Millisecond, done: served}
 			go client.run(stop)
 		}
