pool: what is known of a primary belongs to its leadership

A healthy new primary was replaced by the deposed one 0.2 s after it began to lead.

Cause: a group kept the commits without an answer, the breaker and the last contact in fields of its own, which counted for whichever server was the presumed primary. Four of the five places that change the primary (the registry, a refusal, a server that is gone, the search for the next one) did not reset them, and polls told them for any server that they named.

Change: what a proxy has seen of a primary is an elect.Leadership, which names the server and begins anew when another one, or none, is presumed. A commit counts only for the leadership in which it was sent, and a question about another server gets no counts. The breaker and the last contact are part of it: the contact of the deposed primary no longer counts as one of its successor, which is probed instead. The term is not part of the key, as the position of a promoted server is of the term before until its first commit.

--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -64,7 +64,7 @@
 		for _, answer := range answers {
 			mergeAnswer(&poll, answer)
 		}
-		poll.Commits.Merge(peers.proxy.pool.CommitStats(group))
+		poll.Commits.Merge(peers.proxy.pool.CommitStats(group, server))
 		poll.Asked = len(all)
 		peers.boundAcked(group, &poll, asked, len(answers) == len(all))
 		return poll
@@ -198,7 +198,7 @@
 		AckedTerm: uint64(acked.Position.Term), AckedNumber: uint64(acked.Position.Number),
 	}
 	encodeKnowledge(answer, acked.Knowledge)
-	encodeCommitStats(answer, peers.proxy.pool.CommitStats(group))
+	encodeCommitStats(answer, peers.proxy.pool.CommitStats(group, server))
 	if request.ForDomain {
 		peers.answerForDomain(answer, request)
 	}
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -112,7 +112,7 @@
 		if !pool.usable(server, now) || server.leavingSince != 0 || slices.Contains(request.Avoid, server.spec.Server) || !request.allows(server.spec.Domain) {
 			continue
 		}
-		if server.spec.Server != group.primary && server.lag.LikelyBehind(request.MinPosition, now) {
+		if server.spec.Server != group.leadership.Server && server.lag.LikelyBehind(request.MinPosition, now) {
 			continue
 		}
 		if group.cold(server, now) {
@@ -123,7 +123,7 @@
 		candidates = append(candidates, place.Candidate{
 			ExpectedLatency: server.roundTrip + server.expectedLatency(now),
 			InFlight:        server.busy + server.borrowed,
-			Primary:         server.spec.Server == group.primary,
+			Primary:         server.spec.Server == group.leadership.Server,
 		})
 	}
 	for len(servers) > 0 {
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/internal/core/fresh"
 	"corianderspool.example/spool/internal/core/place"
 	"corianderspool.example/spool/internal/core/queue"
@@ -46,8 +47,8 @@
 	configured           bool // the configuration has the group; an entry of a server may name another one
 	servers              map[spool.Server]*server
 	departed             departedServers
-	primary              spool.Server // empty if not known
-	term                 spool.Term   // newest term seen
+	leadership           leadership // of the presumed primary
+	term                 spool.Term // newest term seen
 	watermarks           fresh.Watermarks
 	ackedPosition        spool.LogPosition // newest commit that this proxy acknowledged
 	ackedSent            spool.Instant     // when it was sent
@@ -55,14 +56,13 @@
 	probing              bool
 	refreshDone          chan struct{} // closed when the refresh in progress ends; nil if there is none
 	dispatchTimerRunning bool
-	lastContact          spool.Instant // when a server last answered as primary
 	closed               commitClosure // of the primary that is being replaced
+}
 
-	commitBreaker     place.CircuitBreaker
-	unansweredCommits int           // consecutive commits that the primary did not answer in time
-	firstUnanswered   spool.Instant // when the first of them was sent
-	lastUnanswered    spool.Instant // when the last of them was sent
-	lastAnswered      spool.Instant // when the primary last answered a commit; zero if it has not
+// leadership is what this proxy has seen of the presumed primary, and what follows for the commits that it sends there.
+type leadership struct {
+	elect.Leadership
+	commitBreaker place.CircuitBreaker
 }
 
 // Limits of concurrent handshakes of one proxy with a server: each occupies a slot there, so a server that answers them
@@ -95,7 +95,7 @@
 
 // primaryServer returns the presumed primary, or nil.
 func (group *group) primaryServer() *server {
-	primary := group.servers[group.primary]
+	primary := group.servers[group.leadership.Server]
 	if primary == nil || primary.removed {
 		return nil
 	}
@@ -109,22 +109,27 @@
 	}
 	group.term = watermark.Position.Term
 	group.watermarks.Add(watermark)
-	group.lastContact = now
-	changed = group.primary != name
-	if changed {
-		group.commitBreaker, group.unansweredCommits, group.lastAnswered = place.CircuitBreaker{}, 0, 0
-	}
-	group.primary = name
+	changed = group.leadership.Server != name
+	group.presumePrimary(name, now)
+	group.leadership.LastContact = now
 	return changed
 }
 
+// presumePrimary presumes a server to be the primary, or none if its name is empty. A server that is presumed already keeps its
+// leadership.
+func (group *group) presumePrimary(name spool.Server, now spool.Instant) {
+	if group.leadership.Server != name {
+		group.leadership = leadership{Leadership: elect.Leadership{Server: name, Since: now}}
+	}
+}
+
 // rejectPrimary stops presuming that a server is the primary.
 func (group *group) rejectPrimary(name spool.Server, now spool.Instant) {
 	if server := group.servers[name]; server != nil {
 		server.notPrimarySince = now
 	}
-	if group.primary == name {
-		group.primary = ""
+	if group.leadership.Server == name {
+		group.presumePrimary("", now)
 		group.adoptRegisteredPrimary(now)
 	}
 }
@@ -134,7 +139,7 @@
 func (group *group) adoptRegisteredPrimary(now spool.Instant) {
 	for name, server := range group.servers {
 		if server.spec.Primary && !server.removed && (server.notPrimarySince == 0 || now.Sub(server.notPrimarySince) > notPrimaryTTL) {
-			group.primary = name
+			group.presumePrimary(name, now)
 			return
 		}
 	}
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -141,7 +141,7 @@
 
 // accepts reports whether a server is usable for a target.
 func (capacity capacity) accepts(server *server, target queue.Target) bool {
-	if target.Server != "" && server.spec.Server != target.Server || target.Primary && server.spec.Server != capacity.group.primary {
+	if target.Server != "" && server.spec.Server != target.Server || target.Primary && server.spec.Server != capacity.group.leadership.Server {
 		return false
 	}
 	if !capacity.pool.usable(server, capacity.now) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -172,9 +172,9 @@
 	}
 	if becamePrimary {
 		registered.notPrimarySince = 0
-		group.primary = spec.Server
+		group.presumePrimary(spec.Server, now)
 	}
-	if group.primary == "" {
+	if group.leadership.Server == "" {
 		group.adoptRegisteredPrimary(now)
 	}
 	pool.divideConnections(group)
@@ -192,6 +192,7 @@
 func (pool *Pool) unregister(name spool.Server) (closing []*Conn) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	now := pool.timers.Now()
 	for _, group := range pool.groups {
 		server := group.servers[name]
 		if server == nil {
@@ -201,9 +202,9 @@
 		closing = append(closing, server.removeIdle()...)
 		delete(group.servers, name)
 		group.departed.add(name, server.leavingSince)
-		if group.primary == name {
-			group.primary = ""
-			group.adoptRegisteredPrimary(pool.timers.Now())
+		if group.leadership.Server == name {
+			group.presumePrimary("", now)
+			group.adoptRegisteredPrimary(now)
 		}
 		event.Log(pool.logger, event.ServerRemoved, zap.String("Group", string(group.name)),
 			zap.String("Server", string(name)))
@@ -232,7 +233,7 @@
 	group := pool.group(name)
 	group.rejectPrimary(server, pool.timers.Now())
 	event.Log(pool.logger, event.PrimaryRoleRefused, zap.String("Group", string(name)),
-		zap.String("Server", string(server)), zap.String("Next", string(group.primary)))
+		zap.String("Server", string(server)), zap.String("Next", string(group.leadership.Server)))
 }
 
 // RecordCommit records the position of a commit that a server completed and when it was sent. It returns false if the commit must
@@ -245,8 +246,9 @@
 		return false
 	}
 	group.ackedPosition, group.ackedSent = group.ackedPosition.Max(position), max(group.ackedSent, sent)
-	group.unansweredCommits, group.lastAnswered = 0, pool.timers.Now()
-	group.commitBreaker.RecordSuccess()
+	if group.leadership.RecordAnswer(server, sent, pool.timers.Now()) {
+		group.leadership.commitBreaker.RecordSuccess()
+	}
 	return true
 }
 
@@ -261,42 +263,27 @@
 		return min(closedRetryAfter, group.closed.until.Sub(now)), false
 	}
 	if isCommit {
-		return group.commitBreaker.Allow(now)
+		return group.leadership.commitBreaker.Allow(now)
 	}
-	return group.commitBreaker.Check(now)
+	return group.leadership.commitBreaker.Check(now)
 }
 
-// RecordCommitTimeout records that the primary did not answer a commit in time.
+// RecordCommitTimeout records that a server did not answer a commit in time, which counts if it is still the presumed primary.
 func (pool *Pool) RecordCommitTimeout(name spool.Group, server spool.Server, sent spool.Instant) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
-	if group.primary != server || sent < group.lastAnswered {
-		return
+	if group.leadership.RecordTimeout(server, sent) {
+		group.leadership.commitBreaker.RecordFailure(pool.timers.Now())
 	}
-	if group.unansweredCommits == 0 || sent.Sub(group.lastUnanswered) > elect.UnansweredTTL {
-		group.unansweredCommits, group.firstUnanswered = 0, sent
-	}
-	group.commitBreaker.RecordFailure(pool.timers.Now())
-	group.lastUnanswered = max(group.lastUnanswered, sent)
-	group.unansweredCommits++
 }
 
-// CommitStats returns the outcomes of the recent commits that this proxy sent to a group's primary.
-func (pool *Pool) CommitStats(name spool.Group) elect.CommitStats {
+// CommitStats returns the outcomes of the recent commits that this proxy sent to a server as the group's primary; there are none if
+// it takes another server for the primary.
+func (pool *Pool) CommitStats(name spool.Group, server spool.Server) elect.CommitStats {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	group, now := pool.group(name), pool.timers.Now()
-	var commits elect.CommitStats
-	if group.unansweredCommits > 0 && now.Sub(group.lastUnanswered) < elect.UnansweredTTL {
-		commits = elect.CommitStats{
-			Unanswered: group.unansweredCommits, SinceFirst: now.Sub(group.firstUnanswered), SinceLast: max(1, now.Sub(group.lastUnanswered)),
-		}
-	}
-	if group.lastAnswered != 0 {
-		commits.SinceAnswer = max(1, now.Sub(group.lastAnswered))
-	}
-	return commits
+	return pool.group(name).leadership.CommitStats(server, pool.timers.Now())
 }
 
 // KnownReadPosition is like ReadPosition, but never fetches a watermark.
--- a/internal/pool/tunnel.go
+++ b/internal/pool/tunnel.go
@@ -58,7 +58,7 @@
 func (pool *Pool) path(server *server) (tunneled, primary bool, domain spool.Domain) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	return pool.timers.Now() < server.tunnelUntil, pool.group(server.group).primary == server.name, server.spec.Domain
+	return pool.timers.Now() < server.tunnelUntil, pool.group(server.group).leadership.Server == server.name, server.spec.Domain
 }
 
 // tunnelConnections makes connections to a server go through another proxy for tunnelTTL.
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -20,7 +20,7 @@
 	Term            spool.Term
 	NewestWatermark fresh.Watermark
 	AckedPosition   spool.LogPosition // newest commit that this proxy acknowledged
-	LastContact     spool.Instant     // when a server last answered this proxy as primary
+	LastContact     spool.Instant     // when the primary last answered this proxy as such; zero if it has not
 	SyncReplicas    int
 }
 
@@ -41,8 +41,8 @@
 	defer pool.mutex.Unlock()
 	group, evacuation, now := pool.group(name), pool.evacuation.Load(), pool.timers.Now()
 	view := GroupView{
-		Group: name, Primary: group.primary, Term: group.term, NewestWatermark: group.watermarks.Newest(), AckedPosition: group.ackedPosition,
-		LastContact: group.lastContact, SyncReplicas: group.limits.SyncReplicas,
+		Group: name, Primary: group.leadership.Server, Term: group.term, NewestWatermark: group.watermarks.Newest(), AckedPosition: group.ackedPosition,
+		LastContact: group.leadership.LastContact, SyncReplicas: group.limits.SyncReplicas,
 	}
 	for _, server := range group.servers {
 		if server.removed {
@@ -88,14 +88,15 @@
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
 	server := group.servers[serverName]
-	if server == nil || group.primary != serverName {
+	leadership, now := &group.leadership, pool.timers.Now()
+	if server == nil || leadership.Server != serverName {
 		return false, false
 	}
-	sinceContact := pool.timers.Now().Sub(group.lastContact)
-	if sinceContact < ProbeTimeout/2 {
+	if leadership.LastContact != 0 && now.Sub(leadership.LastContact) < ProbeTimeout/2 {
 		return true, true
 	}
-	return false, server.health.ConsecutiveFailures() > 0 && sinceContact > 2*ProbeTimeout
+	withoutContact := now.Sub(max(leadership.LastContact, leadership.Since))
+	return false, server.health.ConsecutiveFailures() > 0 && withoutContact > 2*ProbeTimeout
 }
 
 // Execute sends the proxy's own commands to a server and returns its answers.
--- a/internal/pool/wait.go
+++ b/internal/pool/wait.go
@@ -103,7 +103,7 @@
 		Team: request.Team, Target: request.target(), Priority: request.Priority, Arrived: now, Deadline: now.Add(left),
 		Value: &waiter{Request: *request, grants: make(chan grant, 1)},
 	}
-	ahead := group.waiters.Ahead(item.Team, item.Target, item.Priority, group.primary, now)
+	ahead := group.waiters.Ahead(item.Team, item.Target, item.Priority, group.leadership.Server, now)
 	if expected := pool.expectedWait(group, item.Target, ahead); expected > left {
 		return nil, pool.refuseWait(group, item, expected, now)
 	}
@@ -263,7 +263,7 @@
 // ones; the caller holds the mutex.
 func (pool *Pool) refuseHopeless(group *group, now spool.Instant) {
 	expected := func(target queue.Target, ahead int) time.Duration { return pool.expectedWait(group, target, ahead) }
-	group.waiters.RefuseHopeless(group.primary, now, expected, func(item *queue.Item[*waiter], wait time.Duration) {
+	group.waiters.RefuseHopeless(group.leadership.Server, now, expected, func(item *queue.Item[*waiter], wait time.Duration) {
 		item.Value.grants <- grant{refusal: pool.refuseWait(group, item, wait, now)}
 	})
 }
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -219,7 +219,7 @@
 // stallCooldown.
 func (supervisor *Supervisor) checkCommits(ctx context.Context, view pool.GroupView, state *groupState) {
 	now := supervisor.timers.Now()
-	own := supervisor.pool.CommitStats(view.Group)
+	own := supervisor.pool.CommitStats(view.Group, view.Primary)
 	cooledDown := state.promotionRequestedAt == 0 || now.Sub(state.promotionRequestedAt) > stallCooldown
 	if !cooledDown || own.Unanswered == 0 && state.poll.Commits.Unanswered == 0 || now < state.commitsPolledAt.Add(retryDelay) {
 		supervisor.settle(ctx, view, state)
