elect: a log of an older term is not the longer one

Cause: candidates, and the servers that a handover asks, were compared by received position alone. A deposed primary that has not heard of the next term ("replica of term 4 at 4/1486") looked longer than the replica of its successor ("replica of term 5 at 4/1473"), although what it had beyond 4/1473 was given up when term 5 began, and it received nothing of the primary of that term.

What must hold: a server is promoted only if it holds every commit that is acknowledged before the promotion takes effect. FailoverState.judge answers for it when a server is chosen, Handover.Next before the request.

Change: the term that a server says it follows ranks before its position. Which terms count is what servers answer: a commit of a term is acknowledged only once SyncReplicas servers follow that term, so if none of those that answer does, the servers out of reach decide, as before. A server that does not follow the term of a primary that answers may be promoted only once that primary's commits are closed. A replica of an older term that is ahead counts as one that may hold a commit alone, up to the primary's own position where that is known: it no longer holds up every handover with "not caught up". A replica of the newest term may still lack what that term began with, so the lower-ranking candidates are judged as well.

--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -39,58 +40,82 @@
 	ReplicaUnreachable Decision = "a replica that does not answer or is not registered may alone hold an acknowledged commit"
 	BehindAcked        Decision = "all replicas that answer lack an acknowledged commit"
 	NotCaughtUp        Decision = "the chosen server has not received all commits of the other replicas"
+	NotFollowing       Decision = "the chosen server does not follow the primary's term and receives none of its commits"
 	Superseded         Decision = "another promotion took effect meanwhile"
 	PrimaryAnswers     Decision = "the primary answers again"
 	TokenExpired       Decision = "the fencing token is too old or of an older era"
 )
 
-// ChooseFailover returns the most advanced candidate if it provably holds every acknowledged commit.
+// ChooseFailover returns the highest-ranking candidate that provably holds every acknowledged commit, else why the highest-ranking
+// one of all may not.
 func ChooseFailover(state FailoverState) (spool.Server, Decision) {
-	best := mostAdvanced(state.Candidates)
-	if best == nil {
+	ranked := rankCandidates(state.Candidates)
+	if len(ranked) == 0 {
 		return "", NoReplica
 	}
-	if best.Status.Received.Less(state.Acked) {
-		return "", BehindAcked
+	for _, candidate := range ranked {
+		if state.judge(candidate) == Safe {
+			return candidate.Server, Safe
+		}
 	}
-	unreachable := 0
+	return "", state.judge(ranked[0])
+}
+
+// judge decides whether a candidate provably holds every acknowledged commit. One of the replicas that confirmed it holds each
+// commit, so the candidate does if fewer than SyncReplicas servers may hold one that it lacks.
+func (state *FailoverState) judge(candidate *Candidate) Decision {
+	received := candidate.Status.Received
+	if received.Less(state.Acked) {
+		return BehindAcked
+	}
+	others := 0
 	if state.RegistryIncomplete {
-		unreachable++
+		others++
 	}
-	for _, candidate := range state.Candidates {
-		if !candidate.Responded || candidate.Evacuated && best.Status.Received.Less(candidate.Status.Received) {
-			unreachable++ // a server that is not promoted may be ahead of the one that is
+	for _, other := range state.Candidates {
+		if !other.Responded || received.Less(other.Status.Received) {
+			others++
 		}
 	}
-	covered := unreachable < max(1, state.SyncReplicas) // one of the replicas that responded holds every acknowledged commit
 	switch {
-	case covered:
-		return best.Server, Safe
+	case others < max(1, state.SyncReplicas):
+		return Safe
 	case !state.AckedComplete:
-		return "", ReplicaUnreachable
-	case best.Status.Received.Less(state.AckedBound):
-		return "", BehindAcked
+		return ReplicaUnreachable
+	case received.Less(state.AckedBound):
+		return BehindAcked
 	}
-	return best.Server, Safe
+	return Safe
 }
 
-func mostAdvanced(candidates []Candidate) *Candidate {
-	var best *Candidate
+// rankCandidates returns the candidates that may be promoted, the highest-ranking first.
+func rankCandidates(candidates []Candidate) []*Candidate {
+	var ranked []*Candidate
 	for i := range candidates {
-		candidate := &candidates[i]
-		if !candidate.Responded || candidate.Evacuated {
-			continue
-		}
-		if best == nil || ranksHigher(candidate, best) {
-			best = candidate
+		if candidate := &candidates[i]; candidate.Responded && !candidate.Evacuated {
+			ranked = append(ranked, candidate)
 		}
 	}
-	return best
+	slices.SortStableFunc(ranked, func(left, right *Candidate) int {
+		switch {
+		case ranksHigher(left, right):
+			return -1
+		case ranksHigher(right, left):
+			return 1
+		}
+		return 0
+	})
+	return ranked
 }
 
 // ranksHigher prefers the longer log, then a server that an earlier request may still promote, then one that is not leaving, then
-// one in the home regions of more routes, then one that does not warm up, then a near one.
+// one in the home regions of more routes, then one that does not warm up, then a near one. A log counts as longer if its server
+// follows a newer term, whatever the positions: one that did not follow that term may hold commits that were given up when the term
+// began, and receives nothing of its primary.
 func ranksHigher(candidate, other *Candidate) bool {
+	if candidate.Status.Term != other.Status.Term {
+		return candidate.Status.Term > other.Status.Term
+	}
 	if candidate.Status.Received != other.Status.Received {
 		return other.Status.Received.Less(candidate.Status.Received)
 	}
@@ -123,23 +148,17 @@
 // ChooseSwitchover returns the replica that takes over from a working primary, which is not leaving and not evacuated: the one
 // that an earlier request may still promote, else the one with the least lag.
 func ChooseSwitchover(candidates []Candidate) (spool.Server, bool) {
-	var best *Candidate
-	for i := range candidates {
-		candidate := &candidates[i]
-		if !candidate.Responded || candidate.Leaving || candidate.Evacuated {
-			continue
-		}
-		if candidate.Ordered {
+	var chosen spool.Server
+	for _, candidate := range rankCandidates(candidates) {
+		switch {
+		case candidate.Leaving:
+		case candidate.Ordered:
 			return candidate.Server, true
+		case chosen == "":
+			chosen = candidate.Server
 		}
-		if best == nil || ranksHigher(candidate, best) {
-			best = candidate
-		}
-	}
-	if best == nil {
-		return "", false
 	}
-	return best.Server, true
+	return chosen, chosen != ""
 }
 
 // ProbeResult is the result of an attempt to use a server as primary.
--- a/internal/core/elect/handover.go
+++ b/internal/core/elect/handover.go
@@ -56,6 +56,11 @@
 	StepGiveUp              // resume the replicas and start again later
 )
 
+// EndsWithClosure reports whether the reason to wait ends once no proxy acknowledges commits of the primary any more.
+func (decision Decision) EndsWithClosure() bool {
+	return decision == ReplicaUnreachable || decision == NotFollowing
+}
+
 // Next returns the next step and its reason. A promotion is requested only if every commit that was or will be acknowledged
 // before it takes effect is on the chosen server: the servers that could confirm one without it are too few, or no proxy
 // acknowledges commits any more. A server can confirm one unless its own answer shows that it is paused.
@@ -75,14 +80,16 @@
 	if !chosen.Answered {
 		return StepWait, NoReplica
 	}
-	newest, independent := handover.others(chosen.Status.Received)
+	newest, independent := handover.others(chosen.Status)
 	switch received := chosen.Status.Received; {
 	case received.Less(newest):
 		return handover.stepIfBehind(), NotCaughtUp
 	case received.Less(handover.Acked):
 		return handover.stepIfBehind(), BehindAcked
-	case independent < max(1, handover.SyncReplicas):
+	case handover.follows(chosen) && independent < max(1, handover.SyncReplicas):
 		return StepPromote, Safe
+	case !handover.CommitsClosed && !handover.follows(chosen):
+		return StepWait, NotFollowing
 	case !handover.CommitsClosed:
 		return StepWait, ReplicaUnreachable
 	case received.Less(handover.AckedBound):
@@ -120,27 +127,57 @@
 	return nil
 }
 
+// leader returns what the primary said if it answered as such, else nil.
+func (handover *Handover) leader() *ServerReport {
+	if !handover.primaryAnswers() {
+		return nil
+	}
+	return handover.report(handover.Primary)
+}
+
+// follows reports whether a server follows the term of the primary, if that answered. One that does not has none of its commits and
+// may receive none until the promotion takes effect.
+func (handover *Handover) follows(server *ServerReport) bool {
+	leader := handover.leader()
+	return leader == nil || server.Status.Term >= leader.Status.Term
+}
+
+// retained returns the newest position of a replica that no promotion has given up, as far as known: a replica that does not follow
+// the primary's term shares at most the log that the primary has.
+func (handover *Handover) retained(replica *ServerReport) spool.LogPosition {
+	leader := handover.leader()
+	if leader == nil || handover.follows(replica) || replica.Status.Received.Less(leader.Status.Received) {
+		return replica.Status.Received
+	}
+	return leader.Status.Received
+}
+
 // others returns the newest position that the replicas except the chosen one have received, and how many servers may confirm
-// a commit that the chosen one lacks. One that is never promoted and stays ahead of the chosen one counts among them.
-func (handover *Handover) others(received spool.LogPosition) (newest spool.LogPosition, independent int) {
+// a commit that the chosen one lacks. One that stays ahead of the chosen one counts among them if it is never promoted, or follows
+// an older term, so that what it has beyond the chosen one may have been given up.
+func (handover *Handover) others(chosen spool.ReplicaStatus) (newest spool.LogPosition, independent int) {
 	if !handover.RegistryRead {
 		independent++
 	}
-	for _, report := range handover.Reports {
+	for i := range handover.Reports {
+		report := &handover.Reports[i]
 		if report.Server == handover.Primary || report.Server == handover.Chosen {
 			continue
 		}
-		ahead := report.Answered && received.Less(report.Status.Received)
-		switch {
-		case ahead && report.Evacuated && handover.Cause != CausePlanned:
+		if !report.Answered {
 			independent++
 			continue
-		case !report.Answered || report.Status.PausedTerm < handover.PauseTerm:
+		}
+		received := handover.retained(report)
+		neverPromoted := report.Evacuated && handover.Cause != CausePlanned || report.Status.Term < chosen.Term
+		if chosen.Received.Less(received) && neverPromoted {
 			independent++
+			continue
 		}
-		if report.Answered {
-			newest = newest.Max(report.Status.Received)
+		if report.Status.PausedTerm < handover.PauseTerm {
+			independent++
 		}
+		newest = newest.Max(received)
 	}
 	return newest, independent
 }
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -119,7 +119,7 @@
 		known := handover.ask(ctx)
 		step, decision := known.Next()
 		late := handover.timers.Now() > deadline
-		if step == elect.StepWait && decision == elect.ReplicaUnreachable && handover.closeCommits() {
+		if step == elect.StepWait && decision.EndsWithClosure() && handover.closeCommits() {
 			continue
 		}
 		if step == elect.StepWait && !late {
@@ -127,7 +127,7 @@
 			continue
 		}
 		handover.logStep(&known, step, decision)
-		if decision == elect.NotCaughtUp {
+		if decision == elect.NotCaughtUp || decision == elect.NotFollowing {
 			handover.state.ordered = order{} // pausing a server that receives nothing makes no difference
 		}
 		return step
