super: leave replicas paused that another supervisor paused

Cause: a supervisor resumed all replicas that it had ever paused when its handover ended, when the platform refused its token, and while the primary worked.

Change: the term for which each replica was paused is kept, and the replica is asked before it is resumed. A pause for a term that has a primary by now is over and ended by anybody. A pause for this supervisor's own term is ended while its fencing token is usable, so that no other holder acts, or after the stored token tells that no other holder may act. A later term is another supervisor's: event 426, and the pause is looked at again as one that was found. After ErrFenced nothing is resumed at once. A supervisor that takes over a group looks for paused replicas before it reads the token, not after: a holder takes its token before it pauses anything.

What remains: between the answer and RESUME (one round trip) another supervisor may pause the replica.

--- a/internal/event/kind.go
+++ b/internal/event/kind.go
@@ -77,6 +77,7 @@
 	HandoverDecided            Number = 423
 	GroupTakenOver             Number = 424
 	GroupTakeoverFailed        Number = 425
+	ReplicaLeftPaused          Number = 426
 
 	ManifestAccepted Number = 501
 	ManifestRejected Number = 502
@@ -178,6 +179,7 @@
 	HandoverDecided:                {Level: zapcore.InfoLevel, Text: "handover decided", PerSecond: serverLimit},
 	GroupTakenOver:                 {Level: zapcore.InfoLevel, Text: "group taken over midway", PerSecond: serverLimit},
 	GroupTakeoverFailed:            {Level: zapcore.WarnLevel, Text: "fencing token of a group not read", PerSecond: serverLimit},
+	ReplicaLeftPaused:              {Level: zapcore.InfoLevel, Text: "replica left paused", PerSecond: serverLimit},
 	ManifestAccepted:               {Level: zapcore.InfoLevel, Text: "manifest accepted"},
 	ManifestRejected:               {Level: zapcore.ErrorLevel, Text: "manifest rejected"},
 	KeyWithdrawn:                   {Level: zapcore.InfoLevel, Text: "key withdrawn", PerSecond: keyLimit},
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -125,11 +123,7 @@
 			continue
 		}
 		queries.Go(func() {
-			status, err := supervisor.sendCommand(view.Group, server.Server, statusTimeout, spool.Command{Verb: spool.VerbStatus})
-			if err != nil {
-				event.Log(supervisor.logger, event.ServerStatusFailed, zap.String("Group", string(view.Group)),
-					zap.String("Server", string(server.Server)), event.Cause(err))
-			}
+			status, err := supervisor.queryStatus(view.Group, server.Server)
 			mutex.Lock()
 			defer mutex.Unlock()
 			candidates = append(candidates, elect.Candidate{
@@ -164,54 +158,6 @@
 	}
 }
 
-// resumeReplicas resumes replication on the paused replicas.
-func (supervisor *Supervisor) resumeReplicas(group spool.Group, state *groupState) {
-	paused := supervisor.pausedServers(state)
-	if len(paused) == 0 {
-		return
-	}
-	view := supervisor.pool.View(group)
-	for _, server := range paused {
-		if findServer(view, server) == nil {
-			supervisor.setPaused(state, server, false)
-			continue
-		}
-		if !supervisor.commandable(view, server) {
-			continue // until the evacuation is withdrawn
-		}
-		if supervisor.resume(group, server) == nil {
-			supervisor.setPaused(state, server, false)
-		}
-	}
-}
-
-// resume resumes replication on a replica.
-func (supervisor *Supervisor) resume(group spool.Group, server spool.Server) error {
-	_, err := supervisor.sendCommand(group, server, statusTimeout, spool.Command{Verb: spool.VerbResume})
-	event.Log(supervisor.logger, event.ReplicaResumed, zap.String("Group", string(group)),
-		zap.String("Server", string(server)), event.Cause(err))
-	return err
-}
-
-func (supervisor *Supervisor) pausedServers(state *groupState) []spool.Server {
-	supervisor.mutex.Lock()
-	defer supervisor.mutex.Unlock()
-	return slices.Sorted(maps.Keys(state.paused))
-}
-
-// setPaused records whether a server may be paused, and reports a change.
-func (supervisor *Supervisor) setPaused(state *groupState, server spool.Server, paused bool) (changed bool) {
-	supervisor.mutex.Lock()
-	defer supervisor.mutex.Unlock()
-	changed = state.paused[server] != paused
-	if paused {
-		state.paused[server] = true
-	} else {
-		delete(state.paused, server)
-	}
-	return changed
-}
-
 func (supervisor *Supervisor) scheduleRetry(state *groupState) {
 	state.nextCheck = supervisor.timers.Now().Add(retryDelay)
 }
@@ -235,15 +181,12 @@
 		state.ordered.remember(handover.chosen, state.promotionRequestedAt)
 	}
 	if errors.Is(err, spool.ErrFenced) {
-		stop()
-		rounds.Wait()
-		handover.resumeReplicas(group, state)
-		handover.scheduleRetry(state)
+		handover.scheduleRetry(state) // the holder of the newer token may rely on the replicas being paused
 		return
 	}
 	if handover.awaitPrimary() {
 		stop() // a round in progress pauses nothing, since the new primary's term is not below its own
-		handover.resumeReplicas(group, state)
+		handover.resumeReplicas(group, state, handover.pauseTerm, func() bool { return false })
 	}
 }
 
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -62,6 +62,7 @@
 		return
 	}
 	if err != nil || recent || selection.chosen == "" || supervisor.tooLateToSwitchOver(view, cause) {
+		supervisor.resumeOwn(ctx, view.Group, state)
 		supervisor.scheduleRetry(state)
 		return
 	}
@@ -72,7 +73,7 @@
 	}
 	handover.resumeChosen(selection)
 	if handover.secure(ctx) != elect.StepPromote {
-		supervisor.resumeReplicas(view.Group, state)
+		handover.resumeOwn(ctx)
 		supervisor.scheduleRetry(state)
 		return
 	}
@@ -103,15 +104,26 @@
 	time.Sleep(otherHolderWait)
 }
 
-// resumeChosen resumes the chosen server if a supervisor that ended midway left it paused, so that it receives what the others do.
+// resumeChosen resumes the chosen server if a supervisor that ended midway left it paused, so that it receives what the others do. One
+// that is paused for a later term is left to the supervisor that knows of that term.
 func (handover *handover) resumeChosen(selection *selection) {
 	for _, candidate := range selection.candidates {
-		if candidate.Server == handover.chosen && candidate.Status.PausedTerm != 0 {
+		held := candidate.Status.PausedTerm
+		if candidate.Server == handover.chosen && held != 0 && held <= handover.pauseTerm {
 			handover.resume(handover.view.Group, handover.chosen)
 		}
 	}
 }
 
+// resumeOwn resumes what this supervisor has paused. While the token is usable no other holder acts.
+func (handover *handover) resumeOwn(ctx context.Context) {
+	if handover.tokenUsable() {
+		handover.resumeReplicas(handover.view.Group, handover.state, 0, func() bool { return true })
+		return
+	}
+	handover.Supervisor.resumeOwn(ctx, handover.view.Group, handover.state)
+}
+
 // secure asks the servers until the promotion may be requested or the handover is given up, and returns that step.
 func (handover *handover) secure(ctx context.Context) elect.Step {
 	deadline := handover.timers.Now().Add(catchUpTimeout)
@@ -198,7 +210,7 @@
 			}
 			status, err := handover.sendCommand(view.Group, server.Server, timeout, command)
 			reports[i] = elect.ServerReport{Server: server.Server, Answered: err == nil, Status: status, Evacuated: server.Evacuated}
-			if command.Verb == spool.VerbPause && handover.setPaused(handover.state, server.Server, true) {
+			if command.Verb == spool.VerbPause && handover.setPaused(handover.state, server.Server, handover.pauseTerm) {
 				event.Log(handover.logger, event.ReplicaPaused, zap.String("Group", string(view.Group)),
 					zap.String("Server", string(server.Server)), zap.Uint64("Term", uint64(handover.pauseTerm)),
 					zap.Uint64("Held", uint64(status.PausedTerm)), event.Cause(err))
--- a/internal/super/order.go
+++ b/internal/super/order.go
@@ -40,7 +40,7 @@
 	server := findServer(view, state.ordered.pending(supervisor.timers.Now()))
 	if server == nil || server.Server == view.Primary || server.Evacuated {
 		state.ordered = order{}
-		supervisor.resumeReplicas(view.Group, state)
+		supervisor.resumeOwn(ctx, view.Group, state)
 		return
 	}
 	state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -68,7 +68,7 @@
 	nextTakeover         spool.Instant // earliest time of the next attempt to find out
 	probeFailedAt        spool.Instant // first failed probe of the primary since it last answered; zero if none failed
 	nextCheck            spool.Instant // earliest time of the next check
-	paused               map[spool.Server]bool
+	paused               map[spool.Server]spool.Term // replicas that may be paused, with the term for which they are
 	probedPrimary        spool.Server   // target of the newest probe
 	commitsPolledAt      spool.Instant  // when the other proxies were last polled about commits
 	poll                 elect.PeerPoll // newest answers of the other proxies about the primary
@@ -138,7 +138,7 @@
 	defer supervisor.mutex.Unlock()
 	known := supervisor.states[group]
 	if known == nil {
-		known = &groupState{paused: map[spool.Server]bool{}}
+		known = &groupState{paused: map[spool.Server]spool.Term{}}
 		supervisor.states[group] = known
 	}
 	if known.busy || now < known.nextCheck {
--- a/internal/super/takeover.go
+++ b/internal/super/takeover.go
@@ -27,25 +27,37 @@
 	if state.takenOver || now < state.nextTakeover {
 		return state.takenOver
 	}
-	target, err := supervisor.tokens.PendingTarget(ctx, view.Group)
+	paused := supervisor.findPaused(view, state) // before the token is read, which tells of each holder that paused them by then
+	target, err := supervisor.findOrder(ctx, view, state)
 	if err != nil {
-		event.Log(supervisor.logger, event.GroupTakeoverFailed, zap.String("Group", string(view.Group)), event.Cause(err))
 		state.nextTakeover = now.Add(takeoverRetryDelay)
 		return false
 	}
 	state.takenOver = true
-	pending := target != "" && target != view.Primary
-	if pending {
-		state.ordered.remember(target, now)
-	}
-	paused := supervisor.findPaused(view, state)
-	if pending || len(paused) > 0 {
+	if target != "" || len(paused) > 0 {
 		event.Log(supervisor.logger, event.GroupTakenOver, zap.String("Group", string(view.Group)),
 			zap.String("Primary", string(view.Primary)), zap.String("Target", string(target)), zap.Strings("Paused", paused))
 	}
 	return true
 }
 
+// findOrder reads which server another supervisor, or an earlier process of this one, may still have promoted, and remembers it. The
+// name is empty if there is none or if it is the primary already.
+func (supervisor *Supervisor) findOrder(ctx context.Context, view pool.GroupView, state *groupState) (spool.Server, error) {
+	target, err := supervisor.tokens.PendingTarget(ctx, view.Group)
+	if err != nil {
+		event.Log(supervisor.logger, event.GroupTakeoverFailed, zap.String("Group", string(view.Group)), event.Cause(err))
+		return "", err
+	}
+	if target == view.Primary {
+		return "", nil
+	}
+	if target != "" {
+		state.ordered.remember(target, supervisor.timers.Now())
+	}
+	return target, nil
+}
+
 // findPaused records which replicas of a group are paused, and returns them.
 func (supervisor *Supervisor) findPaused(view pool.GroupView, state *groupState) (paused []string) {
 	var queries sync.WaitGroup
@@ -55,11 +67,11 @@
 			continue
 		}
 		queries.Go(func() {
-			status, err := supervisor.sendCommand(view.Group, server.Server, statusTimeout, spool.Command{Verb: spool.VerbStatus})
+			status, err := supervisor.queryStatus(view.Group, server.Server)
 			if err != nil || status.PausedTerm == 0 {
 				return // a server that does not answer may be asked by the next handover
 			}
-			supervisor.setPaused(state, server.Server, true)
+			supervisor.setPaused(state, server.Server, status.PausedTerm)
 			mutex.Lock()
 			defer mutex.Unlock()
 			paused = append(paused, string(server.Server))
