pool: a closure of commits does not end an earlier one

Callers could see: acknowledged commits that the promoted server lacks.

Cause: a group held one closure. A supervisor that acted on an older view, or for another primary, replaced the closure on which a promotion in progress relied.

Change: closures are kept side by side, one for each server and term, and forgotten a minute after they have ended, which is longer than any commit waits for its answer.

Test: TestLaterClosureDoesNotEndAnEarlierOne failed before.

--- a/internal/pool/closure.go
+++ b/internal/pool/closure.go
@@ -1,12 +1,17 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/pkg/spool"
 )
 
+// closureTTL is how long after its end a closure is kept, for the late answers of commits that were sent before. Requests between
+// proxies and servers end sooner.
+const closureTTL = time.Minute
+
 // closedRetryAfter is the retry hint to callers whose commit was refused because the primary is being replaced.
 const closedRetryAfter = 500 * time.Millisecond
 
@@ -24,14 +29,43 @@
 	return sent < closure.until && (server == closure.server || term <= closure.term)
 }
 
-// commitsClosed reports whether the presumed primary is the one whose commits are not acknowledged. Its term does not tell: the
-// position of a server that was just promoted is of the term before until its first commit.
-func (group *group) commitsClosed(now spool.Instant) bool {
-	primary := group.primaryServer()
-	if primary == nil || now >= group.closed.until {
+// refuses reports whether no statement may be sent to a primary that a commit would follow. Its term does not tell: the position of a
+// server that was just promoted is of the term before until its first commit.
+func (closure *commitClosure) refuses(primary *server, now spool.Instant) bool {
+	if now >= closure.until {
 		return false
 	}
-	return primary.name == group.closed.server || group.closed.address != "" && primary.spec.Address == group.closed.address
+	return primary.name == closure.server || closure.address != "" && primary.spec.Address == closure.address
+}
+
+// commitClosures are the closures that supervisors asked for. Another one may be asked for before the first has ended.
+type commitClosures []commitClosure
+
+// add adds a closure, which replaces an earlier one of the same server and term, and forgets those that cover nothing any more.
+func (closures *commitClosures) add(closure commitClosure, now spool.Instant) {
+	*closures = slices.DeleteFunc(*closures, func(other commitClosure) bool {
+		return now.Sub(other.until) > closureTTL || other.server == closure.server && other.term == closure.term
+	})
+	*closures = append(*closures, closure)
+}
+
+// covers reports whether any closure covers a commit.
+func (closures commitClosures) covers(server spool.Server, term spool.Term, sent spool.Instant) bool {
+	return slices.ContainsFunc(closures, func(closure commitClosure) bool { return closure.covers(server, term, sent) })
+}
+
+// closedUntil returns when the last closure of the presumed primary ends, or zero if its commits are acknowledged.
+func (group *group) closedUntil(now spool.Instant) (until spool.Instant) {
+	primary := group.primaryServer()
+	if primary == nil {
+		return 0
+	}
+	for _, closure := range group.closures {
+		if closure.refuses(primary, now) {
+			until = max(until, closure.until)
+		}
+	}
+	return until
 }
 
 // Acked is the newest commit of a group that a proxy has acknowledged.
@@ -71,9 +105,11 @@
 	if term == 0 {
 		term = group.term
 	}
-	group.closed = commitClosure{server: server, term: term, until: pool.timers.Now().Add(elect.CommitHold)}
+	now := pool.timers.Now()
+	closure := commitClosure{server: server, term: term, until: now.Add(elect.CommitHold)}
 	if closed := group.servers[server]; closed != nil {
-		group.closed.address = closed.spec.Address
+		closure.address = closed.spec.Address
 	}
+	group.closures.add(closure, now)
 	return pool.acked(group)
 }
--- a/internal/pool/closure_test.go
+++ b/internal/pool/closure_test.go
@@ -44,3 +44,16 @@
 	position := spool.LogPosition{Term: 3, Number: 198}
 	qt.Check(t, fixture.pool.RecordCommit("g1", "a", position, clock.Real{}.Now()), qt.IsFalse)
 }
+
+// TestLaterClosureDoesNotEndAnEarlierOne guards against commits that are acknowledged while one supervisor's promotion takes effect,
+// because another supervisor, which knows another primary and an older term, had commits closed as well.
+func TestLaterClosureDoesNotEndAnEarlierOne(t *testing.T) {
+	fixture := newFixture(t, dial, 9)
+	fixture.pool.CloseCommits("g1", "a", 3)
+	fixture.pool.CloseCommits("g1", "b", 2)
+	position := spool.LogPosition{Term: 3, Number: 198}
+	qt.Check(t, fixture.pool.RecordCommit("g1", "a", position, clock.Real{}.Now()), qt.IsFalse)
+	fixture.pool.RecordPrimary("g1", "a", fresh.Watermark{Position: position, SentAt: clock.Real{}.Now()})
+	_, allowed := fixture.pool.MayCommit("g1", false)
+	qt.Check(t, allowed, qt.IsFalse)
+}
