elect, pool: a closure names the server that is to be promoted

Callers could see: acknowledged commits that the promoted server lacks, while two supervisors act in turn.

Cause: a closure named the primary that the supervisor knew, and its term. If another one led by then, and the servers that follow it were out of the proxies' reach, its commits were acknowledged.

What must hold: from the closure until the promotion no commit is acknowledged that the chosen server may lack. Closure.Covers answers for it.

Change: elect.Closure names the chosen server; commits of any other one, and those of terms that the supervisor knows, are not acknowledged. The closure carries the supervisor's fencing token: one with a newer token replaces it, as its holder acts only once the earlier promotion has taken effect; a proxy that holds a newer one does not answer, so that the poll is not complete. A supervisor whose first attempt closed the commits for another server closes them anew, so that the commits of the server that is promoted are not refused. On the wire ProbeRequest has two more fields; the request of an older proxy is understood as before.

Tests: TestClosureCoversAPrimaryUnknownToTheSupervisor is new; TestClosureOfAnOlderTokenDoesNotEndAnotherOne replaces TestLaterClosureDoesNotEndAnEarlierOne, whose case it contains, and asks in addition that the later one is refused.

--- a/internal/core/elect/handover.go
+++ b/internal/core/elect/handover.go
@@ -1,14 +1,6 @@
 package elect
 
-import (
-	"time"
-
-	"corianderspool.example/spool/pkg/spool"
-)
-
-// CommitHold is how long a proxy that was asked to close a primary's commits acknowledges none: until a promotion that is
-// requested soon after takes effect, which takes up to 1 s.
-const CommitHold = 3 * time.Second
+import "corianderspool.example/spool/pkg/spool"
 
 // Cause is why a primary is replaced.
 type Cause int
--- a/internal/engine/closure_test.go
+++ b/internal/engine/closure_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/internal/fake/linecl"
 )
 
@@ -21,7 +22,9 @@
 	answered := make(chan linecl.Reply, 1)
 	go func() { answered <- caller.Query("WRITE item two") }()
 	time.Sleep(100 * time.Millisecond)
-	c.Assert(fixture.pool.CloseCommits("g1", "a", 1).Position, qt.Equals, acked)
+	told, closed := fixture.pool.CloseCommits("g1", elect.Closure{Chosen: "b", Primary: "a", Term: 1})
+	c.Assert(closed, qt.IsTrue)
+	c.Assert(told.Position, qt.Equals, acked)
 	c.Assert((<-answered).Code, qt.Equals, "INDOUBT")
 	c.Assert(fixture.pool.Acked("g1").Position, qt.Equals, acked)
 	caller.expect("WRITE item three", "BUSY", "I")
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -43,12 +43,15 @@
 	return peers.pollMembers(group, server, &wire.ProbeRequest{HearAll: true})
 }
 
-// CloseCommits asks all registered proxies, this one included, to acknowledge no commit of a primary and of terms up to its own
-// for elect.CommitHold. A complete result has the newest position that any of them has acknowledged or will acknowledge until then.
-func (peers *peers) CloseCommits(group spool.Group, server spool.Server, term spool.Term) elect.PeerPoll {
-	own := peers.proxy.pool.CloseCommits(group, server, term)
-	poll := peers.pollMembers(group, server, &wire.ProbeRequest{HearAll: true, CloseCommits: true, Term: uint64(term)})
+// CloseCommits asks all registered proxies, this one included, to acknowledge no commit that a closure covers for elect.CommitHold. A
+// complete result has the newest position that any of them has acknowledged or will acknowledge until then.
+func (peers *peers) CloseCommits(group spool.Group, closure elect.Closure) elect.PeerPoll {
+	own, closed := peers.proxy.pool.CloseCommits(group, closure)
+	poll := peers.pollMembers(group, closure.Primary, &wire.ProbeRequest{
+		HearAll: true, CloseCommits: true, Term: uint64(closure.Term), Chosen: string(closure.Chosen), Token: closure.Token,
+	})
 	poll.Acked, poll.AckedBound = poll.Acked.Max(own.Position), poll.AckedBound.Max(own.Position)
+	poll.Complete = poll.Complete && closed
 	return poll
 }
 
@@ -108,6 +111,12 @@
 	poll.Known.Merge(decodeKnowledge(answer))
 }
 
+func decodeClosure(request *wire.ProbeRequest) elect.Closure {
+	return elect.Closure{
+		Chosen: spool.Server(request.Chosen), Primary: spool.Server(request.Server), Term: spool.Term(request.Term), Token: request.Token,
+	}
+}
+
 func decodeKnowledge(answer *wire.ProbeAnswer) elect.AckedKnowledge {
 	return elect.AckedKnowledge{Restarted: time.Duration(answer.UninformedNanos), AckedAge: time.Duration(answer.AckedAgeNanos)}
 }
@@ -191,7 +200,10 @@
 	}
 	acked := peers.proxy.pool.Acked(group)
 	if request.CloseCommits {
-		acked = peers.proxy.pool.CloseCommits(group, spool.Server(request.Server), spool.Term(request.Term))
+		closed := false
+		if acked, closed = peers.proxy.pool.CloseCommits(group, decodeClosure(request)); !closed {
+			return // without this answer the sender's poll is not complete
+		}
 	}
 	answer := &wire.ProbeAnswer{
 		Group: request.Group, Server: request.Server, Sequence: request.Sequence, Reached: reached,
@@ -210,7 +222,7 @@
 	others, live := peers.proxy.members.domainMembers()
 	request := &wire.ProbeRequest{
 		Group: answer.Group, Server: answer.Server, KnownOnly: true, HearAll: asked.HearAll,
-		CloseCommits: asked.CloseCommits, Term: asked.Term,
+		CloseCommits: asked.CloseCommits, Term: asked.Term, Chosen: asked.Chosen, Token: asked.Token,
 	}
 	answers := peers.gatherAnswers(request, others, live, domainTimeout)
 	acked, stats, known := ackedPosition(answer), decodeCommitStats(answer), decodeKnowledge(answer)
--- a/internal/pool/closure_test.go
+++ b/internal/pool/closure_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"corianderspool.example/spool/internal/clock"
+	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/internal/core/fresh"
 	"corianderspool.example/spool/pkg/spool"
 )
@@ -26,7 +27,7 @@
 		return fixture.pool.RecordCommit("g1", server, spool.LogPosition{Term: term, Number: 198}, sent)
 	}
 	c.Check(acts("a", 3, sent), qt.IsTrue)
-	fixture.pool.CloseCommits("g1", "a", 3)
+	fixture.pool.CloseCommits("g1", elect.Closure{Chosen: "b", Primary: "a", Term: 3})
 	again := fixture.registration("a")
 	again.Server, again.StartMillis = "again", 2
 	fixture.pool.SetServer(again)
@@ -40,20 +41,39 @@
 // group's term nor the primary that was closed.
 func TestClosureCoversTermsUnknownToAProxy(t *testing.T) {
 	fixture := newFixture(t, dial, 9)
-	fixture.pool.CloseCommits("g1", "", 3)
+	fixture.pool.CloseCommits("g1", elect.Closure{Chosen: "b", Term: 3})
 	position := spool.LogPosition{Term: 3, Number: 198}
 	qt.Check(t, fixture.pool.RecordCommit("g1", "a", position, clock.Real{}.Now()), qt.IsFalse)
 }
 
-// TestLaterClosureDoesNotEndAnEarlierOne guards against commits that are acknowledged while one supervisor's promotion takes effect,
-// because another supervisor, which knows another primary and an older term, had commits closed as well.
-func TestLaterClosureDoesNotEndAnEarlierOne(t *testing.T) {
+// TestClosureCoversAPrimaryUnknownToTheSupervisor guards against the loss of commits of a primary that the supervisor has not heard of:
+// it replaces the one of an earlier term, while the servers that follow the newest one are out of its reach.
+func TestClosureCoversAPrimaryUnknownToTheSupervisor(t *testing.T) {
 	fixture := newFixture(t, dial, 9)
-	fixture.pool.CloseCommits("g1", "a", 3)
-	fixture.pool.CloseCommits("g1", "b", 2)
-	position := spool.LogPosition{Term: 3, Number: 198}
-	qt.Check(t, fixture.pool.RecordCommit("g1", "a", position, clock.Real{}.Now()), qt.IsFalse)
-	fixture.pool.RecordPrimary("g1", "a", fresh.Watermark{Position: position, SentAt: clock.Real{}.Now()})
+	fixture.pool.CloseCommits("g1", elect.Closure{Chosen: "b", Primary: "a", Term: 1})
+	position, sent := spool.LogPosition{Term: 2, Number: 198}, clock.Real{}.Now()
+	fixture.pool.RecordPrimary("g1", "c", fresh.Watermark{Position: position, SentAt: sent})
+	qt.Check(t, fixture.pool.RecordCommit("g1", "c", position, sent), qt.IsFalse)
 	_, allowed := fixture.pool.MayCommit("g1", false)
 	qt.Check(t, allowed, qt.IsFalse)
 }
+
+// TestClosureOfAnOlderTokenDoesNotEndAnotherOne guards against commits that are acknowledged while one supervisor's promotion takes
+// effect, because another supervisor, which acts too late, had commits closed for a promotion of its own.
+func TestClosureOfAnOlderTokenDoesNotEndAnotherOne(t *testing.T) {
+	fixture := newFixture(t, dial, 9)
+	position := spool.LogPosition{Term: 4, Number: 198}
+	commits := func(server spool.Server) bool {
+		return fixture.pool.RecordCommit("g1", server, position, clock.Real{}.Now())
+	}
+	_, closed := fixture.pool.CloseCommits("g1", elect.Closure{Chosen: "b", Primary: "a", Term: 3, Token: 8})
+	qt.Check(t, closed, qt.IsTrue)
+	_, closed = fixture.pool.CloseCommits("g1", elect.Closure{Chosen: "a", Primary: "b", Term: 2, Token: 7})
+	qt.Check(t, closed, qt.IsFalse)
+	qt.Check(t, commits("a"), qt.IsFalse)
+	qt.Check(t, commits("b"), qt.IsTrue)
+	_, closed = fixture.pool.CloseCommits("g1", elect.Closure{Chosen: "c", Primary: "a", Term: 3, Token: 9})
+	qt.Check(t, closed, qt.IsTrue)
+	qt.Check(t, commits("b"), qt.IsFalse)
+	qt.Check(t, commits("c"), qt.IsTrue)
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -242,7 +242,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
-	if group.closures.covers(server, position.Term, sent) {
+	if group.closure.Covers(server, position.Term, sent) {
 		return false
 	}
 	group.ackedPosition, group.ackedSent = group.ackedPosition.Max(position), max(group.ackedSent, sent)
@@ -259,8 +259,8 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group, now := pool.group(name), pool.timers.Now()
-	if until := group.closedUntil(now); until != 0 {
-		return min(closedRetryAfter, until.Sub(now)), false
+	if primary := group.leadership.Server; primary != "" && group.closure.Refuses(primary, now) {
+		return min(closedRetryAfter, group.closure.Until.Sub(now)), false
 	}
 	if isCommit {
 		return group.leadership.commitBreaker.Allow(now)
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -127,6 +127,9 @@
 // secure asks the servers until the promotion may be requested or the handover is given up, and returns that step.
 func (handover *handover) secure(ctx context.Context) elect.Step {
 	deadline := handover.timers.Now().Add(catchUpTimeout)
+	if handover.state.closure.Refuses(handover.chosen, handover.timers.Now()) {
+		handover.closeCommits() // an earlier attempt closed them for another server, whose promotion did not come about
+	}
 	for {
 		known := handover.ask(ctx)
 		step, decision := known.Next()
@@ -167,12 +170,16 @@
 		return false
 	}
 	began := handover.timers.Now()
-	poll := handover.fleet.CloseCommits(handover.view.Group, handover.view.Primary, handover.pauseTerm-1)
+	handover.state.closure = elect.Closure{
+		Chosen: handover.chosen, Primary: handover.view.Primary, Term: handover.pauseTerm - 1, Token: handover.token.value,
+		Until: began.Add(elect.CommitHold),
+	}
+	poll := handover.fleet.CloseCommits(handover.view.Group, handover.state.closure)
 	handover.acked = handover.acked.Max(poll.Acked)
 	if !poll.Complete || handover.cause == elect.CauseUnreachable && poll.Reached > 0 {
 		return false
 	}
-	handover.closedUntil, handover.ackedBound = began.Add(elect.CommitHold), poll.AckedBound
+	handover.closedUntil, handover.ackedBound = handover.state.closure.Until, poll.AckedBound
 	return true
 }
 
--- a/internal/super/order_test.go
+++ b/internal/super/order_test.go
@@ -61,9 +61,9 @@
 	closures *atomic.Int64
 }
 
-func (fleet closingFleet) CloseCommits(group spool.Group, primary spool.Server, term spool.Term) elect.PeerPoll {
+func (fleet closingFleet) CloseCommits(group spool.Group, closure elect.Closure) elect.PeerPoll {
 	fleet.closures.Add(1)
-	return fleet.stubFleet.CloseCommits(group, primary, term)
+	return fleet.stubFleet.CloseCommits(group, closure)
 }
 
 // TestUnansweredOrderTakesEffectWhileCommitsAreClosed guards against the loss of commits by a request that the platform carries out
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -33,9 +33,9 @@
 	PollPrimary(group spool.Group, primary spool.Server) elect.PeerPoll
 	// PollCommits asks all proxies for the outcomes of the commits that they sent to a primary.
 	PollCommits(group spool.Group, primary spool.Server) elect.PeerPoll
-	// CloseCommits asks all registered proxies, this one included, to acknowledge no commit of a primary and of terms up to its
-	// own for elect.CommitHold.
-	CloseCommits(group spool.Group, primary spool.Server, term spool.Term) elect.PeerPoll
+	// CloseCommits asks all registered proxies, this one included, to acknowledge no commit that a closure covers for
+	// elect.CommitHold.
+	CloseCommits(group spool.Group, closure elect.Closure) elect.PeerPoll
 	// RefreshRegistry reads the registered servers from the store and applies them to the pool; it fails if the store does not
 	// answer before the context ends.
 	RefreshRegistry(ctx context.Context) error
@@ -63,17 +63,18 @@
 // groupState is the supervisor's state of a group.
 type groupState struct {
 	busy                 bool
-	checkedAt            spool.Instant // when the newest check ended
-	takenOver            bool          // it is known what an earlier supervisor left behind
-	nextTakeover         spool.Instant // earliest time of the next attempt to find out
-	probeFailedAt        spool.Instant // first failed probe of the primary since it last answered; zero if none failed
-	nextCheck            spool.Instant // earliest time of the next check
+	checkedAt            spool.Instant               // when the newest check ended
+	takenOver            bool                        // it is known what an earlier supervisor left behind
+	nextTakeover         spool.Instant               // earliest time of the next attempt to find out
+	probeFailedAt        spool.Instant               // first failed probe of the primary since it last answered; zero if none failed
+	nextCheck            spool.Instant               // earliest time of the next check
 	paused               map[spool.Server]spool.Term // replicas that may be paused, with the term for which they are
-	probedPrimary        spool.Server   // target of the newest probe
-	commitsPolledAt      spool.Instant  // when the other proxies were last polled about commits
-	poll                 elect.PeerPoll // newest answers of the other proxies about the primary
-	promotionRequestedAt spool.Instant  // newest promotion request; zero if there was none
-	ordered              order          // that may still be carried out
+	probedPrimary        spool.Server                // target of the newest probe
+	commitsPolledAt      spool.Instant               // when the other proxies were last polled about commits
+	poll                 elect.PeerPoll              // newest answers of the other proxies about the primary
+	promotionRequestedAt spool.Instant               // newest promotion request; zero if there was none
+	ordered              order                       // that may still be carried out
+	closure              elect.Closure               // newest one that was asked for
 }
 
 // New returns a supervisor that takes its fencing tokens from fencingTokens.
--- a/internal/super/supervisor_test.go
+++ b/internal/super/supervisor_test.go
@@ -35,7 +35,7 @@
 
 func (fleet stubFleet) PollCommits(spool.Group, spool.Server) elect.PeerPoll { return fleet.poll }
 
-func (fleet stubFleet) CloseCommits(spool.Group, spool.Server, spool.Term) elect.PeerPoll {
+func (fleet stubFleet) CloseCommits(spool.Group, elect.Closure) elect.PeerPoll {
 	return fleet.poll
 }
 
