Planned handovers: commits wait for the server that is promoted

Cause: until a promotion took effect, a planned handover relied on PAUSE at every other server that may confirm a commit of the primary. A server that starts after the request, or whose entry has lapsed while it runs, is not paused in time. The set of servers that confirm is not known, and more ways to learn it stay a race.

What must hold: from the request of a promotion until it takes effect no commit is acknowledged that the promoted server lacks, whoever else runs. elect.Closures.Judge answers for what a proxy may acknowledge, Handover.Next for when a promotion is requested.

Change: a closure no longer means that no commit is acknowledged, but none that the chosen server is not known to have received. A proxy whose commit a closure covers asks the chosen server for its status (one question for all commits that wait) and acknowledges those of the same term up to the position that it tells. A planned handover closes the commits in this way once the chosen server keeps up, pauses nobody, and is requested only if all registered proxies were told; else it waits, and while the primary's grace lasts tries again. A handover that is given up opens the commits, so that those which wait are acknowledged. Failovers close the commits first too, and fall back on pauses only if a proxy cannot be told. While a request stays without an answer the closure is extended. A commit that an earlier closure covers is not acknowledged under a later one: whether the earlier promotion took effect is not known.

Ruled out: learning of servers faster (a race); acknowledging nothing meanwhile, or DEMOTE (a gap of 600 to 1000 ms at each planned handover).

--- a/internal/core/elect/elect.go
+++ b/internal/core/elect/elect.go
@@ -41,6 +41,7 @@
 	BehindAcked        Decision = "all replicas that answer lack an acknowledged commit"
 	NotCaughtUp        Decision = "the chosen server has not received all commits of the other replicas"
 	NotFollowing       Decision = "the chosen server does not follow the primary's term and receives none of its commits"
+	CommitsOpen        Decision = "commits that the chosen server lacks may be acknowledged"
 	Superseded         Decision = "another promotion took effect meanwhile"
 	PrimaryAnswers     Decision = "the primary answers again"
 	TokenExpired       Decision = "the fencing token is too old or of an older era"
--- a/internal/core/elect/handover.go
+++ b/internal/core/elect/handover.go
@@ -15,6 +15,9 @@
 	CauseOrdered                  // the primary works, but an earlier request may still promote the chosen server
 )
 
+// PrimaryWorks reports whether the primary is replaced although it serves callers.
+func (cause Cause) PrimaryWorks() bool { return cause == CausePlanned || cause == CauseOrdered }
+
 // ServerReport is what a server said of itself when it was last asked.
 type ServerReport struct {
 	Server    spool.Server
@@ -26,16 +29,17 @@
 // Handover is the known state of a group while one of its servers is about to be promoted.
 type Handover struct {
 	Cause         Cause
-	Primary       spool.Server      // that is replaced; empty if none is known
-	Chosen        spool.Server      // that is promoted
-	PauseTerm     spool.Term        // term in which the other replicas are paused, above the newest one at the start
-	SyncReplicas  int               // replicas that confirm a commit before it is acknowledged
-	Reports       []ServerReport    // of all servers that were registered when they were last asked
-	RegistryRead  bool              // the registry was read from the store for the reports and lists all running servers
-	Acked         spool.LogPosition // newest position known to have been acknowledged by any proxy
-	AckedBound    spool.LogPosition // at or above every commit that any proxy acknowledges, if CommitsClosed
-	CommitsClosed bool              // until the promotion is complete no proxy acknowledges further commits of the primary
-	TokenUsable   bool              // no later holder of a fencing token acts yet
+	Primary       spool.Server       // that is replaced; empty if none is known
+	Chosen        spool.Server       // that is promoted
+	PauseTerm     spool.Term         // term in which the other replicas are paused, above the newest one at the start
+	SyncReplicas  int                // replicas that confirm a commit before it is acknowledged
+	Reports       []ServerReport     // of all servers that were registered when they were last asked
+	RegistryRead  bool               // the registry was read from the store for the reports and lists all running servers
+	Before        *spool.LogPosition // that the primary told in the round before; nil if there was none or it did not answer
+	Acked         spool.LogPosition  // newest position known to have been acknowledged by any proxy
+	AckedBound    spool.LogPosition  // at or above every commit that any proxy acknowledged before, if CommitsClosed
+	CommitsClosed bool               // until the promotion is complete no proxy acknowledges commits that the chosen server lacks
+	TokenUsable   bool               // no later holder of a fencing token acts yet
 }
 
 // Step is what a supervisor does next in a handover.
@@ -50,12 +54,13 @@
 
 // EndsWithClosure reports whether the reason to wait ends once no proxy acknowledges commits of the primary any more.
 func (decision Decision) EndsWithClosure() bool {
-	return decision == ReplicaUnreachable || decision == NotFollowing
+	return decision == CommitsOpen || decision == ReplicaUnreachable || decision == NotFollowing
 }
 
 // Next returns the next step and its reason. A promotion is requested only if every commit that was or will be acknowledged
-// before it takes effect is on the chosen server: the servers that could confirm one without it are too few, or no proxy
-// acknowledges commits any more. A server can confirm one unless its own answer shows that it is paused.
+// before it takes effect is on the chosen server: the proxies acknowledge none that it lacks. If not all proxies can be told that and
+// the primary does not work, it is enough that the servers which could confirm one without it are too few; a server can confirm one
+// unless its own answer shows that it is paused.
 func (handover *Handover) Next() (Step, Decision) {
 	switch {
 	case !handover.TokenUsable:
@@ -72,22 +77,43 @@
 	if !chosen.Answered {
 		return StepWait, NoReplica
 	}
+	received := chosen.Status.Received
+	switch behind := received.Less(handover.Acked) || handover.CommitsClosed && received.Less(handover.AckedBound); {
+	case handover.Cause == CausePlanned && !handover.follows(chosen):
+		return StepWait, NotFollowing
+	case handover.Cause == CausePlanned && !handover.CommitsClosed && !handover.keepsUp(received):
+		return StepWait, NotCaughtUp
+	case handover.Cause.PrimaryWorks() && !handover.CommitsClosed:
+		return StepWait, CommitsOpen
+	case behind:
+		return handover.stepIfBehind(), BehindAcked
+	case handover.Cause.PrimaryWorks():
+		return StepPromote, Safe
+	}
 	newest, independent := handover.others(chosen.Status)
-	switch received := chosen.Status.Received; {
+	switch {
 	case received.Less(newest):
 		return handover.stepIfBehind(), NotCaughtUp
-	case received.Less(handover.Acked):
-		return handover.stepIfBehind(), BehindAcked
-	case handover.follows(chosen) && independent < max(1, handover.SyncReplicas):
+	case handover.CommitsClosed, handover.follows(chosen) && independent < max(1, handover.SyncReplicas):
 		return StepPromote, Safe
-	case !handover.CommitsClosed && !handover.follows(chosen):
+	case !handover.follows(chosen):
 		return StepWait, NotFollowing
-	case !handover.CommitsClosed:
-		return StepWait, ReplicaUnreachable
-	case received.Less(handover.AckedBound):
-		return handover.stepIfBehind(), BehindAcked
 	}
-	return StepPromote, Safe
+	return StepWait, ReplicaUnreachable
+}
+
+// keepsUp reports whether the chosen server has received what the primary held in the round before, so that commits do not wait for
+// long until it has them.
+func (handover *Handover) keepsUp(received spool.LogPosition) bool {
+	return handover.leader() == nil || handover.Before != nil && !received.Less(*handover.Before)
+}
+
+// PrimaryPosition returns the position that the primary told in this round, or nil if it did not answer as such.
+func (handover *Handover) PrimaryPosition() *spool.LogPosition {
+	if leader := handover.leader(); leader != nil {
+		return &leader.Status.Received
+	}
+	return nil
 }
 
 // superseded reports whether a promotion took effect that this handover does not know.
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -80,7 +80,7 @@
 	if answer.Refusal != nil {
 		return answer, session.recordRefusal(answer.Refusal, conn, statement.MinPosition)
 	}
-	if statement.Writes && !session.recordCommit(conn, answer.Position, sent) {
+	if statement.Writes && !session.recordCommit(statement, conn, answer.Position, sent) {
 		return unacknowledged(), false
 	}
 	return answer, false
@@ -305,8 +305,10 @@
 }
 
 // recordCommit records a commit before it is acknowledged; it returns false if it must not be.
-func (session *session) recordCommit(conn *pool.Conn, position spool.LogPosition, sent spool.Instant) bool {
-	if !session.engine.pool.RecordCommit(session.route.Group, conn.Server(), position, sent) {
+func (session *session) recordCommit(statement *statement, conn *pool.Conn, position spool.LogPosition, sent spool.Instant) bool {
+	pool, group := session.engine.pool, session.route.Group
+	if !pool.RecordCommit(group, conn.Server(), position, sent) &&
+		!pool.ConfirmCommit(group, conn.Server(), session.team, position, sent, statement.deadline) {
 		return false
 	}
 	session.lastCommit = session.lastCommit.Max(position)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -52,7 +52,7 @@
 		answer.State = spool.TxOpen
 		return answer
 	}
-	if session.tx.wrote && !session.recordCommit(conn, answer.Position, sent) {
+	if session.tx.wrote && !session.recordCommit(statement, conn, answer.Position, sent) {
 		answer = unacknowledged()
 	}
 	session.tx = transaction{}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -34,6 +34,7 @@
 	settings  []spool.FleetSettings
 	stopFuncs []func()
 	layout    layout
+	promote   func(server spool.Server) // carries a promotion out instead of at once; nil if not set
 }
 
 // layout places servers and proxies in failure domains and regions; the zero value has one of each.
@@ -77,6 +78,10 @@
 	t.Cleanup(group.Close)
 	cluster := &cluster{T: t, group: group, layout: layout}
 	cluster.store = kvsrv.New(func(_, server string) bool {
+		if cluster.promote != nil {
+			cluster.promote(spool.Server(server))
+			return true
+		}
 		group.Promote(spool.Server(server))
 		cluster.register("ready")
 		return true
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -49,12 +49,19 @@
 	own, closed := peers.proxy.pool.CloseCommits(group, closure)
 	poll := peers.pollMembers(group, closure.Primary, &wire.ProbeRequest{
 		HearAll: true, CloseCommits: true, Term: uint64(closure.Term), Chosen: string(closure.Chosen), Token: closure.Token,
+		MaySend: closure.MaySend,
 	})
 	poll.Acked, poll.AckedBound = poll.Acked.Max(own.Position), poll.AckedBound.Max(own.Position)
 	poll.Complete = poll.Complete && closed
 	return poll
 }
 
+// OpenCommits ends the closure of a supervisor that gave its promotion up. At a proxy that is not reached the closure ends by itself.
+func (peers *peers) OpenCommits(group spool.Group, token uint64) {
+	peers.proxy.pool.OpenCommits(group, token)
+	peers.pollMembers(group, "", &wire.ProbeRequest{HearAll: true, OpenCommits: true, Token: token})
+}
+
 // pollMembers asks all registered proxies what they know of a server; in a large fleet relays ask those of their failure
 // domains. The poll ends with the first proxy that reached the server unless request.HearAll is set.
 func (peers *peers) pollMembers(group spool.Group, server spool.Server, request *wire.ProbeRequest) elect.PeerPoll {
@@ -114,6 +121,7 @@
 func decodeClosure(request *wire.ProbeRequest) elect.Closure {
 	return elect.Closure{
 		Chosen: spool.Server(request.Chosen), Primary: spool.Server(request.Server), Term: spool.Term(request.Term), Token: request.Token,
+		MaySend: request.MaySend,
 	}
 }
 
@@ -199,6 +207,9 @@
 		reached = result == elect.ActsAsPrimary || result == elect.Overloaded
 	}
 	acked := peers.proxy.pool.Acked(group)
+	if request.OpenCommits {
+		peers.proxy.pool.OpenCommits(group, request.Token)
+	}
 	if request.CloseCommits {
 		closed := false
 		if acked, closed = peers.proxy.pool.CloseCommits(group, decodeClosure(request)); !closed {
@@ -222,7 +233,8 @@
 	others, live := peers.proxy.members.domainMembers()
 	request := &wire.ProbeRequest{
 		Group: answer.Group, Server: answer.Server, KnownOnly: true, HearAll: asked.HearAll,
-		CloseCommits: asked.CloseCommits, Term: asked.Term, Chosen: asked.Chosen, Token: asked.Token,
+		CloseCommits: asked.CloseCommits, Term: asked.Term, Chosen: asked.Chosen, Token: asked.Token, MaySend: asked.MaySend,
+		OpenCommits: asked.OpenCommits,
 	}
 	answers := peers.gatherAnswers(request, others, live, domainTimeout)
 	acked, stats, known := ackedPosition(answer), decodeCommitStats(answer), decodeKnowledge(answer)
--- a/internal/pool/closure.go
+++ b/internal/pool/closure.go
@@ -49,6 +49,6 @@
 	}
 	now := pool.timers.Now()
 	closure.Until = now.Add(elect.CommitHold)
-	closed = group.closure.Replace(closure, now)
+	closed = group.closures.Add(closure, now)
 	return pool.acked(group), closed
 }
--- a/internal/pool/group.go
+++ b/internal/pool/group.go
@@ -56,7 +56,8 @@
 	probing              bool
 	refreshDone          chan struct{} // closed when the refresh in progress ends; nil if there is none
 	dispatchTimerRunning bool
-	closure              elect.Closure // newest request to acknowledge no commits
+	closures             elect.Closures
+	chosenStatus         *chosenStatus // question to the chosen server; nil if there is none
 }
 
 // leadership is what this proxy has seen of the presumed primary, and what follows for the commits that it sends there.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -237,19 +237,24 @@
 }
 
 // RecordCommit records the position of a commit that a server completed and when it was sent. It returns false if the commit must
-// not be acknowledged, since another server may be promoted without it.
+// not be acknowledged unless ConfirmCommit records it, since another server may be promoted without it.
 func (pool *Pool) RecordCommit(name spool.Group, server spool.Server, position spool.LogPosition, sent spool.Instant) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group := pool.group(name)
-	if group.closure.Covers(server, position.Term, sent) {
+	if group.closures.Judge(server, position, sent) != elect.Acknowledge {
 		return false
 	}
+	pool.recordCommit(group, server, position, sent)
+	return true
+}
+
+// recordCommit records a commit that may be acknowledged; the caller holds the mutex.
+func (pool *Pool) recordCommit(group *group, server spool.Server, position spool.LogPosition, sent spool.Instant) {
 	group.ackedPosition, group.ackedSent = group.ackedPosition.Max(position), max(group.ackedSent, sent)
 	if group.leadership.RecordAnswer(server, sent, pool.timers.Now()) {
 		group.leadership.commitBreaker.RecordSuccess()
 	}
-	return true
 }
 
 // MayCommit reports whether a commit, or a statement that a commit will follow, may be sent to the primary of a group, or how
@@ -259,8 +264,8 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	group, now := pool.group(name), pool.timers.Now()
-	if primary := group.leadership.Server; primary != "" && group.closure.Refuses(primary, now) {
-		return min(closedRetryAfter, group.closure.Until.Sub(now)), false
+	if closed := group.closures.Refuse(group.leadership.Server, now); closed > 0 {
+		return min(closedRetryAfter, closed), false
 	}
 	if isCommit {
 		return group.leadership.commitBreaker.Allow(now)
--- a/internal/super/failover.go
+++ b/internal/super/failover.go
@@ -58,7 +58,7 @@
 	}
 	switch cause {
 	case elect.CausePlanned, elect.CauseRetired, elect.CauseOrdered:
-		mayClose := state.poll.Complete && cause != elect.CausePlanned
+		mayClose := state.poll.Complete || cause == elect.CausePlanned
 		selection.chosen, decision = supervisor.chooseSwitchover(selection.candidates, view.SyncReplicas, mayClose)
 	default:
 		selection.chosen, decision = elect.ChooseFailover(elect.FailoverState{
@@ -181,6 +181,9 @@
 		state.ordered.remember(handover.chosen, state.promotionRequestedAt)
 	}
 	if errors.Is(err, spool.ErrFenced) {
+		stop()
+		rounds.Wait()
+		handover.openCommits()
 		handover.scheduleRetry(state) // the holder of the newer token may rely on the replicas being paused
 		return
 	}
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -38,9 +38,11 @@
 	token     acquiredToken
 	pauseTerm spool.Term
 
-	acked       spool.LogPosition // newest position that any proxy has acknowledged, as far as known
-	ackedBound  spool.LogPosition // at or above every commit that any proxy acknowledges while closed
-	closedUntil spool.Instant     // until then no proxy acknowledges commits of the primary above ackedBound; zero if some may
+	before      *spool.LogPosition // that the primary told in the newest round; nil if there was none or it did not answer
+	acked       spool.LogPosition  // newest position that any proxy has acknowledged, as far as known
+	ackedBound  spool.LogPosition  // at or above every commit that any proxy acknowledges while closed
+	closed      bool               // some proxy may have been asked to close commits
+	closedUntil spool.Instant      // until then no proxy acknowledges commits that the chosen server lacks; zero if some may
 }
 
 // replacePrimary chooses a server and promotes it if no acknowledged commit can be lost. It acts only within maxTokenAge of a
@@ -53,7 +55,7 @@
 	}
 	token, recent, err := supervisor.acquireToken(ctx, selection, view, state, cause)
 	if err == nil && recent {
-		supervisor.awaitOtherHolder(ctx, view, state, cause, selection)
+		supervisor.awaitOtherHolder(ctx, view, state, selection)
 		selection = supervisor.selectServer(view, state, cause)
 		token, recent, err = supervisor.acquireToken(ctx, selection, view, state, cause, WithRenewal(token.value))
 	}
@@ -73,6 +75,7 @@
 	}
 	handover.resumeChosen(selection)
 	if handover.secure(ctx) != elect.StepPromote {
+		handover.openCommits()
 		handover.resumeOwn(ctx)
 		supervisor.scheduleRetry(state)
 		return
@@ -93,11 +96,11 @@
 // awaitOtherHolder waits until what another holder of the token requested has taken effect. If that promotes the chosen server,
 // the other replicas are paused meanwhile, unless an evacuation limits how long they may be.
 func (supervisor *Supervisor) awaitOtherHolder(
-	ctx context.Context, view pool.GroupView, state *groupState, cause elect.Cause, selection *selection,
+	ctx context.Context, view pool.GroupView, state *groupState, selection *selection,
 ) {
 	evacuated := slices.ContainsFunc(view.Servers, func(server pool.ServerView) bool { return server.Evacuated })
 	if selection.chosen != "" && selection.chosen == state.ordered.pending(supervisor.timers.Now()) && !evacuated {
-		stop, rounds := supervisor.newHandover(view, state, cause, selection).keepSecure(ctx)
+		stop, rounds := supervisor.newHandover(view, state, elect.CauseOrdered, selection).keepSecure(ctx)
 		defer rounds.Wait()
 		defer stop()
 	}
@@ -127,12 +130,13 @@
 // secure asks the servers until the promotion may be requested or the handover is given up, and returns that step.
 func (handover *handover) secure(ctx context.Context) elect.Step {
 	deadline := handover.timers.Now().Add(catchUpTimeout)
-	if handover.state.closure.Refuses(handover.chosen, handover.timers.Now()) {
-		handover.closeCommits() // an earlier attempt closed them for another server, whose promotion did not come about
+	if handover.cause != elect.CausePlanned {
+		handover.closeCommits()
 	}
 	for {
 		known := handover.ask(ctx)
 		step, decision := known.Next()
+		handover.before = known.PrimaryPosition()
 		late := handover.timers.Now() > deadline
 		if step == elect.StepWait && decision.EndsWithClosure() && handover.closeCommits() {
 			continue
@@ -157,34 +161,52 @@
 	view := handover.pool.View(handover.view.Group)
 	return elect.Handover{
 		Cause: handover.cause, Primary: handover.view.Primary, Chosen: handover.chosen, PauseTerm: handover.pauseTerm,
-		SyncReplicas: view.SyncReplicas, Reports: handover.askServers(view), RegistryRead: registryRead,
+		SyncReplicas: view.SyncReplicas, Reports: handover.askServers(view), RegistryRead: registryRead, Before: handover.before,
 		Acked: handover.acked, AckedBound: handover.ackedBound, CommitsClosed: handover.closedUntil >= handover.timers.Now().Add(promotionTime),
 		TokenUsable: handover.tokenUsable(),
 	}
 }
 
-// closeCommits closes the primary's commits at all proxies once, so that the servers that do not answer confirm none that is
-// acknowledged. It reports whether it did; those of a primary that works and is needed stay open.
+// closeCommits has all proxies acknowledge no commits that the chosen server lacks, once, and reports whether all of them were told.
 func (handover *handover) closeCommits() bool {
-	if handover.cause == elect.CausePlanned || handover.cause == elect.CauseEvacuated || handover.closedUntil != 0 {
+	if handover.cause == elect.CauseEvacuated || handover.closedUntil != 0 {
 		return false
 	}
 	began := handover.timers.Now()
-	handover.state.closure = elect.Closure{
-		Chosen: handover.chosen, Primary: handover.view.Primary, Term: handover.pauseTerm - 1, Token: handover.token.value,
-		Until: began.Add(elect.CommitHold),
-	}
-	poll := handover.fleet.CloseCommits(handover.view.Group, handover.state.closure)
+	poll := handover.requestClosure()
 	handover.acked = handover.acked.Max(poll.Acked)
 	if !poll.Complete || handover.cause == elect.CauseUnreachable && poll.Reached > 0 {
 		return false
 	}
-	handover.closedUntil, handover.ackedBound = handover.state.closure.Until, poll.AckedBound
+	handover.closedUntil, handover.ackedBound = began.Add(elect.CommitHold), poll.AckedBound
 	return true
 }
 
-// keepSecure repeats the round until it is stopped, so that servers which join or restart before the promotion takes effect are
-// paused as well.
+func (handover *handover) requestClosure() elect.PeerPoll {
+	handover.closed = true
+	return handover.fleet.CloseCommits(handover.view.Group, elect.Closure{
+		Chosen: handover.chosen, Primary: handover.view.Primary, Term: handover.pauseTerm - 1, Token: handover.token.value,
+		MaySend: handover.cause.PrimaryWorks(),
+	})
+}
+
+// extendClosure keeps commits closed while a request without an answer may be carried out.
+func (handover *handover) extendClosure() {
+	began := handover.timers.Now()
+	if handover.requestClosure().Complete {
+		handover.closedUntil = began.Add(elect.CommitHold)
+	}
+}
+
+// openCommits ends the closure, if there is one, of a promotion that is not requested.
+func (handover *handover) openCommits() {
+	if handover.closed {
+		go handover.fleet.OpenCommits(handover.view.Group, handover.token.value) // it waits for the answers of all proxies
+	}
+}
+
+// keepSecure keeps commits closed until it is stopped. While replicas are paused it repeats the round, so that servers which join or
+// restart before the promotion takes effect are paused as well.
 func (handover *handover) keepSecure(ctx context.Context) (stop func(), rounds *sync.WaitGroup) {
 	asking, cancel := context.WithCancel(ctx)
 	rounds = &sync.WaitGroup{}
@@ -194,27 +216,32 @@
 			case <-asking.Done():
 				return
 			case <-time.After(pausePeriod):
-				handover.ask(asking)
+				if handover.cause != elect.CausePlanned {
+					handover.ask(asking)
+				}
+				if handover.closedUntil != 0 && handover.closedUntil < handover.timers.Now().Add(promotionTimeout) {
+					handover.extendClosure()
+				}
 			}
 		}
 	})
 	return cancel, rounds
 }
 
-// askServers pauses all servers of a view except the primary and the chosen one, whose status it queries, and returns what they
-// answered. A repeated PAUSE shows that a replica is still paused, or pauses it again after a restart.
+// askServers returns what all servers of a view answered. While the primary is replaced because it does not work, all but the primary and
+// the chosen one are paused; a repeated PAUSE shows that a replica is still paused, or pauses it again after a restart.
 func (handover *handover) askServers(view pool.GroupView) []elect.ServerReport {
 	reports := make([]elect.ServerReport, len(view.Servers))
 	var asking sync.WaitGroup
 	for i, server := range view.Servers {
 		asking.Go(func() {
 			command, timeout := spool.Command{Verb: spool.VerbPause, Term: handover.pauseTerm}, statusTimeout
-			switch server.Server {
-			case handover.view.Primary:
-				command, timeout = spool.Command{Verb: spool.VerbStatus}, primaryTimeout
-			case handover.chosen:
+			if server.Server == handover.chosen || handover.cause == elect.CausePlanned {
 				command = spool.Command{Verb: spool.VerbStatus}
 			}
+			if server.Server == handover.view.Primary {
+				command, timeout = spool.Command{Verb: spool.VerbStatus}, primaryTimeout
+			}
 			status, err := handover.sendCommand(view.Group, server.Server, timeout, command)
 			reports[i] = elect.ServerReport{Server: server.Server, Answered: err == nil, Status: status, Evacuated: server.Evacuated}
 			if command.Verb == spool.VerbPause && handover.setPaused(handover.state, server.Server, handover.pauseTerm) {
--- a/internal/super/supervisor.go
+++ b/internal/super/supervisor.go
@@ -36,6 +36,8 @@
 	// CloseCommits asks all registered proxies, this one included, to acknowledge no commit that a closure covers for
 	// elect.CommitHold.
 	CloseCommits(group spool.Group, closure elect.Closure) elect.PeerPoll
+	// OpenCommits ends the closure of a token at all proxies that are reached.
+	OpenCommits(group spool.Group, token uint64)
 	// RefreshRegistry reads the registered servers from the store and applies them to the pool; it fails if the store does not
 	// answer before the context ends.
 	RefreshRegistry(ctx context.Context) error
@@ -74,7 +76,6 @@
 	poll                 elect.PeerPoll              // newest answers of the other proxies about the primary
 	promotionRequestedAt spool.Instant               // newest promotion request; zero if there was none
 	ordered              order                       // that may still be carried out
-	closure              elect.Closure               // newest one that was asked for
 }
 
 // New returns a supervisor that takes its fencing tokens from fencingTokens.
--- a/internal/super/supervisor_test.go
+++ b/internal/super/supervisor_test.go
@@ -39,6 +39,8 @@
 	return fleet.poll
 }
 
+func (fleet stubFleet) OpenCommits(spool.Group, uint64) {}
+
 func (fleet stubFleet) RefreshRegistry(context.Context) error { return nil }
 
 func (fleet stubFleet) RegistryComplete() bool {
--- a/internal/super/switchover_test.go
+++ b/internal/super/switchover_test.go
@@ -40,3 +40,22 @@
 		qt.Assert(t, cluster.promotedServers(), qt.HasLen, 0)
 	}
 }
+
+// TestPlannedHandoverWaitsForAllProxies guards against the loss of commits that a proxy acknowledges which was not told to ask the server
+// that is promoted. Replicas are not paused for a planned handover, so that commits go on meanwhile.
+func TestPlannedHandoverWaitsForAllProxies(t *testing.T) {
+	for _, complete := range []bool{false, true} {
+		cluster := newCluster(t)
+		cluster.pool.SetDrain(7 * time.Second)
+		paused := make(chan int, 8)
+		cluster.onOrder = func() { paused <- len(cluster.group.PausedServers()) }
+		cluster.startSupervisor("vm1", stubFleet{poll: elect.PeerPoll{Complete: complete}})
+		cluster.register("a", true)
+		if complete {
+			qt.Assert(t, <-paused, qt.Equals, 0)
+			continue
+		}
+		time.Sleep(1500 * time.Millisecond)
+		qt.Assert(t, cluster.promotedServers(), qt.HasLen, 0)
+	}
+}
