elect: a planned handover closes no commits for a server that follows another primary

Closing does not help there; it counts as not caught up now, as a server that receives nothing does.

Test: TestCommitsDoNotWaitForAServerThatReceivesNothing; its row "follows another primary" failed before ("does not follow the primary's term", which ends with a closure).

--- a/internal/core/elect/handover.go
+++ b/internal/core/elect/handover.go
@@ -79,9 +79,7 @@
 	}
 	received := chosen.Status.Received
 	switch behind := received.Less(handover.Acked) || handover.CommitsClosed && received.Less(handover.AckedBound); {
-	case handover.Cause == CausePlanned && !handover.follows(chosen):
-		return StepWait, NotFollowing
-	case handover.Cause == CausePlanned && !handover.CommitsClosed && !handover.keepsUp(received):
+	case handover.Cause == CausePlanned && !handover.CommitsClosed && !handover.keepsUp(chosen):
 		return StepWait, NotCaughtUp
 	case handover.Cause.PrimaryWorks() && !handover.CommitsClosed:
 		return StepWait, CommitsOpen
@@ -104,8 +102,11 @@
 
 // keepsUp reports whether the chosen server has received what the primary held in the round before, so that commits do not wait for
 // long until it has them.
-func (handover *Handover) keepsUp(received spool.LogPosition) bool {
-	return handover.leader() == nil || handover.Before != nil && !received.Less(*handover.Before)
+func (handover *Handover) keepsUp(chosen *ServerReport) bool {
+	if handover.leader() == nil {
+		return true
+	}
+	return handover.follows(chosen) && handover.Before != nil && !chosen.Status.Received.Less(*handover.Before)
 }
 
 // PrimaryPosition returns the position that the primary told in this round, or nil if it did not answer as such.
--- a/internal/core/elect/terms_test.go
+++ b/internal/core/elect/terms_test.go
@@ -81,3 +81,30 @@
 		})
 	}
 }
+
+// TestCommitsDoNotWaitForAServerThatReceivesNothing guards against writes that stop for a planned handover: commits are closed only
+// once the chosen server receives what the primary commits.
+func TestCommitsDoNotWaitForAServerThatReceivesNothing(t *testing.T) {
+	before := ackedAt(305)
+	for name, test := range map[string]struct {
+		chosen   spool.ReplicaStatus
+		before   *spool.LogPosition
+		decision Decision
+	}{
+		"first round":             {replicaOf(2, 305), nil, NotCaughtUp},
+		"receives nothing":        {replicaOf(2, 304), &before, NotCaughtUp},
+		"follows another primary": {replicaOf(1, 317), &before, NotCaughtUp},
+		"receives what was held":  {replicaOf(2, 305), &before, CommitsOpen},
+	} {
+		handover := Handover{
+			Cause: CausePlanned, Primary: "primary", Chosen: "chosen", PauseTerm: 3, SyncReplicas: 1, RegistryRead: true, TokenUsable: true,
+			Before: test.before, Reports: []ServerReport{
+				{Server: "primary", Answered: true, Status: spool.ReplicaStatus{Primary: true, Term: 2, Received: ackedAt(309)}},
+				{Server: "chosen", Answered: true, Status: test.chosen},
+			},
+		}
+		step, decision := handover.Next()
+		qt.Check(t, step, qt.Equals, StepWait)
+		qt.Check(t, decision, qt.Equals, test.decision, qt.Commentf(name))
+	}
+}
