--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -164,7 +164,8 @@
 	registryRead := handover.fleet.RefreshRegistry(refreshing) == nil && handover.fleet.RegistryComplete()
 	view := handover.pool.View(handover.view.Group)
 	<-listing
-	if handover.listed && handover.asked < handover.members && handover.cause != elect.CauseEvacuated {
+	evacuated := handover.cause == elect.CauseEvacuated // so that no proxy sends the primary commits, new ones included
+	if !evacuated && handover.listed && handover.asked < handover.members {
 		handover.closedUntil = 0 // a proxy that was not known then may acknowledge commits
 	}
 	return elect.Handover{
