soak: start a proxy only once the one that was stopped has ended

Cause: two faults may stop the same proxy. While the first one waited for its end, the second one started a process, which found its port in use and exited ("listen for callers: listen tcp4 127.0.0.1:28578: bind: address already in use"); the first fault then found a process and started none. "vm1 accepts no writes after the faults" was this; the limit that all proxies share had passed when vm2 was tried.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -34,7 +34,8 @@
 	storeForwarder *forwarder
 
 	mutex            sync.Mutex
-	process          *exec.Cmd
+	process          *exec.Cmd // that no fault has stopped; nil if there is none
+	stopping         bool      // a process that was stopped still runs
 	paused           bool
 	undisturbedSince time.Time // time of the start or the latest signal other than SIGTERM and SIGHUP
 }
@@ -181,12 +182,12 @@
 	return vm
 }
 
-// startVM starts a proxy's process, which appends to the log file of the VM. It does nothing if one runs: two faults may stop the
-// same proxy, and both start it again.
+// startVM starts a proxy's process, which appends to the log file of the VM. It does nothing if one runs, or still stops: two faults may
+// stop the same proxy, and both start it again.
 func (cluster *cluster) startVM(vm *vm) {
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
-	if vm.process != nil {
+	if vm.process != nil || vm.stopping {
 		return
 	}
 	log, err := os.OpenFile(filepath.Join(cluster.dir, vm.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -216,7 +217,8 @@
 		vm.undisturbedSince = time.Now()
 	}
 	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
-		vm.process = nil
+		vm.process, vm.stopping = nil, true
+		defer vm.recordStopped()
 	}
 	vm.mutex.Unlock()
 	_ = process.Process.Signal(signal) // fails only if the process has exited
@@ -230,6 +232,12 @@
 	}
 }
 
+func (vm *vm) recordStopped() {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	vm.stopping = false
+}
+
 // undisturbedFor returns the time since the proxy's start or its latest signal other than SIGTERM and SIGHUP.
 func (vm *vm) undisturbedFor() time.Duration {
 	vm.mutex.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,6 +26,7 @@
 // regressionSeeds are seeds of earlier failures, with their causes.
 var regressionSeeds = []uint64{
 	2990991267, // false report of a stale read, because writes were ordered by their numbers and not by the log
+	2086553969, // two faults stop the same proxy, and one of them started it while the other still waited for its end
 }
 
 var binary string
