Review of the change: one place for a decision, no error swallowed

- pool: RecordCommit judged a commit as recordConfirmed does; it calls that now.
- roster: the comparison that tells whether a member has moved stood twice.
- super, fleet: event 708 of a fencing token that cannot be decoded lacked its cause; Orders returns it by group.
- super: a handover that could not read the registered proxies logged nothing of it; event 423 has MembersRead.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -95,10 +95,11 @@
 	if member.Capacity == 0 {
 		member.Capacity = known.Capacity // a proxy of an older version does not pass it on
 	}
-	if known.Address != member.Address || known.Domain != member.Domain {
+	moved := known.Address != member.Address || known.Domain != member.Domain
+	if moved {
 		roster.version++
 	}
-	changed := known.Address != member.Address || known.Domain != member.Domain || known.Capacity != member.Capacity
+	changed := moved || known.Capacity != member.Capacity
 	known.Address, known.Domain, known.Capacity = member.Address, member.Domain, member.Capacity
 	return changed
 }
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -16,8 +16,8 @@
 		orders, unreadable, err := proxy.fencingTokens.Orders(ctx)
 		if err == nil {
 			proxy.pool.ListOrders(orders)
-			for _, group := range unreadable {
-				event.Log(proxy.logger, event.StoreEntryIgnored, zap.String("Entry", group))
+			for group, cause := range unreadable {
+				event.Log(proxy.logger, event.StoreEntryIgnored, zap.String("Entry", string(group)), event.Cause(cause))
 			}
 			event.Log(proxy.logger, event.OrdersListed, zap.Any("Orders", orders), zap.Duration("SinceStart", proxy.timers.Now().Sub(proxy.started)))
 			return
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -240,14 +240,8 @@
 // RecordCommit records the position of a commit that a server completed and when it was sent. It returns false if the commit must
 // not be acknowledged unless ConfirmCommit records it, since another server may be promoted without it.
 func (pool *Pool) RecordCommit(name spool.Group, server spool.Server, position spool.LogPosition, sent spool.Instant) bool {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	group := pool.group(name)
-	if step, _ := group.closures.Judge(server, position, sent, pool.timers.Now()); step != elect.Acknowledge {
-		return false
-	}
-	pool.recordCommit(group, server, position, sent)
-	return true
+	step, _ := pool.recordConfirmed(name, server, position, sent)
+	return step == elect.Acknowledge
 }
 
 // recordCommit records a commit that may be acknowledged; the caller holds the mutex.
--- a/internal/super/fencing.go
+++ b/internal/super/fencing.go
@@ -182,23 +182,23 @@
 	return body.Target, orders, nil
 }
 
-// Orders returns the stored orders of all groups that may still be carried out, and the groups whose token cannot be decoded, so that
-// nobody acquires one.
+// Orders returns the stored orders of all groups that may still be carried out, and by group why a token cannot be decoded; nobody
+// acquires a token of such a group.
 func (fencingTokens *FencingTokens) Orders(
 	ctx context.Context,
-) (orders map[spool.Group][]elect.Order, unreadable []string, err error) {
+) (orders map[spool.Group][]elect.Order, unreadable map[spool.Group]error, err error) {
 	ctx, cancel := context.WithTimeout(ctx, tokenAttemptTimeout)
 	defer cancel()
 	objects, _, err := fencingTokens.store.List(ctx, KindFencingToken)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "list the fencing tokens")
 	}
-	orders = map[spool.Group][]elect.Order{}
+	orders, unreadable = map[spool.Group][]elect.Order{}, map[spool.Group]error{}
 	now := time.Now()
 	for _, object := range objects {
 		var body tokenBody
-		if json.Unmarshal(object.Body, &body) != nil {
-			unreadable = append(unreadable, object.Name)
+		if err := json.Unmarshal(object.Body, &body); err != nil {
+			unreadable[spool.Group(object.Name)] = err
 			continue
 		}
 		if pending := body.pending(now); len(pending) > 0 {
--- a/internal/super/handover.go
+++ b/internal/super/handover.go
@@ -301,7 +301,7 @@
 		zap.String("Replaced", string(handover.view.Primary)), zap.Bool("Promote", step == elect.StepPromote),
 		zap.String("Verdict", string(decision)), zap.Uint64("Term", uint64(handover.pauseTerm)),
 		zap.Bool("RegistryRead", known.RegistryRead), zap.Bool("CommitsClosed", known.CommitsClosed),
-		zap.Stringer("Acknowledged", known.Acked),
+		zap.Stringer("Acknowledged", known.Acked), zap.Bool("MembersRead", handover.listed),
 		zap.Duration("TokenAge", handover.timers.Now().Sub(handover.token.acquiredAt)),
 	}
 	for _, report := range known.Reports {
