fake/linesrv: a restarted server's address is not written again

The test starts a killed server again, and Start wrote its address, while the store's handler of a promotion wrote the servers' entries and read it. Ruled out: code of the product; both goroutines of the report are scaffolding, the test's and that of the fake store.

Change: an address is set by the first start and kept by later ones.

--- a/internal/fake/linesrv/server.go
+++ b/internal/fake/linesrv/server.go
@@ -72,7 +72,9 @@
 	if err != nil {
 		return err
 	}
-	server.Address = listener.Addr().String()
+	if server.Address == "" { // a later start keeps it, since others may read it meanwhile
+		server.Address = listener.Addr().String()
+	}
 	server.mutex.Lock()
 	server.listener, server.conns = listener, map[net.Conn]struct{}{}
 	server.mutex.Unlock()
