elect: decide how a pending order ends; relays pass requests on whole

A relay copied each field of a request for its failure domain by hand, so that a field added later, or one of a newer version, was not passed on.

Change: elect.OrderTarget.SettlingCause decides, super carries it out. A relay clones the request. The rule of neither changes.

--- a/internal/core/elect/order.go
+++ b/internal/core/elect/order.go
@@ -18,6 +18,22 @@
 	Leads  bool         // the server was the primary already, so that the request only fences earlier ones
 }
 
+// OrderTarget is what a supervisor knows of the server that a pending order names.
+type OrderTarget struct {
+	Registered   bool
+	Evacuated    bool // in an evacuated failure domain, so never promoted
+	NotReceiving bool // it receives nothing from the primary, so that commits would wait for it
+}
+
+// SettlingCause returns the cause of the handover that ends a pending order while the primary works: the promotion is requested again,
+// or fenced by a request for the present primary if the server cannot take over.
+func (orderTarget OrderTarget) SettlingCause() Cause {
+	if !orderTarget.Registered || orderTarget.Evacuated || orderTarget.NotReceiving {
+		return CauseConfirmed
+	}
+	return CauseOrdered
+}
+
 // Startup is what a process that has just started knows of the orders from before. It may acknowledge commits once it has listed the
 // stored ones, or when those that it was not told of cannot be carried out any more.
 type Startup struct {
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"corianderspool.example/spool/internal/core/elect"
 	"corianderspool.example/spool/internal/core/roster"
 	"corianderspool.example/spool/internal/wire"
@@ -266,11 +268,8 @@
 // answerForDomain merges the answers of the other proxies in this failure domain into an answer.
 func (peers *peers) answerForDomain(answer *wire.ProbeAnswer, asked *wire.ProbeRequest) {
 	others, live := peers.proxy.members.domainMembers()
-	request := &wire.ProbeRequest{
-		Group: answer.Group, Server: answer.Server, KnownOnly: true, HearAll: asked.HearAll,
-		CloseCommits: asked.CloseCommits, Term: asked.Term, Chosen: asked.Chosen, Token: asked.Token, MaySend: asked.MaySend,
-		OpenCommits: asked.OpenCommits, Orders: asked.Orders, PartialOrders: asked.PartialOrders, SettleOrders: asked.SettleOrders,
-	}
+	request := proto.CloneOf(asked)
+	request.ForDomain, request.KnownOnly = false, true
 	answers := peers.gatherAnswers(request, others, live, domainTimeout)
 	acked, stats, known := ackedPosition(answer), decodeCommitStats(answer), decodeKnowledge(answer)
 	for _, other := range answers {
--- a/internal/super/order.go
+++ b/internal/super/order.go
@@ -49,12 +49,12 @@
 		supervisor.resumeOwn(ctx, view.Group, state)
 		return
 	}
-	cause := elect.CauseOrdered
-	if server := findServer(view, order.Server); server == nil || server.Evacuated || order.Server == state.notReceiving {
-		cause = elect.CauseConfirmed
+	server := findServer(view, order.Server)
+	target := elect.OrderTarget{
+		Registered: server != nil, Evacuated: server != nil && server.Evacuated, NotReceiving: order.Server == state.notReceiving,
 	}
 	state.poll = supervisor.fleet.PollCommits(view.Group, view.Primary)
-	supervisor.replacePrimary(ctx, view, state, cause)
+	supervisor.replacePrimary(ctx, view, state, target.SettlingCause())
 }
 
 // settleOrders waits until an order that the platform accepted just before would have taken effect. If the primary still leads the same
