fleet: a test of one proxy that restarts while an order is out

Test: TestOrderThatOutlivesARestartOfOneProxyLosesNoCommit restarts each of three proxies in turn. What both tests of restarts do is in assertNoCommitLost; the check of the older one is the same.

--- a/internal/fleet/lateorder_test.go
+++ b/internal/fleet/lateorder_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,22 @@
 	}
 }
 
+// assertNoCommitLost writes at all proxies until the order is carried out, and requires that the log has each acknowledged value then.
+func (order *lateOrder) assertNoCommitLost() {
+	cluster := order.cluster
+	cluster.Helper()
+	var writing sync.WaitGroup
+	acknowledged := make([][]string, len(cluster.settings))
+	for index := range acknowledged {
+		writing.Go(func() { acknowledged[index] = cluster.writeUntil(index, order.isCarriedOut) })
+	}
+	writing.Wait()
+	written := cluster.group.AllWrittenValues()
+	for _, value := range slices.Concat(acknowledged...) {
+		qt.Check(cluster, slices.Contains(written, value), qt.IsTrue, qt.Commentf("acknowledged %s is lost", value))
+	}
+}
+
 // TestOrderThatOutlivesARestartLosesNoCommit guards against the loss of commits that processes acknowledge which start after a
 // promotion was requested, before the platform carries it out: the server receives nothing since, and the primary works.
 func TestOrderThatOutlivesARestartLosesNoCommit(t *testing.T) {
@@ -82,19 +99,34 @@
 		cluster.waitUntil(func() bool { return cluster.ready(index) })
 	}
 	time.AfterFunc(time.Second, func() { order.carryOut(server) })
-	var writing sync.WaitGroup
-	acknowledged := make([][]string, len(cluster.settings))
-	for index := range acknowledged {
-		writing.Go(func() { acknowledged[index] = cluster.writeUntil(index, order.isCarriedOut) })
-	}
-	writing.Wait()
-	written := cluster.group.AllWrittenValues()
-	for _, value := range slices.Concat(acknowledged...) {
-		qt.Check(t, slices.Contains(written, value), qt.IsTrue, qt.Commentf("acknowledged %s is lost", value))
-	}
+	order.assertNoCommitLost()
 	cluster.waitUntil(func() bool { return cluster.connect(0, "primary", "key-red").execute("WRITE item last") == "" })
 }
 
+// TestOrderThatOutlivesARestartOfOneProxyLosesNoCommit guards against the loss of commits that a single process acknowledges which starts
+// after a promotion was requested: the proxies that closed commits run on, and nobody asks the new process to.
+func TestOrderThatOutlivesARestartOfOneProxyLosesNoCommit(t *testing.T) {
+	for index := range 3 {
+		t.Run(fmt.Sprintf("vm%d", index), func(t *testing.T) {
+			cluster := newPlacedCluster(t, 3, layout{logger: zap.NewNop(), adjust: func(_ int, settings *spool.FleetSettings) {
+				settings.Bounds.Drain, settings.Bounds.Grace = time.Minute, time.Second
+			}})
+			order, server := cluster.awaitOrder()
+			token := cluster.store.FencingToken("g1")
+			cluster.group.Server(server).StopReceiving()
+			cluster.restart(index)
+			time.AfterFunc(300*time.Millisecond, func() {
+				if cluster.store.FencingToken("g1") == token {
+					order.carryOut(server)
+				} else {
+					close(order.led) // the platform refuses the order
+				}
+			})
+			order.assertNoCommitLost()
+		})
+	}
+}
+
 // TestOrderForAServerWithoutAnEntryIsFenced guards against the loss of commits by an order that a supervisor forgets, since its server
 // has no entry, and against commits that wait for that server although the primary works: the promotion of the primary is requested,
 // so that the platform refuses the older order.
