fleet: proxies that others have not heard of get answers

What callers saw: in a large fleet that has just started, a crashed primary was not replaced for more than 12 s. No write was lost.

In a large fleet it asks relays, and chose ones that it had just read of. The other proxies of their failure domain did not know the relays' addresses, so that they could not answer them ("address of vm24 is unknown", event 703); the poll was not complete, and the handover was given up each time. Proxies read the registry every 30 to 90 s.

Change: in a fleet with relays a question comes after a heartbeat with the asker's address. A relay that answers with fewer registered proxies than the asker knows of its failure domain is told them, so that the next poll can be complete. What a closure asks for stays.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -85,9 +85,9 @@
 	peers.sendHeartbeat(to, answer)
 }
 
-func (peers *peers) sendMembers(to spool.VM, request *wire.MemberRequest) {
+func (peers *peers) sendMembers(to spool.VM, members []spool.Member) {
 	answer := &wire.MemberAnswer{}
-	for _, member := range peers.proxy.members.lookUp(decodeEntries(request.Domains)) {
+	for _, member := range members {
 		answer.Members = append(answer.Members, &wire.MemberInfo{
 			VM: string(member.VM), Domain: string(member.Domain), Address: member.Address, Capacity: member.Capacity,
 		})
@@ -95,6 +95,15 @@
 	peers.transport.Send(to, &wire.Envelope{Body: &wire.Envelope_MemberAnswer{MemberAnswer: answer}})
 }
 
+// tellMembers tells the relays of some failure domains which proxies are registered there, so that they ask all of them next time.
+func (peers *peers) tellMembers(relays []spool.VM, domains map[spool.Domain]bool) {
+	for _, relay := range relays {
+		if domain := peers.proxy.members.domainOf(relay); domains[domain] {
+			peers.sendMembers(relay, peers.proxy.members.inDomain(domain))
+		}
+	}
+}
+
 func (peers *peers) applyMembers(answer *wire.MemberAnswer) {
 	added := make([]spool.Member, 0, len(answer.Members))
 	for _, member := range answer.Members {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -187,7 +187,7 @@
 			}
 		}
 	case *wire.Envelope_MemberRequest:
-		peers.sendMembers(from, body.MemberRequest)
+		peers.sendMembers(from, peers.proxy.members.lookUp(decodeEntries(body.MemberRequest.Domains)))
 	case *wire.Envelope_MemberAnswer:
 		peers.endRequest(&peers.membersRequest)
 		peers.applyMembers(body.MemberAnswer)
--- a/internal/fleet/probe.go
+++ b/internal/fleet/probe.go
@@ -100,16 +100,22 @@
 	domain := peers.proxy.settings.Domain
 	complete := map[string]bool{string(domain): domains[domain] == 1}
 	mostComplete := map[string]*wire.ProbeAnswer{} // by failure domain: both of its relays count the same commits
+	behind := map[spool.Domain]bool{}              // its relays know fewer members than this proxy
 	for _, answer := range peers.gatherAnswers(request, relays, len(relays), probeTimeout) {
 		poll.AddAnswer(answer.Reached, ackedPosition(answer))
 		poll.Known.Merge(decodeKnowledge(answer))
 		if known := mostComplete[answer.Domain]; known == nil || known.Answered < answer.Answered {
 			mostComplete[answer.Domain] = answer
 		}
-		if registered := domains[spool.Domain(answer.Domain)]; answer.Answered >= max(answer.Registered, uint32(registered)) {
+		registered := uint32(domains[spool.Domain(answer.Domain)])
+		if answer.Answered >= max(answer.Registered, registered) {
 			complete[answer.Domain] = true
 		}
+		if answer.Registered < registered {
+			behind[spool.Domain(answer.Domain)] = true
+		}
 	}
+	peers.tellMembers(relays, behind)
 	for _, answer := range mostComplete {
 		poll.Commits.Merge(decodeCommitStats(answer)) // the relay of this proxy's failure domain includes its commits
 	}
@@ -208,7 +214,11 @@
 		delete(peers.pendingProbes, request.Sequence)
 		peers.mutex.Unlock()
 	}()
+	relayed, now := peers.proxy.members.relayed(), peers.proxy.timers.Now()
 	for _, vm := range targets {
+		if relayed {
+			peers.introduce(vm, now, roster.ScopeNone) // a proxy that does not know the address of this one cannot answer
+		}
 		peers.transport.Send(vm, &wire.Envelope{Body: &wire.Envelope_ProbeRequest{ProbeRequest: request}})
 	}
 	timer := time.NewTimer(timeout)
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -162,6 +162,28 @@
 	return members.roster.DomainRelays(members.proxy.timers.Now()), domains
 }
 
+// domainOf returns the failure domain of a proxy, empty if it is not known.
+func (members *members) domainOf(vm spool.VM) spool.Domain {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	if member := members.roster.Get(vm); member != nil {
+		return member.Domain
+	}
+	return ""
+}
+
+// inDomain returns the registered proxies of a failure domain, except this one.
+func (members *members) inDomain(domain spool.Domain) (found []spool.Member) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	for _, member := range members.roster.Others() {
+		if member.Domain == domain {
+			found = append(found, member.Member)
+		}
+	}
+	return found
+}
+
 // domainMembers returns the other registered proxies in this one's failure domain and the number of live ones.
 func (members *members) domainMembers() (vms []spool.VM, live int) {
 	now := members.proxy.timers.Now()
