--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -98,7 +98,7 @@
 // tellMembers tells the relays of some failure domains which proxies are registered there, so that they ask all of them next time.
 func (peers *peers) tellMembers(relays []spool.VM, domains map[spool.Domain]bool) {
 	for _, relay := range relays {
-		if domain := peers.proxy.members.domainOf(relay); domains[domain] {
+		if domain, _ := peers.proxy.members.locate(relay); domains[domain] {
 			peers.sendMembers(relay, peers.proxy.members.inDomain(domain))
 		}
 	}
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -162,16 +162,6 @@
 	return members.roster.DomainRelays(members.proxy.timers.Now()), domains
 }
 
-// domainOf returns the failure domain of a proxy, empty if it is not known.
-func (members *members) domainOf(vm spool.VM) spool.Domain {
-	members.mutex.Lock()
-	defer members.mutex.Unlock()
-	if member := members.roster.Get(vm); member != nil {
-		return member.Domain
-	}
-	return ""
-}
-
 // inDomain returns the registered proxies of a failure domain, except this one.
 func (members *members) inDomain(domain spool.Domain) (found []spool.Member) {
 	members.mutex.Lock()
